--- a/packages/cli/ladder_cli/__init__.py
+++ b/packages/cli/ladder_cli/__init__.py
@@ -1,1 +1,1 @@
-"""Package of the workspace."""
+"""The command line of operators."""
--- /dev/null
+++ b/packages/cli/ladder_cli/main.py
@@ -0,0 +1,19 @@
+"""The program of operators."""
+
+import sys
+
+import defopt
+
+from ladder_cli.lists import apply, check
+from ladder_core.errors import LadderError
+
+_FAILED = 1
+
+
+def main() -> None:
+    """Run the command that the arguments name."""
+    try:
+        defopt.run([check, apply])
+    except LadderError as error:
+        sys.stderr.write(f'{error.message}\n{error.remedy}\n')
+        sys.exit(_FAILED)
--- a/packages/clients/ladder_clients/__init__.py
+++ b/packages/clients/ladder_clients/__init__.py
@@ -1,1 +1,1 @@
-"""Package of the workspace."""
+"""Clients of the platform's services and of the targets."""
--- /dev/null
+++ b/packages/clients/ladder_clients/engines/__init__.py
@@ -0,0 +1,25 @@
+"""Model engines."""
+
+from ladder_clients.engines.base import EngineClient
+from ladder_clients.engines.http import HttpEngineClient
+from ladder_clients.engines.wire import (
+    Chunk,
+    EngineState,
+    GenerateRequest,
+    Order,
+    OrderKind,
+    OrderOutcome,
+    Role,
+)
+
+__all__ = (
+    'Chunk',
+    'EngineClient',
+    'EngineState',
+    'GenerateRequest',
+    'HttpEngineClient',
+    'Order',
+    'OrderKind',
+    'OrderOutcome',
+    'Role',
+)
--- /dev/null
+++ b/packages/clients/ladder_clients/platform/objects.py
@@ -0,0 +1,83 @@
+"""The platform's object store."""
+
+from abc import ABC, abstractmethod
+from urllib.parse import quote
+
+from ladder_clients.platform.calls import call_platform
+from ladder_clients.transport import HttpClient
+
+_NOT_FOUND = 404
+
+
+class ObjectStore(ABC):
+    """Keeps whole objects under names."""
+
+    @abstractmethod
+    async def put(self, name: str, body: bytes) -> None:
+        """
+        Store an object, in place of an earlier one of the name.
+
+        Raises
+        ------
+        StoreUnavailableError
+            The object may or may not be stored; storing again is harmless.
+
+        """
+
+    @abstractmethod
+    async def get(self, name: str) -> bytes | None:
+        """
+        Return an object, or None if there is none of the name.
+
+        Raises
+        ------
+        StoreUnavailableError
+            The store does not answer.
+
+        """
+
+    @abstractmethod
+    async def delete(self, name: str) -> None:
+        """
+        Remove an object; an absent one is no error.
+
+        Raises
+        ------
+        StoreUnavailableError
+            The store does not answer.
+
+        """
+
+
+class HttpObjectStore(ObjectStore):
+    """
+    The object store over HTTP.
+
+    Parameters
+    ----------
+    http : HttpClient
+        Transport.
+    address : str
+        ``ip:port`` of the store.
+
+    """
+
+    def __init__(self, http: HttpClient, address: str) -> None:
+        self._http = http
+        self._base = f'http://{address}/v1/objects'
+
+    async def put(self, name: str, body: bytes) -> None:
+        """Store an object."""
+        await call_platform(self._http, 'PUT', self._locate(name), body)
+
+    async def get(self, name: str) -> bytes | None:
+        """Return an object."""
+        answer = await call_platform(self._http, 'GET', self._locate(name))
+        return None if answer.status == _NOT_FOUND else answer.body
+
+    async def delete(self, name: str) -> None:
+        """Remove an object."""
+        await call_platform(self._http, 'DELETE', self._locate(name))
+
+    def _locate(self, name: str) -> str:
+        return f'{self._base}/{quote(name, safe="")}'
--- /dev/null
+++ b/packages/clients/ladder_clients/platform/weights.py
@@ -0,0 +1,75 @@
+"""The platform's weight store."""
+
+from abc import ABC, abstractmethod
+
+import msgspec
+
+from ladder_clients.platform.calls import call_platform
+from ladder_clients.transport import HttpClient
+
+_NOT_FOUND = 404
+
+
+class Weights(msgspec.Struct, frozen=True):
+    """
+    The newest weights of a model.
+
+    Attributes
+    ----------
+    model : str
+        Name of the model.
+    version : int
+        Newest published version; zero before the first.
+    size_bytes : int
+        Bytes that one replica has to fetch.
+    bytes_per_second : float
+        Rate limit of the store over all replicas.
+
+    """
+
+    model: str
+    version: int
+    size_bytes: int = 0
+    bytes_per_second: float = 0
+
+
+class WeightStore(ABC):
+    """Tells which weights are published; engines fetch them themselves."""
+
+    @abstractmethod
+    async def read_newest(self, model: str) -> Weights:
+        """
+        Return the newest weights of a model.
+
+        Raises
+        ------
+        StoreUnavailableError
+            The store does not answer.
+
+        """
+
+
+class HttpWeightStore(WeightStore):
+    """
+    The weight store over HTTP.
+
+    Parameters
+    ----------
+    http : HttpClient
+        Transport.
+    address : str
+        ``ip:port`` of the store.
+
+    """
+
+    def __init__(self, http: HttpClient, address: str) -> None:
+        self._http = http
+        self._base = f'http://{address}/v1/models'
+
+    async def read_newest(self, model: str) -> Weights:
+        """Return the newest weights of a model."""
+        url = f'{self._base}/{model}'
+        answer = await call_platform(self._http, 'GET', url)
+        if answer.status == _NOT_FOUND:
+            return Weights(model, 0)
+        return msgspec.json.decode(answer.body, type=Weights)
--- /dev/null
+++ b/packages/clients/ladder_clients/services/plain.py
@@ -0,0 +1,125 @@
+"""Calls to plain services."""
+
+from dataclasses import dataclass
+
+from ladder_clients.transport import (
+    HttpClient,
+    Timeouts,
+    translate_target_errors,
+)
+from ladder_core.errors import TargetLostError
+
+_REQUEST_ID = 'x-request-id'
+_DEFAULT_SECONDS = 30
+
+
+@dataclass(frozen=True, slots=True)
+class PlainRequest:
+    """
+    A call to a plain service.
+
+    Attributes
+    ----------
+    request_id : str
+        Identifies this dispatch; the service echoes it.
+    method : str
+        HTTP method.
+    path : str
+        Path and query at the service.
+    body : bytes
+        Request body.
+    content_type : str
+        Media type of the body.
+    seconds : float
+        Limit of the call.
+
+    """
+
+    request_id: str
+    method: str
+    path: str
+    body: bytes = b''
+    content_type: str = 'application/json'
+    seconds: float = _DEFAULT_SECONDS
+
+
+@dataclass(frozen=True, slots=True)
+class PlainAnswer:
+    """
+    A plain service's whole answer.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    body : bytes
+        The body.
+    content_type : str
+        Its media type.
+
+    """
+
+    status: int
+    body: bytes
+    content_type: str
+
+
+class PlainServiceClient:
+    """
+    Calls plain services, each call exactly once.
+
+    Parameters
+    ----------
+    http : HttpClient
+        Transport.
+
+    """
+
+    def __init__(self, http: HttpClient) -> None:
+        self._http = http
+
+    async def call(self, address: str, request: PlainRequest) -> PlainAnswer:
+        """
+        Make a call.
+
+        Parameters
+        ----------
+        address : str
+            ``ip:port`` of the service.
+        request : PlainRequest
+            What to call.
+
+        Returns
+        -------
+        PlainAnswer
+            The service's own answer, whatever its status.
+
+        Raises
+        ------
+        TargetUnavailableError
+            The request was not sent.
+        TargetLostError
+            The connection broke, or the answer is another request's.
+        TargetTimeoutError
+            No whole answer arrived in time.
+
+        """
+        remedy = 'ask the service whether the call took effect'
+        with translate_target_errors(remedy):
+            answer = await self._http.fetch(
+                request.method,
+                f'http://{address}{request.path}',
+                body=request.body,
+                headers={
+                    _REQUEST_ID: request.request_id,
+                    'content-type': request.content_type,
+                },
+                timeouts=Timeouts(request.seconds, request.seconds),
+            )
+        if answer.headers.get(_REQUEST_ID) != request.request_id:
+            raise TargetLostError(
+                f'{address} answered another request',
+                remedy=remedy,
+            )
+        content_type = answer.headers.get('content-type', '')
+        return PlainAnswer(answer.status, answer.body, content_type)
--- /dev/null
+++ b/packages/clients/ladder_clients/table/__init__.py
@@ -0,0 +1,21 @@
+"""The table service."""
+
+from ladder_clients.table.base import TableClient
+from ladder_clients.table.http import HttpTableClient
+from ladder_clients.table.wire import (
+    Condition,
+    Outcome,
+    Row,
+    Transaction,
+    Write,
+)
+
+__all__ = (
+    'Condition',
+    'HttpTableClient',
+    'Outcome',
+    'Row',
+    'TableClient',
+    'Transaction',
+    'Write',
+)
--- /dev/null
+++ b/packages/clients/ladder_clients/table/http.py
@@ -0,0 +1,117 @@
+"""The table service over HTTP."""
+
+from typing import TypeVar
+from urllib.parse import quote
+
+import msgspec
+
+from ladder_clients.table.base import TableClient
+from ladder_clients.table.errors import StoreOutcomeUnknownError
+from ladder_clients.table.wire import Outcome, Row, Transaction
+from ladder_clients.transport import (
+    Answer,
+    HttpClient,
+    Timeouts,
+    TransportError,
+    UnreachableError,
+)
+from ladder_core.errors import StoreUnavailableError
+
+Message = TypeVar('Message')
+
+_OK = 200
+_NOT_FOUND = 404
+_CALL_SECONDS = 2
+_RETRY_SECONDS = 1
+
+
+class HttpTableClient(TableClient):
+    """
+    One table service at one address.
+
+    Parameters
+    ----------
+    http : HttpClient
+        Transport, started and closed by the owner.
+    address : str
+        ``ip:port`` of the service.
+    call_seconds : float, optional
+        Limit of one call.
+
+    """
+
+    def __init__(
+        self,
+        http: HttpClient,
+        address: str,
+        call_seconds: float = _CALL_SECONDS,
+    ) -> None:
+        self._http = http
+        self._base = f'http://{address}/v1'
+        self._timeouts = Timeouts(total=call_seconds, connect=call_seconds)
+
+    async def read(self, table: str, key: str) -> Row | None:
+        """Return one row, or None if it is absent."""
+        path = f'/rows/{quote(table)}/{quote(key, safe="")}'
+        answer = await self._get(path)
+        if answer.status == _NOT_FOUND:
+            return None
+        return self._decode(answer, Row)
+
+    async def scan(self, table: str, prefix: str = '') -> list[Row]:
+        """Return the rows whose keys start with a prefix."""
+        path = f'/rows/{quote(table)}?prefix={quote(prefix, safe="")}'
+        return self._decode(await self._get(path), list[Row])
+
+    async def commit(self, transaction: Transaction) -> Outcome:
+        """Apply a transaction."""
+        try:
+            answer = await self._http.fetch(
+                'POST',
+                f'{self._base}/transactions',
+                body=msgspec.json.encode(transaction),
+                timeouts=self._timeouts,
+            )
+        except UnreachableError as error:
+            raise _make_unavailable(error) from error
+        except TransportError as error:
+            raise StoreOutcomeUnknownError(
+                f'the answer of transaction {transaction.token} was lost',
+                remedy='read its outcome back by its token',
+                retry_after=_RETRY_SECONDS,
+            ) from error
+        return self._decode(answer, Outcome)
+
+    async def read_outcome(self, token: str) -> Outcome | None:
+        """Return the outcome of a transaction."""
+        answer = await self._get(f'/transactions/{quote(token, safe="")}')
+        if answer.status == _NOT_FOUND:
+            return None
+        return self._decode(answer, Outcome)
+
+    async def _get(self, path: str) -> Answer:
+        try:
+            return await self._http.fetch(
+                'GET',
+                self._base + path,
+                timeouts=self._timeouts,
+            )
+        except TransportError as error:
+            raise _make_unavailable(error) from error
+
+    def _decode(self, answer: Answer, kind: type[Message]) -> Message:
+        if answer.status != _OK:
+            raise StoreUnavailableError(
+                f'the table service answered with status {answer.status}',
+                remedy='wait until it has recovered',
+                retry_after=_RETRY_SECONDS,
+            )
+        return msgspec.json.decode(answer.body, type=kind)
+
+
+def _make_unavailable(error: TransportError) -> StoreUnavailableError:
+    return StoreUnavailableError(
+        f'the table service does not answer: {error.message}',
+        remedy='wait until it has recovered',
+        retry_after=_RETRY_SECONDS,
+    )
--- /dev/null
+++ b/packages/clients/ladder_clients/transport/__init__.py
@@ -0,0 +1,21 @@
+"""HTTP transport shared by all clients."""
+
+from ladder_clients.transport.client import Answer, HttpClient, Timeouts
+from ladder_clients.transport.errors import (
+    SilentConnectionError,
+    TransportBrokenError,
+    TransportError,
+    UnreachableError,
+)
+from ladder_clients.transport.translation import translate_target_errors
+
+__all__ = (
+    'Answer',
+    'HttpClient',
+    'SilentConnectionError',
+    'Timeouts',
+    'TransportBrokenError',
+    'TransportError',
+    'UnreachableError',
+    'translate_target_errors',
+)
--- /dev/null
+++ b/packages/clients/ladder_clients/transport/client.py
@@ -0,0 +1,222 @@
+"""The HTTP client over aiohttp, without any retry of its own."""
+
+import contextlib
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import aiohttp
+
+from ladder_clients.transport.errors import (
+    SilentConnectionError,
+    TransportBrokenError,
+    TransportError,
+    UnreachableError,
+)
+from ladder_core.supervision import Service
+
+_CONNECT_SECONDS = 2
+_GAP_SECONDS = 5
+_UNSENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+
+
+@dataclass(frozen=True, slots=True)
+class Timeouts:
+    """
+    Limits of one exchange.
+
+    Attributes
+    ----------
+    total : float or None
+        Seconds for the whole exchange; None for streams.
+    gap : float
+        Seconds without a byte after which the connection counts as silent.
+    connect : float
+        Seconds for making a connection.
+
+    """
+
+    total: float | None = _GAP_SECONDS
+    gap: float = _GAP_SECONDS
+    connect: float = _CONNECT_SECONDS
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """
+    A whole answer.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    headers : dict of str to str
+        Header fields, names in lower case.
+    body : bytes
+        The body.
+
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class HttpClient(Service):
+    """
+    Exchanges over HTTP, each tried exactly once.
+
+    Notes
+    -----
+    aiohttp sends idempotent methods a second time by itself when a kept
+    connection closes without an answer. Every exchange of this client
+    therefore runs on a connection of its own, which is closed after it: no
+    late answer can reach another request, and nothing is sent twice.
+
+    """
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the session."""
+        connector = aiohttp.TCPConnector(force_close=True, limit=0)
+        self._session = aiohttp.ClientSession(
+            connector=connector,
+            auto_decompress=False,
+        )
+
+    async def close(self) -> None:
+        """Close the session and its connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def fetch(
+        self,
+        method: str,
+        url: str,
+        *,
+        body: bytes = b'',
+        headers: dict[str, str] | None = None,
+        timeouts: Timeouts | None = None,
+    ) -> Answer:
+        """
+        Send a request and read the whole answer.
+
+        Parameters
+        ----------
+        method : str
+            HTTP method.
+        url : str
+            Absolute URL.
+        body : bytes, optional
+            Request body.
+        headers : dict of str to str, optional
+            Header fields of the request.
+        timeouts : Timeouts, optional
+            Limits of the exchange.
+
+        Returns
+        -------
+        Answer
+            The answer, whatever its status.
+
+        Raises
+        ------
+        UnreachableError
+            No connection could be made; the request was not sent.
+        TransportBrokenError
+            The connection broke; the request may have been executed.
+        SilentConnectionError
+            A limit passed; the request may have been executed.
+
+        """
+        limits = timeouts or Timeouts()
+        async with self._exchange(method, url, body, headers, limits) as reply:
+            payload = await reply.read()
+            fields = {
+                name.lower(): text for name, text in reply.headers.items()
+            }
+            return Answer(reply.status, fields, payload)
+        raise AssertionError('the exchange either yields or raises')
+
+    @contextlib.asynccontextmanager
+    async def stream(
+        self,
+        method: str,
+        url: str,
+        *,
+        body: bytes = b'',
+        headers: dict[str, str] | None = None,
+        timeouts: Timeouts | None = None,
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        """
+        Send a request and hand out the open answer.
+
+        Parameters
+        ----------
+        method, url, body, headers
+            As for `fetch`.
+        timeouts : Timeouts, optional
+            Limits; `total` is usually None for a stream.
+
+        Yields
+        ------
+        aiohttp.ClientResponse
+            The answer, whose ``content`` is read inside the context.
+
+        Raises
+        ------
+        TransportError
+            As for `fetch`, also while the body is read.
+
+        """
+        limits = timeouts or Timeouts(total=None)
+        async with self._exchange(method, url, body, headers, limits) as reply:
+            yield reply
+
+    @contextlib.asynccontextmanager
+    async def _exchange(
+        self,
+        method: str,
+        url: str,
+        body: bytes,
+        headers: dict[str, str] | None,
+        limits: Timeouts,
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        if self._session is None:
+            raise RuntimeError('start the client before its first exchange')
+        options = aiohttp.ClientTimeout(
+            total=limits.total,
+            sock_connect=limits.connect,
+            sock_read=limits.gap,
+        )
+        try:
+            async with self._session.request(
+                method,
+                url,
+                data=body,
+                headers=headers,
+                timeout=options,
+                allow_redirects=False,
+            ) as reply:
+                yield reply
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise _translate(url, error) from error
+
+
+def _translate(url: str, error: Exception) -> TransportError:
+    if isinstance(error, _UNSENT):
+        return UnreachableError(
+            f'{url}: no connection: {error}',
+            remedy='check that the host is up; try another one',
+        )
+    if isinstance(error, TimeoutError):
+        return SilentConnectionError(
+            f'{url}: nothing received within the limit',
+            remedy='read back whether the request took effect',
+        )
+    return TransportBrokenError(
+        f'{url}: connection broke: {error!r}',
+        remedy='read back whether the request took effect',
+    )
--- a/packages/node/ladder_node/__init__.py
+++ b/packages/node/ladder_node/__init__.py
@@ -1,1 +1,1 @@
-"""Package of the workspace."""
+"""The node daemon."""
--- /dev/null
+++ b/packages/node/ladder_node/app/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: its supervisor tree and its program."""
--- /dev/null
+++ b/packages/node/ladder_node/app/main.py
@@ -0,0 +1,62 @@
+"""The program of the node daemon."""
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+import defopt
+from loguru import logger
+
+from ladder_core.errors import SettingsError
+from ladder_core.logs import configure_logs
+from ladder_core.settings import NodeSettings, load_node_settings
+from ladder_node.app.tree import build_tree
+
+_INVALID_SETTINGS = 2
+_FAILED = 1
+
+
+def serve(settings_path: Path) -> None:
+    """
+    Run one node until it gets SIGTERM or SIGINT.
+
+    :param settings_path: The node's settings file.
+    """
+    try:
+        settings = load_node_settings(settings_path)
+    except SettingsError as error:
+        sys.stderr.write(f'{error.message}\n')
+        sys.exit(_INVALID_SETTINGS)
+    configure_logs(settings.name, settings.log_level)
+    if not asyncio.run(_run(settings)):
+        sys.exit(_FAILED)
+
+
+def main() -> None:
+    """Run the node daemon."""
+    defopt.run(serve)
+
+
+async def _run(settings: NodeSettings) -> bool:
+    """Run the node; return whether it was stopped by a signal."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    root = build_tree(settings)
+    await root.start()
+    logger.info('serving at {}', settings.entry_address)
+    waits = {
+        asyncio.create_task(stopped.wait()),
+        asyncio.create_task(root.wait_failed()),
+    }
+    _, pending = await asyncio.wait(
+        waits,
+        return_when=asyncio.FIRST_COMPLETED,
+    )
+    for task in pending:
+        task.cancel()
+    await root.close()
+    logger.info('stopped')
+    return stopped.is_set()
--- /dev/null
+++ b/packages/node/ladder_node/dispatch/plain.py
@@ -0,0 +1,141 @@
+"""Send calls to plain services and samples to scorers."""
+
+import uuid
+
+from ladder_clients.services import (
+    PlainAnswer,
+    PlainRequest,
+    PlainServiceClient,
+    ScorerClient,
+)
+from ladder_core.errors import (
+    LadderError,
+    MayHaveRunError,
+    NotRunError,
+    TargetUnavailableError,
+)
+from ladder_core.values import HostKind
+from ladder_node.targets import Target, TargetTable
+
+_MAX_ATTEMPTS = 4
+_RETRY_SECONDS = 1
+
+
+class PlainDispatcher:
+    """
+    Choose replicas of plain services and of scorers.
+
+    Parameters
+    ----------
+    targets : TargetTable
+        What is known of the replicas.
+    services : PlainServiceClient
+        Makes calls.
+
+    """
+
+    def __init__(
+        self,
+        targets: TargetTable,
+        services: PlainServiceClient,
+    ) -> None:
+        self._targets = targets
+        self._services = services
+        self._scorer = ScorerClient(services)
+
+    async def call(self, pool: str, request: PlainRequest) -> PlainAnswer:
+        """
+        Make a call that runs at most once.
+
+        Parameters
+        ----------
+        pool : str
+            Pool of the service.
+        request : PlainRequest
+            What to call.
+
+        Returns
+        -------
+        PlainAnswer
+            The service's answer.
+
+        Raises
+        ------
+        TargetUnavailableError
+            No replica was reached; nothing was run.
+        MayHaveRunError
+            A replica was reached and did not answer.
+
+        """
+        attempt = 0
+        while True:
+            attempt += 1
+            target = self._choose(HostKind.service, pool)
+            try:
+                with self._targets.count_request(target):
+                    return await self._services.call(
+                        target.entry.address,
+                        request,
+                    )
+            except NotRunError as error:
+                self._note_failure(target, error)
+                if attempt == _MAX_ATTEMPTS:
+                    raise
+
+    async def score(self, pool: str, prompt: str, text: str) -> float:
+        """
+        Score a sample, on another scorer when one fails.
+
+        Parameters
+        ----------
+        pool : str
+            Pool of the scorers; empty for all.
+        prompt, text : str
+            The sample.
+
+        Returns
+        -------
+        float
+            The score.
+
+        Raises
+        ------
+        TargetUnavailableError
+            No scorer is available.
+        MayHaveRunError
+            Scorers failed one after another.
+
+        """
+        attempt = 0
+        while True:
+            attempt += 1
+            target = self._choose(HostKind.scorer, pool)
+            try:
+                with self._targets.count_request(target):
+                    return await self._scorer.score(
+                        target.entry.address,
+                        uuid.uuid4().hex,
+                        prompt,
+                        text,
+                    )
+            except (NotRunError, MayHaveRunError) as error:
+                self._note_failure(target, error)
+                if attempt == _MAX_ATTEMPTS:
+                    raise
+
+    def _choose(self, kind: HostKind, pool: str) -> Target:
+        usable = self._targets.list_available(kind, pool)
+        if not usable:
+            raise TargetUnavailableError(
+                f'no {kind} of pool {pool or "any"} is available',
+                remedy='come back later',
+                retry_after=_RETRY_SECONDS,
+            )
+        return min(usable, key=_read_load)
+
+    def _note_failure(self, target: Target, error: LadderError) -> None:
+        self._targets.suspend(target.entry.name, error.kind)
+
+
+def _read_load(target: Target) -> tuple[int, str]:
+    return (target.sent, target.entry.name)
--- /dev/null
+++ b/packages/node/ladder_node/entry/__init__.py
@@ -0,0 +1,7 @@
+"""The HTTP side towards callers, trainers and operators."""
+
+from ladder_node.entry.app import make_entry_app
+from ladder_node.entry.parts import EntryParts
+from ladder_node.entry.server import EntryServer
+
+__all__ = ('EntryParts', 'EntryServer', 'make_entry_app')
--- /dev/null
+++ b/packages/node/ladder_node/entry/app.py
@@ -0,0 +1,63 @@
+"""The routes of a node."""
+
+from starlette.applications import Starlette
+from starlette.routing import Route
+
+from ladder_core.errors import LadderError
+from ladder_node.entry.completions import CompletionRoutes
+from ladder_node.entry.operations import OperationRoutes
+from ladder_node.entry.parts import EntryParts
+from ladder_node.entry.problems import answer_error
+from ladder_node.entry.services import ServiceRoutes
+from ladder_node.entry.steps import StepRoutes
+
+_METHODS = ('GET', 'POST', 'PUT', 'PATCH', 'DELETE')
+_STEP_PATH = '/v1/trainers/{trainer}/steps/{step:int}'
+_SERVICE_PATH = '/v1/services/{pool}/{path:path}'
+
+
+def make_entry_app(parts: EntryParts) -> Starlette:
+    """
+    Return the application that callers talk to.
+
+    Parameters
+    ----------
+    parts : EntryParts
+        The node's parts.
+
+    Returns
+    -------
+    Starlette
+        The application.
+
+    """
+    routes = [
+        *_list_caller_routes(parts),
+        *_list_operation_routes(parts),
+    ]
+    handlers = {LadderError: answer_error, Exception: answer_error}
+    return Starlette(routes=routes, exception_handlers=handlers)
+
+
+def _list_caller_routes(parts: EntryParts) -> list[Route]:
+    completions = CompletionRoutes(parts)
+    services = ServiceRoutes(parts)
+    steps = StepRoutes(parts)
+    return [
+        Route('/v1/completions', completions.complete, methods=['POST']),
+        Route(_SERVICE_PATH, services.call, methods=list(_METHODS)),
+        Route(_STEP_PATH, steps.open, methods=['PUT']),
+        Route(_STEP_PATH, steps.close, methods=['DELETE']),
+        Route(f'{_STEP_PATH}/pull', steps.pull, methods=['POST']),
+    ]
+
+
+def _list_operation_routes(parts: EntryParts) -> list[Route]:
+    operations = OperationRoutes(parts)
+    return [
+        Route('/v1/addresses', operations.list_addresses),
+        Route('/v1/timeline', operations.read_timeline),
+        Route('/healthz', operations.read_health),
+        Route('/readyz', operations.read_readiness),
+        Route('/metrics', operations.read_metrics),
+    ]
--- /dev/null
+++ b/packages/node/ladder_node/entry/parts.py
@@ -0,0 +1,47 @@
+"""The parts of a node that the routes use."""
+
+from dataclasses import dataclass
+
+from ladder_core.settings import NodeSettings
+from ladder_core.timeline import TimeLine
+from ladder_core.timers import TimerService
+from ladder_node.configuration import ConfigurationKeeper
+from ladder_node.dispatch import GenerationDispatcher, PlainDispatcher
+from ladder_node.steps import StepRegistry
+from ladder_node.targets import TargetTable
+
+
+@dataclass(frozen=True, slots=True)
+class EntryParts:
+    """
+    What the routes need.
+
+    Attributes
+    ----------
+    settings : NodeSettings
+        The node's settings.
+    timers : TimerService
+        Source of time.
+    timeline : TimeLine
+        The node's events.
+    configuration : ConfigurationKeeper
+        The lists in force.
+    targets : TargetTable
+        What is known of targets and entry hosts.
+    generations : GenerationDispatcher
+        Runs generations.
+    services : PlainDispatcher
+        Calls plain services.
+    steps : StepRegistry
+        The open steps.
+
+    """
+
+    settings: NodeSettings
+    timers: TimerService
+    timeline: TimeLine
+    configuration: ConfigurationKeeper
+    targets: TargetTable
+    generations: GenerationDispatcher
+    services: PlainDispatcher
+    steps: StepRegistry
--- /dev/null
+++ b/packages/node/ladder_node/entry/requests.py
@@ -0,0 +1,168 @@
+"""Read and check requests at the border."""
+
+import hashlib
+from typing import TypeVar
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+from starlette.requests import Request
+
+from ladder_core.errors import (
+    BadRequestError,
+    ForbiddenError,
+    TooLargeError,
+    UnauthorizedError,
+)
+from ladder_core.values import Allowance, Lists, Plan
+
+_BEARER = 'bearer '
+
+Model = TypeVar('Model', bound=BaseModel)
+
+
+class RequestModel(BaseModel):
+    """Base of request bodies: unknown fields are errors."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True, strict=True)
+
+
+async def read_body(request: Request, limit: int) -> bytes:
+    """
+    Read the body of a request.
+
+    Parameters
+    ----------
+    request : Request
+        The request.
+    limit : int
+        Largest accepted body in bytes.
+
+    Returns
+    -------
+    bytes
+        The whole body.
+
+    Raises
+    ------
+    TooLargeError
+        The body is over the limit.
+
+    """
+    parts = []
+    size = 0
+    async for part in request.stream():
+        size += len(part)
+        if size > limit:
+            raise TooLargeError(
+                f'the body is over {limit} bytes',
+                remedy='split the request',
+            )
+        parts.append(part)
+    return b''.join(parts)
+
+
+def parse_body(body: bytes, kind: type[Model]) -> Model:
+    """
+    Check a JSON body.
+
+    Parameters
+    ----------
+    body : bytes
+        The body.
+    kind : type
+        Model that checks it.
+
+    Returns
+    -------
+    Model
+        The checked body.
+
+    Raises
+    ------
+    BadRequestError
+        The body is no JSON or doesn't fit the model.
+
+    """
+    try:
+        return kind.model_validate_json(body)
+    except ValidationError as error:
+        faults = '; '.join(
+            f'{".".join(str(part) for part in fault["loc"])}: {fault["msg"]}'
+            for fault in error.errors()
+        )
+        raise BadRequestError(
+            f'the body is invalid: {faults}',
+            remedy='correct the fields named',
+        ) from error
+
+
+def authenticate(request: Request, lists: Lists) -> Plan:
+    """
+    Find the plan whose secret a request carries.
+
+    Parameters
+    ----------
+    request : Request
+        The request, with an ``Authorization: Bearer`` header.
+    lists : Lists
+        The lists in force.
+
+    Returns
+    -------
+    Plan
+        The plan.
+
+    Raises
+    ------
+    UnauthorizedError
+        The secret is missing or unknown.
+
+    """
+    header = request.headers.get('authorization', '')
+    if not header.lower().startswith(_BEARER):
+        raise UnauthorizedError(
+            'the request carries no secret',
+            remedy='send the header Authorization: Bearer <secret>',
+        )
+    secret = header[len(_BEARER) :].strip()
+    digest = hashlib.sha256(secret.encode()).hexdigest()
+    plan = lists.find_plan(digest)
+    if plan is None:
+        raise UnauthorizedError(
+            'the secret belongs to no plan',
+            remedy="check the secret against the plan's hash",
+        )
+    return plan
+
+
+def check_model(allowance: Allowance, model: str) -> None:
+    """
+    Check that a plan may use a model.
+
+    Raises
+    ------
+    ForbiddenError
+        The allowance does not name the model.
+
+    """
+    if model not in allowance.models:
+        raise ForbiddenError(
+            f'plan {allowance.plan} may not use model {model}',
+            remedy="use one of the plan's models or extend its allowance",
+        )
+
+
+def check_pool(allowance: Allowance, pool: str) -> None:
+    """
+    Check that a plan may use a pool.
+
+    Raises
+    ------
+    ForbiddenError
+        The allowance does not name the pool.
+
+    """
+    if pool not in allowance.pools:
+        raise ForbiddenError(
+            f'plan {allowance.plan} may not use pool {pool}',
+            remedy="use one of the plan's pools or extend its allowance",
+        )
--- /dev/null
+++ b/packages/node/ladder_node/entry/services.py
@@ -0,0 +1,54 @@
+"""Calls to plain services."""
+
+import uuid
+
+from starlette.requests import Request
+from starlette.responses import Response
+
+from ladder_clients.services import PlainRequest
+from ladder_node.entry.parts import EntryParts
+from ladder_node.entry.requests import authenticate, check_pool, read_body
+
+
+class ServiceRoutes:
+    """
+    Answer calls to plain services.
+
+    Parameters
+    ----------
+    parts : EntryParts
+        The node's parts.
+
+    """
+
+    def __init__(self, parts: EntryParts) -> None:
+        self._parts = parts
+
+    async def call(self, request: Request) -> Response:
+        """Answer any method under ``/v1/services/{pool}/``."""
+        lists = self._parts.configuration.require_lists()
+        plan = authenticate(request, lists)
+        pool = request.path_params['pool']
+        check_pool(lists.find_allowance(plan.name), pool)
+        limit = self._parts.settings.body_limit_bytes
+        body = await read_body(request, limit)
+        plain = PlainRequest(
+            request_id=uuid.uuid4().hex,
+            method=request.method,
+            path=_read_path(request),
+            body=body,
+            content_type=request.headers.get('content-type', ''),
+        )
+        answer = await self._parts.services.call(pool, plain)
+        return Response(
+            answer.body,
+            answer.status,
+            media_type=answer.content_type,
+        )
+
+
+def _read_path(request: Request) -> str:
+    path = f'/{request.path_params["path"]}'
+    if request.url.query:
+        return f'{path}?{request.url.query}'
+    return path
--- /dev/null
+++ b/packages/node/ladder_node/entry/steps.py
@@ -0,0 +1,131 @@
+"""Steps for trainers."""
+
+import msgspec
+from starlette.requests import Request
+from starlette.responses import Response
+
+from ladder_core.errors import ForbiddenError, TooLargeError
+from ladder_core.values import Group, Lists, Plan, Sample
+from ladder_node.entry.parts import EntryParts
+from ladder_node.entry.requests import (
+    authenticate,
+    check_model,
+    parse_body,
+    read_body,
+)
+from ladder_node.entry.step_messages import (
+    GroupBody,
+    PullBody,
+    PullModel,
+    SampleBody,
+    StepModel,
+    StepStatus,
+)
+from ladder_node.steps import Handover, HeldGroups, StepSpec
+
+_CREATED = 201
+
+
+class StepRoutes:
+    """
+    Answer trainers.
+
+    Parameters
+    ----------
+    parts : EntryParts
+        The node's parts.
+
+    """
+
+    def __init__(self, parts: EntryParts) -> None:
+        self._parts = parts
+
+    async def open(self, request: Request) -> Response:
+        """Answer ``PUT /v1/trainers/{trainer}/steps/{step}``."""
+        lists = self._parts.configuration.require_lists()
+        plan = _authorize(request, lists)
+        limit = self._parts.settings.body_limit_bytes
+        body = parse_body(await read_body(request, limit), StepModel)
+        allowance = lists.find_allowance(plan.name)
+        check_model(allowance, body.model)
+        spec = _make_spec(plan, request, body)
+        await self._parts.steps.open(spec, allowance)
+        status = StepStatus(spec.name, spec.digest, len(spec.prompts))
+        return _answer(status, _CREATED)
+
+    async def pull(self, request: Request) -> Response:
+        """Answer ``POST /v1/trainers/{trainer}/steps/{step}/pull``."""
+        lists = self._parts.configuration.require_lists()
+        plan = _authorize(request, lists)
+        limit = self._parts.settings.body_limit_bytes
+        body = parse_body(await read_body(request, limit), PullModel)
+        held = HeldGroups.parse(body.held)
+        step = request.path_params['step']
+        runner = self._parts.steps.find(plan.trainer, step)
+        handover = await runner.pull(
+            body.version,
+            plan.staleness_versions,
+            held,
+            body.wait_seconds,
+        )
+        return _answer(_make_pull_body(runner.spec, handover))
+
+    async def close(self, request: Request) -> Response:
+        """Answer ``DELETE /v1/trainers/{trainer}/steps/{step}``."""
+        lists = self._parts.configuration.require_lists()
+        plan = _authorize(request, lists)
+        step = request.path_params['step']
+        await self._parts.steps.finish(plan.trainer, step)
+        return _answer(StepStatus(f'{plan.trainer}/{step}', '', 0))
+
+
+def _authorize(request: Request, lists: Lists) -> Plan:
+    plan = authenticate(request, lists)
+    trainer = request.path_params['trainer']
+    if plan.trainer != trainer:
+        raise ForbiddenError(
+            f'plan {plan.name} does not belong to trainer {trainer}',
+            remedy="use the secret of the trainer's plan",
+        )
+    return plan
+
+
+def _make_spec(plan: Plan, request: Request, body: StepModel) -> StepSpec:
+    samples = len(body.prompts) * body.samples_per_group
+    if samples > plan.samples_per_step:
+        raise TooLargeError(
+            f'{samples} samples are over the {plan.samples_per_step} '
+            f'that plan {plan.name} allows a step',
+            remedy='open a smaller step or extend the plan',
+        )
+    return StepSpec(
+        plan=plan.name,
+        trainer=plan.trainer,
+        step=request.path_params['step'],
+        model=body.model,
+        prompts=tuple(body.prompts),
+        samples_per_group=body.samples_per_group,
+        max_tokens=body.max_tokens,
+    )
+
+
+def _make_pull_body(spec: StepSpec, handover: Handover) -> PullBody:
+    groups = tuple(_make_group(spec, group) for group in handover.groups)
+    return PullBody(groups, handover.remaining)
+
+
+def _make_group(spec: StepSpec, group: Group) -> GroupBody:
+    samples = tuple(
+        _make_sample(spec, group.index, sample) for sample in group.samples
+    )
+    return GroupBody(group.index, samples)
+
+
+def _make_sample(spec: StepSpec, group: int, sample: Sample) -> SampleBody:
+    identity = str(spec.identify(group, sample.index))
+    return SampleBody(identity, sample.text, sample.score, sample.spans)
+
+
+def _answer(message: msgspec.Struct, status: int = 200) -> Response:
+    body = msgspec.json.encode(message)
+    return Response(body, status, media_type='application/json')
--- /dev/null
+++ b/packages/node/ladder_node/targets/__init__.py
@@ -0,0 +1,6 @@
+"""What a node knows of the targets."""
+
+from ladder_node.targets.table import Target, TargetTable
+from ladder_node.targets.watcher import TargetWatcher
+
+__all__ = ('Target', 'TargetTable', 'TargetWatcher')
--- /dev/null
+++ b/packages/node/ladder_node/targets/table.py
@@ -0,0 +1,174 @@
+"""The table of targets of one node."""
+
+import contextlib
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+from ladder_clients.engines import EngineState, Role
+from ladder_core.timeline import TimeLine
+from ladder_core.timers import TimerService
+from ladder_core.values import HostEntry, HostKind, HostState
+
+_SUSPENSION_SECONDS = 2
+
+
+@dataclass(slots=True)
+class Target:
+    """
+    A target as this node knows it.
+
+    Attributes
+    ----------
+    entry : HostEntry
+        The host list's word.
+    state : EngineState or None
+        An engine's own last word.
+    sent : int
+        Requests of this node in flight there.
+    is_leaving : bool
+        Whether the target itself or a peer said that it leaves.
+    suspended_until : float
+        Seconds on the timer service's clock before which the target gets no
+        new requests because it failed.
+
+    """
+
+    entry: HostEntry
+    state: EngineState | None = None
+    sent: int = 0
+    is_leaving: bool = False
+    suspended_until: float = field(default=0)
+
+
+class TargetTable:
+    """
+    Targets by name, merged from every source of knowledge.
+
+    Parameters
+    ----------
+    timers : TimerService
+        Source of time.
+    timeline : TimeLine
+        Takes what changes.
+
+    """
+
+    def __init__(self, timers: TimerService, timeline: TimeLine) -> None:
+        self._timers = timers
+        self._timeline = timeline
+        self._targets: dict[str, Target] = {}
+        self._entry_hosts: tuple[HostEntry, ...] = ()
+
+    @property
+    def entry_hosts(self) -> tuple[HostEntry, ...]:
+        """The live entry hosts, by the platform's list."""
+        return self._entry_hosts
+
+    def update_hosts(self, entries: Iterable[HostEntry]) -> None:
+        """
+        Take over the platform's host list.
+
+        Parameters
+        ----------
+        entries : iterable of HostEntry
+            The whole list; targets it no longer names are forgotten.
+
+        """
+        fresh = {entry.name: entry for entry in entries}
+        self._entry_hosts = tuple(
+            entry
+            for entry in fresh.values()
+            if entry.kind is HostKind.entry and entry.state is HostState.live
+        )
+        for name in set(self._targets) - set(fresh):
+            self._targets.pop(name)
+            self._timeline.record('target-gone', name)
+        for entry in fresh.values():
+            if entry.kind is not HostKind.entry:
+                self._update_entry(entry)
+
+    def update_state(self, name: str, state: EngineState) -> None:
+        """
+        Take over an engine's own word.
+
+        Parameters
+        ----------
+        name : str
+            Name of the target.
+        state : EngineState
+            Its word; that it leaves is never taken back.
+
+        """
+        target = self._targets.get(name)
+        if target is None:
+            return
+        target.state = state
+        if state.leaving:
+            self.mark_leaving(name)
+
+    def mark_leaving(self, name: str) -> None:
+        """Give a target no new requests."""
+        target = self._targets.get(name)
+        if target is not None and not target.is_leaving:
+            target.is_leaving = True
+            self._timeline.record('target-leaving', name)
+
+    def suspend(self, name: str, reason: str) -> None:
+        """
+        Give a target that failed no new requests for a while.
+
+        Parameters
+        ----------
+        name : str
+            Name of the target.
+        reason : str
+            Kind of the failure, for the time line.
+
+        """
+        target = self._targets.get(name)
+        if target is None:
+            return
+        target.suspended_until = self._timers.now() + _SUSPENSION_SECONDS
+        self._timeline.record('target-suspended', name, reason=reason)
+
+    def list_all(self, kind: HostKind, pool: str = '') -> list[Target]:
+        """Return the targets of a kind, of one pool if it is named."""
+        return [
+            target
+            for target in self._targets.values()
+            if target.entry.kind is kind and pool in {'', target.entry.pool}
+        ]
+
+    def list_available(self, kind: HostKind, pool: str = '') -> list[Target]:
+        """Return the targets that may get new requests."""
+        now = self._timers.now()
+        return [
+            target
+            for target in self.list_all(kind, pool)
+            if _is_available(target, now)
+        ]
+
+    @contextlib.contextmanager
+    def count_request(self, target: Target) -> Iterator[None]:
+        """Count a request in flight at a target."""
+        target.sent += 1
+        try:
+            yield
+        finally:
+            target.sent -= 1
+
+    def _update_entry(self, entry: HostEntry) -> None:
+        target = self._targets.get(entry.name)
+        if target is None or target.entry.address != entry.address:
+            self._targets[entry.name] = Target(entry)
+            self._timeline.record('target-found', entry.name)
+        else:
+            target.entry = entry
+        if entry.state is HostState.leaving:
+            self.mark_leaving(entry.name)
+
+
+def _is_available(target: Target, now: float) -> bool:
+    if target.is_leaving or now < target.suspended_until:
+        return False
+    return target.state is None or target.state.role is Role.serving
--- /dev/null
+++ b/packages/node/ladder_node/targets/watcher.py
@@ -0,0 +1,83 @@
+"""Keep the table of targets up to date."""
+
+import asyncio
+
+from loguru import logger
+
+from ladder_clients.engines import EngineClient
+from ladder_clients.platform import HostList
+from ladder_clients.transport import TransportError
+from ladder_core.errors import StoreUnavailableError
+from ladder_core.supervision import Service
+from ladder_core.timers import Subscription, TimerService
+from ladder_core.values import HostKind
+from ladder_node.targets.table import Target, TargetTable
+
+_HOSTS_SECONDS = 1
+_STATES_SECONDS = 1
+
+
+class TargetWatcher(Service):
+    """
+    Read the host list and the engines' own word periodically.
+
+    Parameters
+    ----------
+    table : TargetTable
+        Takes what was read.
+    hosts : HostList
+        The platform's list.
+    engines : EngineClient
+        Asks engines for their state.
+    timers : TimerService
+        Source of time.
+
+    """
+
+    def __init__(
+        self,
+        table: TargetTable,
+        hosts: HostList,
+        engines: EngineClient,
+        timers: TimerService,
+    ) -> None:
+        self._table = table
+        self._hosts = hosts
+        self._engines = engines
+        self._timers = timers
+        self._subscriptions: list[Subscription] = []
+
+    async def start(self) -> None:
+        """Read everything once, then periodically."""
+        await self._read_hosts()
+        await self._read_states()
+        self._subscriptions = [
+            self._timers.subscribe(_HOSTS_SECONDS, self._read_hosts),
+            self._timers.subscribe(_STATES_SECONDS, self._read_states),
+        ]
+
+    async def close(self) -> None:
+        """Stop reading."""
+        while self._subscriptions:
+            await self._subscriptions.pop().close()
+
+    async def _read_hosts(self) -> None:
+        try:
+            entries = await self._hosts.read()
+        except StoreUnavailableError as error:
+            logger.warning('host list: {}', error)
+            return
+        self._table.update_hosts(entries)
+
+    async def _read_states(self) -> None:
+        engines = self._table.list_all(HostKind.engine)
+        await asyncio.gather(*(self._read_state(target) for target in engines))
+
+    async def _read_state(self, target: Target) -> None:
+        name = target.entry.name
+        try:
+            state = await self._engines.read_state(target.entry.address)
+        except TransportError as error:
+            self._table.suspend(name, error.kind)
+            return
+        self._table.update_state(name, state)
--- a/packages/policy/ladder_policy/__init__.py
+++ b/packages/policy/ladder_policy/__init__.py
@@ -1,1 +1,1 @@
-"""Package of the workspace."""
+"""Decisions, each behind an abstract base class beside its plain way."""
--- /dev/null
+++ b/packages/policy/ladder_policy/routing/base.py
@@ -0,0 +1,65 @@
+"""The contract of a choice among targets."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """
+    A target that may take a request.
+
+    Attributes
+    ----------
+    name : str
+        Name of the target.
+    reported_load : int
+        Requests running and queued by the target's last word.
+    sent : int
+        Requests of this node in flight there.
+    batch_limit : int
+        Largest batch.
+    version : int
+        Weight version by the target's last word.
+
+    """
+
+    name: str
+    reported_load: int = 0
+    sent: int = 0
+    batch_limit: int = 1
+    version: int = 0
+
+
+class TargetChooser(ABC):
+    """Chooses a target for each request."""
+
+    def choose(self, prompt: str, candidates: Sequence[Candidate]) -> Candidate:
+        """
+        Choose among candidates.
+
+        Parameters
+        ----------
+        prompt : str
+            Prompt of the request.
+        candidates : sequence of Candidate
+            At least one target.
+
+        Returns
+        -------
+        Candidate
+            One of the candidates.
+
+        """
+        if len(candidates) == 1:
+            return candidates[0]
+        return self._choose(prompt, candidates)
+
+    @abstractmethod
+    def _choose(
+        self,
+        prompt: str,
+        candidates: Sequence[Candidate],
+    ) -> Candidate:
+        """Choose among two or more candidates."""
--- /dev/null
+++ b/packages/policy/ladder_policy/routing/least_loaded.py
@@ -0,0 +1,37 @@
+"""Least loaded, the lagging report corrected by what was sent."""
+
+from collections.abc import Sequence
+
+from ladder_policy.routing.base import Candidate, TargetChooser
+
+
+class LeastLoadedChooser(TargetChooser):
+    """
+    Take the target with the smallest share of its batch in use.
+
+    Notes
+    -----
+    The report lags, so the requests that this node has in flight there count
+    when they are more than the report shows.
+
+    Examples
+    --------
+    >>> chooser = LeastLoadedChooser()
+    >>> busy = Candidate('a', reported_load=4, batch_limit=8)
+    >>> idle = Candidate('b', sent=1, batch_limit=8)
+    >>> chooser.choose('', [busy, idle]).name
+    'b'
+
+    """
+
+    def _choose(
+        self,
+        prompt: str,
+        candidates: Sequence[Candidate],
+    ) -> Candidate:
+        return min(candidates, key=_read_share)
+
+
+def _read_share(candidate: Candidate) -> tuple[float, str]:
+    load = max(candidate.reported_load, candidate.sent)
+    return (load / candidate.batch_limit, candidate.name)
--- /dev/null
+++ b/packages/policy/ladder_policy/routing/round_robin.py
@@ -0,0 +1,30 @@
+"""Round robin: the plain way."""
+
+import itertools
+from collections.abc import Sequence
+
+from ladder_policy.routing.base import Candidate, TargetChooser
+
+
+class RoundRobinChooser(TargetChooser):
+    """
+    Take the targets in turn, whatever their load.
+
+    Examples
+    --------
+    >>> chooser = RoundRobinChooser()
+    >>> pair = [Candidate('a'), Candidate('b')]
+    >>> [chooser.choose('', pair).name for _ in range(3)]
+    ['a', 'b', 'a']
+
+    """
+
+    def __init__(self) -> None:
+        self._turn = itertools.count()
+
+    def _choose(
+        self,
+        prompt: str,
+        candidates: Sequence[Candidate],
+    ) -> Candidate:
+        return candidates[next(self._turn) % len(candidates)]
--- /dev/null
+++ b/standins/ladder_standins/engine/app.py
@@ -0,0 +1,110 @@
+"""The HTTP side of an engine stand-in."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response, StreamingResponse
+from starlette.routing import Route
+
+from ladder_clients.engines import (
+    Chunk,
+    GenerateRequest,
+    Order,
+    OrderKind,
+    OrderOutcome,
+    Role,
+)
+from ladder_standins.answers import answer_json, read_json
+from ladder_standins.engine.machine import EngineMachine, Misbehaviour
+from ladder_standins.engine.settings import EngineSettings
+from ladder_standins.records import Records
+
+_UNAVAILABLE = 503
+
+
+class EngineApp:
+    """
+    Serve one engine machine over HTTP.
+
+    Parameters
+    ----------
+    engine : EngineMachine
+        The machine.
+
+    """
+
+    def __init__(self, engine: EngineMachine) -> None:
+        self._engine = engine
+        self._streams: dict[str, asyncio.Event] = {}
+
+    async def generate(self, request: Request) -> Response:
+        """Stream a generation."""
+        wanted = await read_json(request, GenerateRequest)
+        if not self._engine.is_accepting:
+            return Response(status_code=_UNAVAILABLE)
+        return StreamingResponse(self._stream(wanted))
+
+    async def cancel(self, request: Request) -> Response:
+        """Cancel a generation."""
+        event = self._streams.get(request.path_params['request_id'])
+        if event is not None:
+            event.set()
+        return answer_json({})
+
+    async def read_state(self, request: Request) -> Response:
+        """Answer with the engine's word on its state."""
+        return answer_json(self._engine.read_state())
+
+    async def order(self, request: Request) -> Response:
+        """Take an order."""
+        order = await read_json(request, Order)
+        if self._engine.is_order_old(order):
+            return answer_json(OrderOutcome(False, 'old fencing token'))
+        if order.kind is OrderKind.load_version:
+            self._engine.load(order.version)
+        else:
+            self._engine.take_role(order.role)
+        return answer_json(OrderOutcome(accepted=True))
+
+    async def leave(self, request: Request) -> Response:
+        """Take no new requests from now on."""
+        self._engine.take_role(Role.serving)
+        self._engine.is_leaving = True
+        return answer_json({})
+
+    async def misbehave(self, request: Request) -> Response:
+        """Change how the engine goes wrong."""
+        self._engine.misbehaviour = await read_json(request, Misbehaviour)
+        return answer_json({})
+
+    async def _stream(self, wanted: GenerateRequest) -> AsyncIterator[bytes]:
+        cancelled = asyncio.Event()
+        self._streams[wanted.request_id] = cancelled
+        try:
+            async for chunk in self._engine.generate(wanted, cancelled):
+                yield _encode(chunk)
+        finally:
+            self._streams.pop(wanted.request_id, None)
+
+
+def make_engine(settings: EngineSettings, records: Records) -> Starlette:
+    """Return the engine."""
+    app = EngineApp(EngineMachine(settings, records))
+    post = ['POST']
+    return Starlette(
+        routes=[
+            Route('/v1/generate', app.generate, methods=post),
+            Route('/v1/cancel/{request_id:path}', app.cancel, methods=post),
+            Route('/v1/state', app.read_state),
+            Route('/v1/orders', app.order, methods=post),
+            Route('/leave', app.leave, methods=post),
+            Route('/misbehave', app.misbehave, methods=post),
+        ],
+    )
+
+
+def _encode(chunk: Chunk) -> bytes:
+    return b'%b\n' % msgspec.json.encode(chunk)
--- /dev/null
+++ b/standins/ladder_standins/engine/batch.py
@@ -0,0 +1,80 @@
+"""The batch of an engine stand-in: a limited number of streams at once."""
+
+import asyncio
+import contextlib
+import heapq
+import itertools
+from collections.abc import AsyncIterator
+
+
+class Batch:
+    """
+    Admit requests by priority, up to a limit.
+
+    Parameters
+    ----------
+    limit : int
+        Largest number of requests that run at once.
+
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._running = 0
+        self._order = itertools.count()
+        self._waiting: list[tuple[int, int, asyncio.Future[None]]] = []
+
+    @property
+    def running(self) -> int:
+        """Number of requests that run."""
+        return self._running
+
+    @property
+    def queued(self) -> int:
+        """Number of requests that wait."""
+        return len(self._waiting)
+
+    @contextlib.asynccontextmanager
+    async def join(self, priority: int) -> AsyncIterator[None]:
+        """
+        Wait for a place in the batch and hold it.
+
+        Parameters
+        ----------
+        priority : int
+            Lower values are admitted first.
+
+        """
+        await self._enter(priority)
+        try:
+            yield
+        finally:
+            self._leave()
+
+    async def _enter(self, priority: int) -> None:
+        if self._running < self._limit:
+            self._running += 1
+            return
+        place = asyncio.get_running_loop().create_future()
+        entry = (priority, next(self._order), place)
+        heapq.heappush(self._waiting, entry)
+        try:
+            await place
+        except asyncio.CancelledError:
+            self._forget(entry)
+            raise
+
+    def _forget(self, entry: tuple[int, int, asyncio.Future[None]]) -> None:
+        if entry in self._waiting:
+            self._waiting.remove(entry)
+            heapq.heapify(self._waiting)
+        elif not entry[2].cancelled():
+            self._leave()
+
+    def _leave(self) -> None:
+        while self._waiting:
+            place = heapq.heappop(self._waiting)[2]
+            if not place.done():
+                place.set_result(None)
+                return
+        self._running -= 1
--- /dev/null
+++ b/standins/ladder_standins/engine/machine.py
@@ -0,0 +1,216 @@
+"""The machine of an engine stand-in: batch, versions, cost model, faults."""
+
+import asyncio
+import os
+from collections import OrderedDict
+from collections.abc import AsyncIterator
+
+import aiohttp
+import msgspec
+
+from ladder_clients.engines import (
+    Chunk,
+    EngineState,
+    GenerateRequest,
+    Order,
+    Role,
+)
+from ladder_standins.engine.batch import Batch
+from ladder_standins.engine.settings import EngineSettings
+from ladder_standins.engine.text import draw_length, make_word
+from ladder_standins.records import Records
+
+_CRASH_STATUS = 71
+_CRASH_WORD = 'crash-the-engine'
+_OK = 200
+_STALL_SECONDS = 3600
+
+
+class Misbehaviour(msgspec.Struct, frozen=True):
+    """
+    How an engine goes wrong.
+
+    Attributes
+    ----------
+    fails_swaps : int
+        Number of swaps to fail.
+    lies_about_version : bool
+        Whether a swap changes the engine's word but not what it serves.
+    stalls_streams : bool
+        Whether streams fall silent.
+    crosses_streams : bool
+        Whether chunks carry another request's id.
+    cuts_streams : bool
+        Whether streams end without their end marker.
+
+    """
+
+    fails_swaps: int = 0
+    lies_about_version: bool = False
+    stalls_streams: bool = False
+    crosses_streams: bool = False
+    cuts_streams: bool = False
+
+
+class EngineMachine:
+    """
+    Generate in a batch and obey orders.
+
+    Parameters
+    ----------
+    settings : EngineSettings
+        What the engine is.
+    records : Records
+        Takes each execution and swap.
+
+    """
+
+    def __init__(self, settings: EngineSettings, records: Records) -> None:
+        self.is_leaving = False
+        self.misbehaviour = Misbehaviour()
+        self._settings = settings
+        self._records = records
+        self._batch = Batch(settings.batch_limit)
+        self._role = Role.serving
+        self._served_version = settings.version
+        self._stated_version = settings.version
+        self._fencing_token = 0
+        self._swap: asyncio.Task[None] | None = None
+        self._cache: OrderedDict[str, None] = OrderedDict()
+
+    @property
+    def is_accepting(self) -> bool:
+        """Whether new requests are taken."""
+        return self._role is Role.serving and not self.is_leaving
+
+    def read_state(self) -> EngineState:
+        """Return the engine's word on its state."""
+        return EngineState(
+            version=self._stated_version,
+            role=self._role,
+            leaving=self.is_leaving,
+            running=self._batch.running,
+            queued=self._batch.queued,
+            batch_limit=self._settings.batch_limit,
+            swapping=self._swap is not None and not self._swap.done(),
+            fencing_token=self._fencing_token,
+        )
+
+    def is_order_old(self, order: Order) -> bool:
+        """Whether an order is refused for its fencing token."""
+        is_old = order.fencing_token < self._fencing_token
+        self._fencing_token = max(self._fencing_token, order.fencing_token)
+        self._records.add(
+            'order',
+            order.kind,
+            token=order.fencing_token,
+            version=order.version,
+            old=is_old,
+        )
+        return is_old and self._settings.checks_fencing
+
+    def load(self, version: int) -> None:
+        """Begin to load a version, in place of a load in progress."""
+        if version == self._stated_version:
+            return
+        if self._swap is not None:
+            self._swap.cancel()
+        self._swap = asyncio.create_task(self._load(version))
+
+    def take_role(self, role: Role) -> None:
+        """Change the role; running requests go on."""
+        self._role = role
+        self._records.add('role', self._settings.name, role=role)
+
+    async def generate(
+        self,
+        request: GenerateRequest,
+        cancelled: asyncio.Event,
+    ) -> AsyncIterator[Chunk]:
+        """Yield the chunks of a generation, the end marker last."""
+        async with self._batch.join(request.priority):
+            self._begin(request)
+            await self._prefill(request)
+            length = draw_length(
+                request.prompt,
+                request.seed,
+                request.max_tokens,
+            )
+            position = request.prefix_tokens
+            while position < length and not cancelled.is_set():
+                count = min(self._settings.chunk_tokens, length - position)
+                await self._decode(count)
+                yield self._make_chunk(request, position, count)
+                position += count
+            if cancelled.is_set() or self.misbehaviour.cuts_streams:
+                return
+        self._records.add('finished', request.request_id, tokens=length)
+        yield Chunk(request.request_id, end=True, total_tokens=length)
+
+    def _begin(self, request: GenerateRequest) -> None:
+        self._records.add('executed', request.request_id, prompt=request.prompt)
+        if _CRASH_WORD in request.prompt:
+            os._exit(_CRASH_STATUS)
+
+    async def _prefill(self, request: GenerateRequest) -> None:
+        tokens = len(request.prompt.split()) + request.prefix_tokens
+        if request.prompt in self._cache:
+            tokens = request.prefix_tokens
+        self._cache[request.prompt] = None
+        self._cache.move_to_end(request.prompt)
+        if len(self._cache) > self._settings.cache_prompts:
+            self._cache.popitem(last=False)
+        await asyncio.sleep(tokens / self._settings.prefill_tokens_per_second)
+
+    async def _decode(self, count: int) -> None:
+        if self.misbehaviour.stalls_streams:
+            await asyncio.sleep(_STALL_SECONDS)
+        load = self._batch.running / self._settings.batch_limit
+        rate = self._settings.tokens_per_second / (1 + load)
+        await asyncio.sleep(count / rate)
+
+    def _make_chunk(
+        self,
+        request: GenerateRequest,
+        position: int,
+        count: int,
+    ) -> Chunk:
+        words = [
+            make_word(request.prompt, request.seed, index)
+            for index in range(position, position + count)
+        ]
+        request_id = request.request_id
+        self._records.add(
+            'generated',
+            request_id,
+            version=self._served_version,
+            tokens=count,
+        )
+        if self.misbehaviour.crosses_streams:
+            request_id = f'{request_id}-crossed'
+        return Chunk(request_id, ''.join(words), count, self._served_version)
+
+    async def _load(self, version: int) -> None:
+        url = (
+            f'http://{self._settings.weights_address}/v1/models/'
+            f'{self._settings.model}/{version}'
+        )
+        async with aiohttp.ClientSession() as session:
+            async with session.get(url) as reply:
+                await reply.read()
+                is_fetched = reply.status == _OK
+        if is_fetched:
+            self._complete_swap(version)
+
+    def _complete_swap(self, version: int) -> None:
+        if self.misbehaviour.fails_swaps:
+            left = self.misbehaviour.fails_swaps - 1
+            self.misbehaviour = msgspec.structs.replace(
+                self.misbehaviour,
+                fails_swaps=left,
+            )
+            return
+        self._stated_version = version
+        if not self.misbehaviour.lies_about_version:
+            self._served_version = version
+        self._records.add('swapped', self._settings.name, version=version)
--- /dev/null
+++ b/standins/ladder_standins/engine/text.py
@@ -0,0 +1,62 @@
+"""What the engine stand-in generates: words that prove their origin."""
+
+import re
+
+import numpy as np
+import xxhash
+
+_LENGTH_PATTERN = re.compile(r'\[length=(\d+)\]')
+_MEDIAN_TOKENS = 24
+_SIGMA = 0.5
+_WORD_DIGITS = 6
+
+
+def make_word(prompt: str, seed: int, position: int) -> str:
+    """
+    Return the token at a position, which depends on prompt and seed alone.
+
+    Parameters
+    ----------
+    prompt : str
+        The prompt.
+    seed : int
+        Seed of the sampling.
+    position : int
+        Index of the token.
+
+    Returns
+    -------
+    str
+        A word with a trailing space.
+
+    """
+    digest = xxhash.xxh64_hexdigest(f'{prompt}\n{seed}\n{position}'.encode())
+    return f'{digest[:_WORD_DIGITS]} '
+
+
+def draw_length(prompt: str, seed: int, max_tokens: int) -> int:
+    """
+    Return the number of tokens that a generation has.
+
+    Parameters
+    ----------
+    prompt : str
+        The prompt; ``[length=N]`` in it decides the length.
+    seed : int
+        Seed of the sampling.
+    max_tokens : int
+        Largest length.
+
+    Returns
+    -------
+    int
+        A length from one to `max_tokens`, log-normal by default.
+
+    """
+    match = _LENGTH_PATTERN.search(prompt)
+    if match:
+        return min(int(match.group(1)), max_tokens)
+    digest = xxhash.xxh64_intdigest(f'{prompt}\n{seed}'.encode())
+    generator = np.random.default_rng(digest)
+    length = int(generator.lognormal(np.log(_MEDIAN_TOKENS), _SIGMA))
+    return max(1, min(length, max_tokens))
--- /dev/null
+++ b/standins/ladder_standins/faults.py
@@ -0,0 +1,184 @@
+"""Faults that a test orders a stand-in to show."""
+
+import asyncio
+import os
+from enum import StrEnum
+
+import msgspec
+from starlette.types import ASGIApp, Message, Receive, Scope, Send
+
+_CRASH_STATUS = 70
+_MILLISECONDS = 1000
+_FAULT_PATH = '/faults'
+_SILENCE_SECONDS = 3600
+_NO_CONTENT = 204
+_UNAVAILABLE = 503
+
+
+class FaultKind(StrEnum):
+    """Kinds of faults."""
+
+    crash = 'crash'
+    delay = 'delay'
+    refuse = 'refuse'
+    lose_answer = 'lose-answer'
+    break_answer = 'break-answer'
+    silence = 'silence'
+    clear = 'clear'
+
+
+class Fault(msgspec.Struct):
+    """
+    A fault in force.
+
+    Attributes
+    ----------
+    kind : FaultKind
+        What goes wrong.
+    count : int
+        Number of requests it meets; minus one for all.
+    seconds : float
+        Length of a delay.
+    path : str
+        Prefix of the paths that it meets.
+
+    """
+
+    kind: FaultKind
+    count: int = -1
+    seconds: float = 0
+    path: str = '/'
+
+
+class Faults:
+    """The faults in force at one stand-in."""
+
+    def __init__(self) -> None:
+        self._active: list[Fault] = []
+
+    def add(self, fault: Fault) -> None:
+        """Put a fault in force; `FaultKind.clear` ends all."""
+        if fault.kind is FaultKind.clear:
+            self._active.clear()
+        else:
+            self._active.append(fault)
+
+    def take(self, path: str) -> Fault | None:
+        """Return the fault that meets a request, counting it."""
+        for fault in self._active:
+            if fault.count and path.startswith(fault.path):
+                fault.count -= 1
+                return fault
+        return None
+
+
+class FaultMiddleware:
+    """
+    Show faults and the network's delay around an application.
+
+    Parameters
+    ----------
+    app : ASGIApp
+        The stand-in.
+    faults : Faults
+        What to show; ``POST /faults`` adds to it.
+    delay_ms : float
+        One-way delay in milliseconds.
+
+    """
+
+    def __init__(self, app: ASGIApp, faults: Faults, delay_ms: float) -> None:
+        self._app = app
+        self._faults = faults
+        self._delay = delay_ms / _MILLISECONDS
+
+    async def __call__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Handle one connection event of the server."""
+        if scope['type'] != 'http':
+            await self._app(scope, receive, send)
+        elif scope['path'] == _FAULT_PATH:
+            await self._add_fault(receive, send)
+        else:
+            await self._handle(scope, receive, send)
+
+    async def _add_fault(self, receive: Receive, send: Send) -> None:
+        body = b''
+        is_more = True
+        while is_more:
+            message = await receive()
+            body += message.get('body', b'')
+            is_more = message.get('more_body', False)
+        fault = msgspec.json.decode(body, type=Fault)
+        await _answer(send, _NO_CONTENT)
+        self._faults.add(fault)
+
+    async def _handle(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        await asyncio.sleep(self._delay)
+        fault = self._faults.take(scope['path'])
+        if fault is None:
+            await self._app(scope, receive, self._delay_send(send))
+            return
+        await self._show(fault, scope, receive, send)
+
+    async def _show(
+        self,
+        fault: Fault,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        match fault.kind:
+            case FaultKind.crash:
+                os._exit(_CRASH_STATUS)
+            case FaultKind.refuse:
+                await _answer(send, _UNAVAILABLE)
+            case FaultKind.silence:
+                await asyncio.sleep(_SILENCE_SECONDS)
+            case FaultKind.delay:
+                await asyncio.sleep(fault.seconds)
+                await self._app(scope, receive, send)
+            case FaultKind.lose_answer:
+                await self._app(scope, receive, _drop)
+                await asyncio.sleep(_SILENCE_SECONDS)
+            case FaultKind.break_answer:
+                await self._app(scope, receive, _drop)
+                await _break(send)
+
+    def _delay_send(self, send: Send) -> Send:
+        if not self._delay:
+            return send
+
+        async def send_late(message: Message) -> None:
+            if message['type'] == 'http.response.start':
+                await asyncio.sleep(self._delay)
+            await send(message)
+
+        return send_late
+
+
+async def _drop(message: Message) -> None:
+    """Lose a part of an answer."""
+
+
+async def _answer(send: Send, status: int) -> None:
+    head = {'type': 'http.response.start', 'status': status, 'headers': []}
+    await send(head)
+    await send({'type': 'http.response.body', 'body': b''})
+
+
+async def _break(send: Send) -> None:
+    """Promise a body and send none, so that the server cuts the connection."""
+    headers = [(b'content-length', b'1')]
+    head = {'type': 'http.response.start', 'status': 200, 'headers': headers}
+    await send(head)
+    await send({'type': 'http.response.body', 'body': b''})
--- /dev/null
+++ b/standins/ladder_standins/fleet/controls.py
@@ -0,0 +1,89 @@
+"""What a test or a trainer tells the platform's stand-ins."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+
+from ladder_core.values import HostEntry
+from ladder_standins.faults import Fault
+from ladder_standins.fleet.processes import ProcessGroup
+
+_WAIT_SECONDS = 30
+_POLL_SECONDS = 0.05
+
+
+class Controls:
+    """
+    Order stand-ins about.
+
+    Parameters
+    ----------
+    processes : ProcessGroup
+        Where they run.
+
+    """
+
+    def __init__(self, processes: ProcessGroup) -> None:
+        self._processes = processes
+
+    async def list_host(self, entry: HostEntry) -> None:
+        """Put an entry on the platform's host list."""
+        await self.send('hosts', 'PUT', '/v1/hosts', entry)
+
+    async def unlist_host(self, name: str) -> None:
+        """Remove an entry from the platform's host list."""
+        await self.send('hosts', 'DELETE', f'/v1/hosts/{name}')
+
+    async def publish(self, model: str, version: int) -> None:
+        """Publish a weight version."""
+        path = f'/v1/models/{model}'
+        await self.send('weights', 'POST', path, {'version': version})
+
+    async def add_fault(self, name: str, fault: Fault) -> None:
+        """Make a stand-in show a fault."""
+        await self.send(name, 'POST', '/faults', fault)
+
+    async def wait_answer(self, name: str, path: str) -> None:
+        """Wait until a process answers a path with success."""
+        async with asyncio.timeout(_WAIT_SECONDS):
+            while not await self._is_answering(name, path):
+                await asyncio.sleep(_POLL_SECONDS)
+
+    async def send(
+        self,
+        name: str,
+        method: str,
+        path: str,
+        message: object = None,
+    ) -> bytes:
+        """
+        Send a JSON message to a process.
+
+        Parameters
+        ----------
+        name : str
+            The process.
+        method, path : str
+            What to call.
+        message : object, optional
+            Body.
+
+        Returns
+        -------
+        bytes
+            The body of the answer.
+
+        """
+        url = f'http://{self._processes.find_address(name)}{path}'
+        body = msgspec.json.encode(message)
+        async with aiohttp.request(method, url, data=body) as reply:
+            reply.raise_for_status()
+            return await reply.read()
+
+    async def _is_answering(self, name: str, path: str) -> bool:
+        try:
+            await self.send(name, 'GET', path)
+        except aiohttp.ClientError:
+            return False
+        return True
--- /dev/null
+++ b/standins/ladder_standins/fleet/processes.py
@@ -0,0 +1,115 @@
+"""Processes that a fleet starts, watches and stops."""
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+from ladder_standins.fleet.ports import find_free_ports
+
+_START_SECONDS = 20
+_STOP_SECONDS = 30
+_POLL_SECONDS = 0.05
+_PROGRAMS = Path(sys.executable).parent
+
+
+class ProcessGroup:
+    """
+    Named processes on loopback, each with an address.
+
+    Parameters
+    ----------
+    folder : Path
+        Takes the processes' logs.
+
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._processes: dict[str, asyncio.subprocess.Process] = {}
+        self._commands: dict[str, tuple[str, ...]] = {}
+        self._addresses: dict[str, str] = {}
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """The running processes, the oldest first."""
+        return tuple(self._processes)
+
+    def find_address(self, name: str) -> str:
+        """Return the ``ip:port`` of a process."""
+        return self._addresses[name]
+
+    def give_address(self, name: str) -> str:
+        """Choose a free address for a process, and keep it for its life."""
+        port = find_free_ports(1)[0]
+        self._addresses[name] = f'127.0.0.1:{port}'
+        return self._addresses[name]
+
+    async def spawn(self, name: str, program: str, *flags: str) -> None:
+        """
+        Start a process.
+
+        Parameters
+        ----------
+        name : str
+            Name for the later calls.
+        program : str
+            One of the workspace's programs.
+        *flags : str
+            Its arguments.
+
+        """
+        self._commands[name] = (program, *flags)
+        with (self._folder / f'{name}.log').open('ab') as log:
+            process = await asyncio.create_subprocess_exec(
+                str(_PROGRAMS / program),
+                *flags,
+                stdout=log,
+                stderr=log,
+            )
+        self._processes[name] = process
+
+    async def restart(self, name: str) -> None:
+        """Start an ended process again with its arguments, empty."""
+        program, *flags = self._commands[name]
+        await self.spawn(name, program, *flags)
+
+    async def stop(self, name: str) -> int:
+        """Stop a process with SIGTERM and return its exit status."""
+        process = self._processes.pop(name)
+        if process.returncode is None:
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+        try:
+            return await asyncio.wait_for(process.wait(), _STOP_SECONDS)
+        except TimeoutError:
+            process.kill()
+            return await process.wait()
+
+    async def kill(self, name: str) -> None:
+        """Kill a process at once and wait for its end."""
+        process = self._processes.pop(name)
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process."""
+        self._processes[name].send_signal(number)
+
+    async def wait_listening(self, name: str) -> None:
+        """Wait until a process accepts connections at its address."""
+        host, _, port = self.find_address(name).rpartition(':')
+        async with asyncio.timeout(_START_SECONDS):
+            while not await _is_listening(host, int(port)):
+                await asyncio.sleep(_POLL_SECONDS)
+
+
+async def _is_listening(host: str, port: int) -> bool:
+    try:
+        _, writer = await asyncio.open_connection(host, port)
+    except OSError:
+        return False
+    writer.close()
+    await writer.wait_closed()
+    return True
--- /dev/null
+++ b/standins/ladder_standins/fleet/system.py
@@ -0,0 +1,178 @@
+"""A whole system of processes on loopback."""
+
+import asyncio
+from pathlib import Path
+
+import yaml
+
+from ladder_core.values import HostEntry, HostKind
+from ladder_standins.fleet.controls import Controls
+from ladder_standins.fleet.layout import EngineLayout, Layout, NodeLayout
+from ladder_standins.fleet.processes import ProcessGroup
+
+_PLATFORM = ('table', 'objects', 'weights', 'hosts')
+_SERVICE_POOL = 'taproom'
+_SCORER_POOL = 'scorers'
+_STANDIN = 'ladder-standin'
+_ADDRESSES_TTL_SECONDS = 1
+
+
+class Fleet:
+    """
+    Start stand-ins and nodes as processes, and stop them.
+
+    Parameters
+    ----------
+    layout : Layout
+        What to start.
+    folder : Path
+        Takes settings, logs and records.
+
+    """
+
+    def __init__(self, layout: Layout, folder: Path) -> None:
+        self._layout = layout
+        self._folder = folder
+        folder.mkdir(parents=True, exist_ok=True)
+        self._processes = ProcessGroup(folder)
+        self._controls = Controls(self._processes)
+
+    @property
+    def processes(self) -> ProcessGroup:
+        """The processes of the system."""
+        return self._processes
+
+    @property
+    def controls(self) -> Controls:
+        """Orders to the stand-ins."""
+        return self._controls
+
+    async def start(self) -> None:
+        """Start everything and wait until it answers."""
+        await self.start_platform()
+        await self.start_targets()
+        for node in self._layout.nodes:
+            await self.start_node(node)
+        for waited in self._layout.nodes:
+            await self._controls.wait_answer(waited.name, '/healthz')
+
+    async def close(self) -> None:
+        """Stop every process: the nodes, then targets and platform."""
+        for name in reversed(self._processes.names):
+            await self._processes.stop(name)
+
+    def find_record(self, name: str) -> Path:
+        """Return the file of a stand-in's ground truth."""
+        return self._folder / f'{name}.records'
+
+    async def start_platform(self) -> None:
+        """Start the platform's services."""
+        lag = str(self._layout.lag_seconds)
+        record = str(self.find_record('table'))
+        await self._start_standin('table', 'table', '--record', record)
+        await self._start_standin('objects', 'objects')
+        await self._start_standin('weights', 'weights')
+        await self._start_standin('hosts', 'hosts', '--lag-seconds', lag)
+        for name in _PLATFORM:
+            await self._processes.wait_listening(name)
+
+    async def start_targets(self) -> None:
+        """Start engines, services and scorers together and list them."""
+        services = range(1, self._layout.services + 1)
+        scorers = range(1, self._layout.scorers + 1)
+        await asyncio.gather(
+            *(self.start_engine(engine) for engine in self._layout.engines),
+            *(self._start_service(f'service-{one}') for one in services),
+            *(self._start_scorer(f'scorer-{one}') for one in scorers),
+        )
+
+    async def start_engine(self, engine: EngineLayout) -> None:
+        """Start an engine and list it."""
+        flags = [
+            f'--name={engine.name}',
+            f'--model={engine.model}',
+            f'--weights-address={self._processes.find_address("weights")}',
+            f'--tokens-per-second={engine.tokens_per_second}',
+            f'--batch-limit={engine.batch_limit}',
+            f'--record={self.find_record(engine.name)}',
+        ]
+        if not engine.checks_fencing:
+            flags.append('--no-checks-fencing')
+        await self._start_standin('engine', engine.name, *flags)
+        await self._processes.wait_listening(engine.name)
+        await self._controls.list_host(
+            HostEntry(
+                engine.name,
+                HostKind.engine,
+                self._processes.find_address(engine.name),
+                engine.data_centre,
+                engine.region,
+                pool=engine.pool,
+                model=engine.model,
+                checks_fencing=engine.checks_fencing,
+            ),
+        )
+
+    async def start_node(self, node: NodeLayout) -> None:
+        """Start a node and list it."""
+        entry = HostEntry(
+            node.name,
+            HostKind.entry,
+            self._processes.give_address(node.name),
+            node.data_centre,
+            node.region,
+            peer_address=self._processes.give_address(f'{node.name}-peer'),
+        )
+        path = self._write_settings(entry)
+        await self._processes.spawn(node.name, 'kumquatladderd', str(path))
+        await self._controls.list_host(entry)
+
+    def _write_settings(self, entry: HostEntry) -> Path:
+        settings = {
+            'name': entry.name,
+            'data_centre': entry.data_centre,
+            'region': entry.region,
+            'entry_address': entry.address,
+            'peer_address': entry.peer_address,
+            'addresses_ttl_seconds': _ADDRESSES_TTL_SECONDS,
+            'platform': {
+                kind: self._processes.find_address(kind) for kind in _PLATFORM
+            },
+        }
+        path = self._folder / f'{entry.name}.yaml'
+        path.write_text(yaml.safe_dump(settings))
+        return path
+
+    async def _start_service(self, name: str) -> None:
+        record = f'--record={self.find_record(name)}'
+        await self._start_standin('service', name, f'--name={name}', record)
+        await self._list_target(name, HostKind.service, _SERVICE_POOL)
+
+    async def _start_scorer(self, name: str) -> None:
+        await self._start_standin('scorer', name)
+        await self._list_target(name, HostKind.scorer, _SCORER_POOL)
+
+    async def _list_target(self, name: str, kind: HostKind, pool: str) -> None:
+        await self._processes.wait_listening(name)
+        node = self._layout.nodes[0]
+        await self._controls.list_host(
+            HostEntry(
+                name,
+                kind,
+                self._processes.find_address(name),
+                node.data_centre,
+                node.region,
+                pool=pool,
+            ),
+        )
+
+    async def _start_standin(self, kind: str, name: str, *flags: str) -> None:
+        address = self._processes.give_address(name)
+        port = address.rpartition(':')[2]
+        await self._processes.spawn(
+            name,
+            _STANDIN,
+            kind,
+            f'--port={port}',
+            *flags,
+        )
--- /dev/null
+++ b/standins/ladder_standins/hosts.py
@@ -0,0 +1,67 @@
+"""The stand-in of the lagging host list."""
+
+import time
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from ladder_core.values import HostEntry
+from ladder_standins.answers import answer_json, read_json
+
+_NO_CONTENT = 204
+
+
+class Hosts:
+    """
+    Entries by name, shown with a lag.
+
+    Parameters
+    ----------
+    lag_seconds : float
+        Age of what readers see.
+
+    """
+
+    def __init__(self, lag_seconds: float) -> None:
+        self._lag = lag_seconds
+        self._entries: dict[str, HostEntry] = {}
+        self._history: list[tuple[float, tuple[HostEntry, ...]]] = []
+
+    async def read(self, request: Request) -> Response:
+        """Answer with the list as it was before the lag."""
+        limit = time.monotonic() - self._lag
+        shown: tuple[HostEntry, ...] = ()
+        for at, entries in self._history:
+            if at <= limit:
+                shown = entries
+        return answer_json(shown)
+
+    async def put(self, request: Request) -> Response:
+        """Add or replace an entry."""
+        entry = await read_json(request, HostEntry)
+        self._entries[entry.name] = entry
+        return self._note()
+
+    async def delete(self, request: Request) -> Response:
+        """Remove an entry."""
+        self._entries.pop(request.path_params['name'], None)
+        return self._note()
+
+    def _note(self) -> Response:
+        entries = tuple(self._entries.values())
+        self._history.append((time.monotonic(), entries))
+        return Response(status_code=_NO_CONTENT)
+
+
+def make_host_list(lag_seconds: float) -> Starlette:
+    """Return the host list."""
+    hosts = Hosts(lag_seconds)
+    return Starlette(
+        routes=[
+            Route('/v1/hosts', hosts.read, methods=['GET']),
+            Route('/v1/hosts', hosts.put, methods=['PUT']),
+            Route('/v1/hosts/{name}', hosts.delete, methods=['DELETE']),
+        ],
+    )
--- /dev/null
+++ b/standins/ladder_standins/objects.py
@@ -0,0 +1,46 @@
+"""The stand-in of the object store."""
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+_NOT_FOUND = 404
+_NO_CONTENT = 204
+
+
+class Objects:
+    """Objects in memory."""
+
+    def __init__(self) -> None:
+        self._bodies: dict[str, bytes] = {}
+
+    async def get(self, request: Request) -> Response:
+        """Answer with an object."""
+        body = self._bodies.get(request.path_params['name'])
+        if body is None:
+            return Response(status_code=_NOT_FOUND)
+        return Response(body)
+
+    async def put(self, request: Request) -> Response:
+        """Store an object."""
+        self._bodies[request.path_params['name']] = await request.body()
+        return Response(status_code=_NO_CONTENT)
+
+    async def delete(self, request: Request) -> Response:
+        """Remove an object."""
+        self._bodies.pop(request.path_params['name'], None)
+        return Response(status_code=_NO_CONTENT)
+
+
+def make_object_store() -> Starlette:
+    """Return the object store."""
+    store = Objects()
+    path = '/v1/objects/{name:path}'
+    return Starlette(
+        routes=[
+            Route(path, store.get, methods=['GET']),
+            Route(path, store.put, methods=['PUT']),
+            Route(path, store.delete, methods=['DELETE']),
+        ],
+    )
--- /dev/null
+++ b/standins/ladder_standins/plain.py
@@ -0,0 +1,71 @@
+"""The stand-in of a plain service whose calls may not be repeated."""
+
+import asyncio
+
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from ladder_standins.answers import answer_json
+from ladder_standins.records import Records
+
+
+class Executed(msgspec.Struct, frozen=True):
+    """What the service did."""
+
+    replica: str
+    request_id: str
+    method: str
+    path: str
+    body: str
+    count: int
+
+
+class PlainStand:
+    """
+    Counts what it executes and echoes it.
+
+    Parameters
+    ----------
+    name : str
+        Name of the replica.
+    records : Records
+        Takes each execution.
+
+    """
+
+    def __init__(self, name: str, records: Records) -> None:
+        self._name = name
+        self._records = records
+        self._count = 0
+
+    async def execute(self, request: Request) -> Response:
+        """Execute a call; ``?seconds=`` makes it take long."""
+        body = (await request.body()).decode(errors='replace')
+        request_id = request.headers.get('x-request-id', '')
+        self._count += 1
+        count = self._count
+        self._records.add('executed', request_id, body=body)
+        await asyncio.sleep(float(request.query_params.get('seconds', 0)))
+        answer = answer_json(
+            Executed(
+                replica=self._name,
+                request_id=request_id,
+                method=request.method,
+                path=request.url.path,
+                body=body,
+                count=count,
+            ),
+        )
+        answer.headers['x-request-id'] = request_id
+        return answer
+
+
+def make_plain_service(name: str, records: Records) -> Starlette:
+    """Return the plain service."""
+    stand = PlainStand(name, records)
+    methods = ['GET', 'POST', 'PUT', 'DELETE', 'PATCH']
+    route = Route('/{path:path}', stand.execute, methods=methods)
+    return Starlette(routes=[route])
--- /dev/null
+++ b/standins/ladder_standins/quickstart.py
@@ -0,0 +1,138 @@
+"""Three steps of one trainer over three nodes, then a table."""
+
+import asyncio
+import sys
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import defopt
+
+from ladder_standins.fleet import Fleet, Layout
+from ladder_standins.operator import apply_lists, write_lists
+from ladder_standins.trainer import StepReport, StepRequest, Trainer
+
+_FOLDER = Path('run')
+_STEPS = 3
+_GROUPS = 8
+_SAMPLES_PER_GROUP = 4
+_BOUND = 1
+_MODEL = 'cask'
+_TRAINER = 'cask-notes'
+_SECRET = 'quickstart'
+_NODES = ('node-1', 'node-2', 'node-3')
+_TRAIN_SECONDS = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """
+    What the quick start shows.
+
+    Attributes
+    ----------
+    reports : list of StepReport
+        One for each step.
+    seconds : float
+        Time of all steps.
+
+    """
+
+    reports: list[StepReport]
+    seconds: float
+
+    @property
+    def is_good(self) -> bool:
+        """Whether every step was whole, once, and within its bound."""
+        return all(
+            report.is_whole and not report.doubled and not report.too_old
+            for report in self.reports
+        )
+
+
+def quickstart(folder: Path = _FOLDER) -> None:
+    """
+    Run stand-ins, three nodes and a trainer on loopback.
+
+    :param folder: Takes settings, logs and the time line.
+    """
+    result = asyncio.run(_run(folder))
+    _print_table(result)
+    _say(f'logs and records of all processes: {folder}')
+    if not result.is_good:
+        sys.exit(1)
+
+
+def main() -> None:
+    """Run the quick start."""
+    defopt.run(quickstart)
+
+
+async def _run(folder: Path) -> Result:
+    fleet = Fleet(Layout(), folder)
+    _say('starting stand-ins and three nodes')
+    try:
+        return await _start_and_train(fleet, folder)
+    finally:
+        _say('stopping everything')
+        await fleet.close()
+
+
+async def _start_and_train(fleet: Fleet, folder: Path) -> Result:
+    await fleet.start()
+    await apply_lists(fleet, write_lists(folder, _SECRET))
+    for node in _NODES:
+        await fleet.controls.wait_answer(node, '/readyz')
+    return await _train(fleet)
+
+
+async def _train(fleet: Fleet) -> Result:
+    addresses = [fleet.processes.find_address(node) for node in _NODES]
+    trainer = Trainer(_TRAINER, _SECRET, addresses, _BOUND)
+    begin = time.monotonic()
+    reports = []
+    for step in range(_STEPS):
+        report = await trainer.run_step(_make_request(step))
+        await trainer.close_step(step)
+        reports.append(report)
+        _say(f'step {step}: {report.seconds:.2f} s')
+        await fleet.controls.publish(_MODEL, step + 1)
+        await asyncio.sleep(_TRAIN_SECONDS)
+    return Result(reports, time.monotonic() - begin)
+
+
+def _make_request(step: int) -> StepRequest:
+    prompts = tuple(
+        f'note on keg line {group} of night {step}' for group in range(_GROUPS)
+    )
+    return StepRequest(step, step, _MODEL, prompts, _SAMPLES_PER_GROUP)
+
+
+def _print_table(result: Result) -> None:
+    _say('step  asked  delivered  twice  too old  seconds  versions')
+    for report in result.reports:
+        samples = [
+            sample
+            for group in report.groups.values()
+            for sample in group.samples
+        ]
+        versions = sorted(
+            {span.version for sample in samples for span in sample.versions},
+        )
+        asked = _GROUPS * _SAMPLES_PER_GROUP
+        _say(
+            f'{report.request.step:4d}  {asked:5d}  {len(samples):9d}  '
+            f'{report.doubled:5d}  {report.too_old:7d}  '
+            f'{report.seconds:7.2f}  {versions}',
+        )
+    idle = sum(report.seconds for report in result.reports)
+    _say(f'trainer idle {idle:.2f} s of {result.seconds:.2f} s')
+
+
+def _say(line: str) -> None:
+    sys.stdout.write(f'{line}\n')
+    sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/standins/ladder_standins/scorer.py
@@ -0,0 +1,38 @@
+"""The stand-in of a service that scores samples."""
+
+import msgspec
+import xxhash
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from ladder_standins.answers import answer_json, read_json
+
+_SCALE = 1000
+
+
+class Scored(msgspec.Struct, frozen=True):
+    """A sample to score."""
+
+    prompt: str
+    text: str
+
+
+class Verdict(msgspec.Struct, frozen=True):
+    """A score between zero and one."""
+
+    score: float
+
+
+async def _score(request: Request) -> Response:
+    scored = await read_json(request, Scored)
+    digest = xxhash.xxh64_intdigest(f'{scored.prompt}\n{scored.text}'.encode())
+    answer = answer_json(Verdict(digest % _SCALE / _SCALE))
+    answer.headers['x-request-id'] = request.headers.get('x-request-id', '')
+    return answer
+
+
+def make_scorer() -> Starlette:
+    """Return the scoring service."""
+    return Starlette(routes=[Route('/v1/score', _score, methods=['POST'])])
--- /dev/null
+++ b/standins/ladder_standins/weights.py
@@ -0,0 +1,81 @@
+"""The stand-in of the rate-limited weight store."""
+
+import asyncio
+import time
+
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from ladder_clients.platform import Weights
+from ladder_standins.answers import answer_json, read_json
+
+_NOT_FOUND = 404
+
+
+class Publication(msgspec.Struct, frozen=True):
+    """A trainer's word that a version is complete."""
+
+    version: int
+
+
+class WeightStand:
+    """
+    Versions of models, handed out at a limited rate.
+
+    Parameters
+    ----------
+    size_bytes : int
+        Size of each version.
+    bytes_per_second : float
+        Rate over all readers together.
+
+    """
+
+    def __init__(self, size_bytes: int, bytes_per_second: float) -> None:
+        self._size = size_bytes
+        self._rate = bytes_per_second
+        self._versions: dict[str, int] = {}
+        self._free_at: float = 0
+
+    async def read(self, request: Request) -> Response:
+        """Answer with the newest version of a model."""
+        model = request.path_params['model']
+        version = self._versions.get(model)
+        if version is None:
+            return Response(status_code=_NOT_FOUND)
+        return answer_json(Weights(model, version, self._size, self._rate))
+
+    async def publish(self, request: Request) -> Response:
+        """Take note of a new version; an older one changes nothing."""
+        model = request.path_params['model']
+        publication = await read_json(request, Publication)
+        newest = max(self._versions.get(model, 0), publication.version)
+        self._versions[model] = newest
+        return answer_json(Publication(newest))
+
+    async def fetch(self, request: Request) -> Response:
+        """Answer after the time that the transfer of a version takes."""
+        model = request.path_params['model']
+        version = int(request.path_params['version'])
+        if version > self._versions.get(model, 0):
+            return Response(status_code=_NOT_FOUND)
+        now = time.monotonic()
+        self._free_at = max(self._free_at, now) + self._size / self._rate
+        await asyncio.sleep(self._free_at - now)
+        return answer_json(Publication(version))
+
+
+def make_weight_store(size_bytes: int, bytes_per_second: float) -> Starlette:
+    """Return the weight store."""
+    store = WeightStand(size_bytes, bytes_per_second)
+    path = '/v1/models/{model}'
+    return Starlette(
+        routes=[
+            Route(path, store.read, methods=['GET']),
+            Route(path, store.publish, methods=['POST']),
+            Route('/v1/models/{model}/{version}', store.fetch),
+        ],
+    )
