Check histories of whole systems under drawn faults

Cause: the promises need a proof that knows nothing of the product's code.

Ruled out: hypothesis for the schedules of whole processes. A run takes ten seconds and more, so shrinking never ends; a numpy seed repeats a schedule. hypothesis stays for logic that runs in one process.

Kills of nodes were not among these draws.

--- /dev/null
+++ b/proof/__init__.py
@@ -0,0 +1,1 @@
+"""Histories of concurrent runs, and a checker for each promise."""
--- /dev/null
+++ b/proof/checkers/executions.py
@@ -0,0 +1,54 @@
+"""Check refusals and non-idempotent requests against what truly ran."""
+
+from collections import defaultdict
+from collections.abc import Iterator
+
+from proof.history import Attempt, Execution, Finding, History, Outcome
+
+CLAIM_PREFIX = 'claim-'
+
+
+def check_at_most_once(history: History) -> Iterator[Finding]:
+    """Yield non-idempotent operations that ran more than once."""
+    for subject, executions in _group_executions(history).items():
+        if subject.startswith(CLAIM_PREFIX) and len(executions) > 1:
+            yield Finding(
+                'at-most-once',
+                f'{subject} ran {len(executions)} times',
+            )
+
+
+def check_refusals(history: History) -> Iterator[Finding]:
+    """
+    Yield refusals as not run whose attempt ran all the same.
+
+    Notes
+    -----
+    A caller sends attempts of one operation one after another, so an
+    execution belongs to the last attempt that began before it.
+
+    """
+    executions = _group_executions(history)
+    attempts: dict[str, list[Attempt]] = defaultdict(list)
+    for attempt in history.attempts:
+        attempts[attempt.subject].append(attempt)
+    for subject, group in attempts.items():
+        group.sort(key=lambda attempt: attempt.begin)
+        for execution in executions.get(subject, ()):
+            owner = _find_owner(group, execution)
+            if owner and owner.outcome is Outcome.not_run:
+                yield Finding('true-refusal', f'{subject} was refused and ran')
+
+
+def _group_executions(history: History) -> dict[str, list[Execution]]:
+    grouped: dict[str, list[Execution]] = defaultdict(list)
+    for execution in history.executions:
+        grouped[execution.subject].append(execution)
+    return grouped
+
+
+def _find_owner(
+    attempts: list[Attempt], execution: Execution
+) -> Attempt | None:
+    earlier = [one for one in attempts if one.begin <= execution.at]
+    return earlier[-1] if earlier else None
--- /dev/null
+++ b/proof/checkers/stops.py
@@ -0,0 +1,23 @@
+"""Check that a planned stop cuts off no request in progress."""
+
+from collections.abc import Iterator
+
+from proof.history import Attempt, Finding, History, Outcome, PlannedStop
+
+
+def check_planned_stops(history: History) -> Iterator[Finding]:
+    """Yield stops that failed, and requests that they cut off."""
+    for stop in history.stops:
+        if stop.status:
+            detail = f'{stop.node} ended with status {stop.status}'
+            yield Finding('planned-stop', detail)
+        for attempt in history.attempts:
+            if _is_cut_off(attempt, stop):
+                detail = f'{stop.node} cut off {attempt.subject}'
+                yield Finding('planned-stop', detail)
+
+
+def _is_cut_off(attempt: Attempt, stop: PlannedStop) -> bool:
+    if attempt.node != stop.node or attempt.outcome is not Outcome.unknown:
+        return False
+    return attempt.begin < stop.end and attempt.end > stop.begin
--- /dev/null
+++ b/proof/history/truth.py
@@ -0,0 +1,62 @@
+"""Read the stand-ins' records into a history."""
+
+from collections.abc import Iterable
+from pathlib import Path
+
+import msgspec
+
+from ladder_standins.records import Record
+from proof.history.events import Execution, Generated, History
+
+
+def read_truth(history: History, paths: Iterable[Path]) -> None:
+    """
+    Add what targets truly did to a history.
+
+    Parameters
+    ----------
+    history : History
+        Takes executions and generated tokens.
+    paths : iterable of Path
+        The record files, each named after its target.
+
+    """
+    for path in paths:
+        records = [
+            msgspec.json.decode(line, type=Record)
+            for line in path.read_bytes().splitlines()
+        ]
+        _read_executions(history, path.stem, records)
+        _read_generated(history, records)
+
+
+def _read_executions(
+    history: History,
+    target: str,
+    records: list[Record],
+) -> None:
+    for record in records:
+        if record.kind == 'executed':
+            fields = record.fields
+            subject = fields.get('prompt', fields.get('body', ''))
+            history.executions.append(Execution(subject, target, record.at))
+
+
+def _read_generated(history: History, records: list[Record]) -> None:
+    requests: dict[str, Record] = {}
+    for record in records:
+        if record.kind == 'executed':
+            requests[record.subject] = record
+        elif record.kind == 'generated':
+            request = requests[record.subject]
+            history.generated.append(_make_generated(request, record))
+
+
+def _make_generated(request: Record, record: Record) -> Generated:
+    return Generated(
+        prompt=request.fields['prompt'],
+        seed=int(request.fields['seed']),
+        position=int(record.fields['position']),
+        tokens=int(record.fields['tokens']),
+        version=int(record.fields['version']),
+    )
--- /dev/null
+++ b/proof/load/trainer.py
@@ -0,0 +1,73 @@
+"""A trainer that records every sample that reaches it."""
+
+import time
+
+from ladder_standins.trainer import StepReport, StepRequest, Trainer
+from proof.history import Delivery, History, StepEnd
+from proof.history.events import Span
+
+_GROUPS = 4
+_SAMPLES_PER_GROUP = 4
+_MODEL = 'cask'
+
+
+class RecordingTrainer:
+    """
+    Run steps until a time.
+
+    Parameters
+    ----------
+    trainer : Trainer
+        Opens steps and pulls.
+    bound : int
+        Staleness bound of its plan.
+    history : History
+        Takes deliveries and the ends of steps.
+
+    """
+
+    def __init__(
+        self,
+        trainer: Trainer,
+        bound: int,
+        history: History,
+    ) -> None:
+        self._trainer = trainer
+        self._bound = bound
+        self._history = history
+
+    async def run_step(self, step: int) -> None:
+        """Run one step at the version of its number and record it."""
+        prompts = tuple(
+            f'log {group} of night {step}' for group in range(_GROUPS)
+        )
+        request = StepRequest(step, step, _MODEL, prompts, _SAMPLES_PER_GROUP)
+        report = await self._trainer.run_step(request)
+        self._record(report)
+        await self._trainer.close_step(step)
+
+    def is_before(self, until: float) -> bool:
+        """Whether there is time for another step."""
+        return time.monotonic() < until
+
+    def _record(self, report: StepReport) -> None:
+        request = report.request
+        name = str(request.step)
+        for group in report.arrivals:
+            for sample in group.samples:
+                self._history.deliveries.append(
+                    Delivery(
+                        sample.id,
+                        name,
+                        request.prompts[group.index],
+                        sample.text,
+                        tuple(
+                            Span(span.version, span.tokens)
+                            for span in sample.versions
+                        ),
+                        request.version,
+                        self._bound,
+                    ),
+                )
+        wanted = len(request.prompts) * request.samples_per_group
+        self._history.step_ends.append(StepEnd(name, wanted))
--- /dev/null
+++ b/proof/run.py
@@ -0,0 +1,134 @@
+"""Run a system under load and faults and check its history."""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+from ladder_standins.fleet import EngineLayout, Fleet, Layout, NodeLayout
+from ladder_standins.operator import ListFiles, apply_lists, write_lists
+from ladder_standins.trainer import Trainer
+from proof.faults import Injector, Schedule
+from proof.history import History, read_truth
+from proof.load import (
+    ClaimCaller,
+    CompletionCaller,
+    RecordingTrainer,
+    RevisionObserver,
+)
+from proof.load.callers import Node
+
+_SECRET = 'proof'
+_BOUND = 1
+_MODEL = 'cask'
+_CALLERS = 2
+_GRACE_SECONDS = 60
+_LAYOUT = Layout(
+    nodes=(
+        NodeLayout('node-1', 'leith', 'lowlands'),
+        NodeLayout('node-2', 'govan', 'lowlands'),
+        NodeLayout('node-3', 'inverness', 'highlands'),
+    ),
+    engines=(
+        EngineLayout('engine-1', 'leith', 'lowlands'),
+        EngineLayout('engine-2', 'govan', 'lowlands', checks_fencing=False),
+        EngineLayout('engine-3', 'inverness', 'highlands'),
+    ),
+)
+
+
+async def run_history(schedule: Schedule, folder: Path) -> History:
+    """
+    Run a system under a schedule and return its history.
+
+    Parameters
+    ----------
+    schedule : Schedule
+        The faults.
+    folder : Path
+        Takes settings, logs and records.
+
+    Returns
+    -------
+    History
+        What everybody saw, with the targets' ground truth.
+
+    """
+    history = History()
+    fleet = Fleet(_LAYOUT, folder)
+    try:
+        await _run(fleet, schedule, history, folder)
+    finally:
+        await fleet.close()
+    read_truth(history, _list_records(folder))
+    return history
+
+
+def _list_records(folder: Path) -> list[Path]:
+    paths = sorted(folder.glob('*.records'))
+    return [path for path in paths if path.stem != 'table']
+
+
+async def _run(
+    fleet: Fleet,
+    schedule: Schedule,
+    history: History,
+    folder: Path,
+) -> None:
+    files = await _start(fleet, folder)
+    nodes = [
+        Node(node.name, fleet.processes.find_address(node.name))
+        for node in _LAYOUT.nodes
+    ]
+    injector = Injector(fleet, _LAYOUT, files, history)
+    until = time.monotonic() + schedule.seconds
+    async with _observe(nodes, history), asyncio.TaskGroup() as tasks:
+        tasks.create_task(injector.inject(schedule))
+        tasks.create_task(_train(fleet, nodes, history, until))
+        for number in range(_CALLERS):
+            claims = ClaimCaller(f'c{number}', nodes, _SECRET, history)
+            tasks.create_task(claims.run(until))
+            questions = CompletionCaller(f'q{number}', nodes, _SECRET, history)
+            tasks.create_task(questions.run(until))
+
+
+async def _start(fleet: Fleet, folder: Path) -> ListFiles:
+    await fleet.start()
+    files = write_lists(folder, _SECRET, _BOUND)
+    await apply_lists(fleet, files)
+    for node in _LAYOUT.nodes:
+        await fleet.controls.wait_answer(node.name, '/readyz')
+    return files
+
+
+async def _train(
+    fleet: Fleet,
+    nodes: list[Node],
+    history: History,
+    until: float,
+) -> None:
+    addresses = [node.address for node in nodes]
+    trainer = RecordingTrainer(
+        Trainer('cask-notes', _SECRET, addresses, _BOUND),
+        _BOUND,
+        history,
+    )
+    step = 0
+    while trainer.is_before(until):
+        async with asyncio.timeout(_GRACE_SECONDS):
+            await trainer.run_step(step)
+        step += 1
+        await fleet.controls.publish(_MODEL, step)
+
+
+@contextlib.asynccontextmanager
+async def _observe(nodes: list[Node], history: History) -> AsyncIterator[None]:
+    observer = RevisionObserver(nodes, history)
+    task = asyncio.create_task(observer.run())
+    try:
+        yield
+    finally:
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
--- a/standins/ladder_standins/engine/machine.py
+++ b/standins/ladder_standins/engine/machine.py
@@ -148,7 +148,12 @@
         yield Chunk(request.request_id, end=True, total_tokens=length)
 
     def _begin(self, request: GenerateRequest) -> None:
-        self._records.add('executed', request.request_id, prompt=request.prompt)
+        self._records.add(
+            'executed',
+            request.request_id,
+            prompt=request.prompt,
+            seed=request.seed,
+        )
         if _CRASH_WORD in request.prompt:
             os._exit(_CRASH_STATUS)
 
@@ -184,6 +189,7 @@
             'generated',
             request_id,
             version=self._served_version,
+            position=position,
             tokens=count,
         )
         if self.misbehaviour.crosses_streams:
--- a/standins/ladder_standins/fleet/system.py
+++ b/standins/ladder_standins/fleet/system.py
@@ -5,7 +5,7 @@
 
 import yaml
 
-from ladder_core.values import HostEntry, HostKind
+from ladder_core.values import HostEntry, HostKind, HostState
 from ladder_standins.fleet.controls import Controls
 from ladder_standins.fleet.layout import EngineLayout, Layout, NodeLayout
 from ladder_standins.fleet.processes import ProcessGroup
@@ -100,17 +100,25 @@
             flags.append('--no-checks-fencing')
         await self._start_standin('engine', engine.name, *flags)
         await self._processes.wait_listening(engine.name)
-        await self._controls.list_host(
-            HostEntry(
-                engine.name,
-                HostKind.engine,
-                self._processes.find_address(engine.name),
-                engine.data_centre,
-                engine.region,
-                pool=engine.pool,
-                model=engine.model,
-                checks_fencing=engine.checks_fencing,
-            ),
+        entry = self.make_engine_entry(engine)
+        await self._controls.list_host(entry)
+
+    def make_engine_entry(
+        self,
+        engine: EngineLayout,
+        state: HostState = HostState.live,
+    ) -> HostEntry:
+        """Return an engine's entry of the host list."""
+        return HostEntry(
+            engine.name,
+            HostKind.engine,
+            self._processes.find_address(engine.name),
+            engine.data_centre,
+            engine.region,
+            state=state,
+            pool=engine.pool,
+            model=engine.model,
+            checks_fencing=engine.checks_fencing,
         )
 
     async def start_node(self, node: NodeLayout) -> None:
--- a/standins/ladder_standins/trainer.py
+++ b/standins/ladder_standins/trainer.py
@@ -86,6 +86,8 @@
         What it asked.
     groups : dict of int to PulledGroup
         The groups it holds.
+    arrivals : list of PulledGroup
+        Every group that arrived, also those it held.
     doubled : int
         Groups that arrived although it held them.
     too_old : int
@@ -97,6 +99,7 @@
 
     request: StepRequest
     groups: dict[int, PulledGroup] = field(default_factory=dict)
+    arrivals: list[PulledGroup] = field(default_factory=list)
     doubled: int = 0
     too_old: int = 0
     seconds: float = 0
@@ -113,6 +116,7 @@
 
     def add(self, group: PulledGroup, bound: int) -> None:
         """Take a group and judge it."""
+        self.arrivals.append(group)
         if group.index in self.groups:
             self.doubled += 1
             return
