Put relays before the engines and let operators race in the proof

Change: a TCP relay in the proof's own process before every engine, which silences open connections or cuts all; race-edits applies two edits at one revision; the checker of configuration counts acceptances of a revision.

--- a/proof/checkers/configuration.py
+++ b/proof/checkers/configuration.py
@@ -1,5 +1,6 @@
 """Check that accepted revisions come into force and never revert."""
 
+from collections import Counter
 from collections.abc import Iterator
 
 from proof.history import Finding, History, RevisionSeen
@@ -10,10 +11,21 @@
 def check_configuration(history: History) -> Iterator[Finding]:
     """Yield reverted revisions and accepted ones that came late."""
     seen = sorted(history.revisions, key=lambda one: one.at)
+    yield from _check_conflicts(history.accepted)
     yield from _check_order(seen)
     yield from _check_delay(history.accepted, seen)
 
 
+def _check_conflicts(accepted: list[RevisionSeen]) -> Iterator[Finding]:
+    counts = Counter(edit.revision for edit in accepted)
+    for revision, count in counts.items():
+        if count > 1:
+            yield Finding(
+                'configuration',
+                f'{count} edits were accepted as revision {revision}',
+            )
+
+
 def _check_order(seen: list[RevisionSeen]) -> Iterator[Finding]:
     newest: dict[str, int] = {}
     for one in seen:
--- a/proof/checkers/tests/test_checkers.py
+++ b/proof/checkers/tests/test_checkers.py
@@ -106,6 +106,10 @@
             stops=[PlannedStop('node-1', 2, 4, 0)],
         ),
     ),
+    (
+        check_configuration,
+        History(accepted=[RevisionSeen('', 1, 2), RevisionSeen('', 2, 2)]),
+    ),
     (
         check_configuration,
         History(
--- a/proof/faults/injector.py
+++ b/proof/faults/injector.py
@@ -3,12 +3,15 @@
 import asyncio
 import signal
 import time
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import replace
 
 from ladder_core.values import HostState
 from ladder_standins.faults import Fault
 from ladder_standins.faults import FaultKind as StandinFault
 from ladder_standins.fleet import Fleet, Layout
 from ladder_standins.operator import ListFiles, apply_lists
+from ladder_standins.relay import Relay
 from proof.faults.schedule import FaultKind, PlannedFault, Schedule
 from proof.history import History, Leaving, PlannedStop, RevisionSeen
 
@@ -27,6 +30,8 @@
     ),
 }
 
+_Action = Callable[[PlannedFault], Awaitable[None]]
+
 
 class Injector:
     """
@@ -40,6 +45,8 @@
         What it consists of.
     files : ListFiles
         The operators' files, for edits.
+    relays : sequence of Relay
+        Relays before the engines.
     history : History
         Takes stops, leavings and accepted edits.
 
@@ -50,14 +57,26 @@
         fleet: Fleet,
         layout: Layout,
         files: ListFiles,
+        relays: Sequence[Relay],
         history: History,
     ) -> None:
         self._fleet = fleet
         self._layout = layout
         self._files = files
+        self._relays = relays
         self._history = history
+        self._editing = asyncio.Lock()
         self._revision = 1
         self._busy: set[str] = set()
+        self._actions: dict[FaultKind, _Action] = {
+            **dict.fromkeys(_STORE_FAULTS, self._hurt_store),
+            FaultKind.edit_lists: self._edit_lists,
+            FaultKind.race_edits: self._edit_lists,
+            FaultKind.silence_connections: self._silence_links,
+            FaultKind.cut_connections: self._cut_links,
+            FaultKind.swap_fails: self._fail_swap,
+            FaultKind.engine_leaves: self._let_leave,
+        }
 
     async def inject(self, schedule: Schedule) -> None:
         """Inject all faults, each at its time, and wait for their ends."""
@@ -65,18 +84,8 @@
 
     async def _inject(self, fault: PlannedFault) -> None:
         await asyncio.sleep(fault.at)
-        if fault.kind in _STORE_FAULTS:
-            await self._hurt_store(fault)
-        elif fault.kind is FaultKind.edit_lists:
-            await self._edit_lists()
-        elif fault.kind is FaultKind.swap_fails:
-            name = self._choose(fault, 'engine')
-            path = '/misbehave'
-            await self._try_send(name, path, {'fails_swaps': 1})
-        elif fault.kind is FaultKind.engine_leaves:
-            await self._let_leave()
-        else:
-            await self._hurt_process(fault)
+        act = self._actions.get(fault.kind, self._hurt_process)
+        await act(fault)
 
     async def _hurt_store(self, fault: PlannedFault) -> None:
         controls = self._fleet.controls
@@ -116,26 +125,46 @@
         self._history.stops.append(stop)
         await self._fleet.processes.restart(name)
 
-    async def _let_leave(self) -> None:
+    async def _let_leave(self, fault: PlannedFault) -> None:
         # The last engine leaves, so that the others can carry the load.
         engine = self._layout.engines[-1]
         entry = self._fleet.make_engine_entry(engine, HostState.leaving)
-        await self._fleet.controls.list_host(entry)
+        await self._fleet.controls.list_host(
+            replace(entry, address=self._relays[-1].address),
+        )
         self._history.leavings.append(Leaving(engine.name, time.monotonic()))
 
-    async def _edit_lists(self) -> None:
-        revision = self._revision
-        self._revision += 1
-        status = await apply_lists(self._fleet, self._files, revision)
-        if status:
-            self._revision = revision
-            return
-        edit = RevisionSeen('', time.monotonic(), revision + 1)
-        self._history.accepted.append(edit)
+    async def _edit_lists(self, fault: PlannedFault) -> None:
+        operators = 2 if fault.kind is FaultKind.race_edits else 1
+        async with self._editing:
+            revision = self._revision
+            statuses = await asyncio.gather(
+                *(
+                    apply_lists(self._fleet, self._files, revision)
+                    for _ in range(operators)
+                ),
+            )
+            accepted = statuses.count(0)
+            self._revision += min(accepted, 1)
+        for _ in range(accepted):
+            edit = RevisionSeen('', time.monotonic(), revision + 1)
+            self._history.accepted.append(edit)
+
+    async def _silence_links(self, fault: PlannedFault) -> None:
+        for relay in self._relays:
+            relay.silence_open()
+
+    async def _cut_links(self, fault: PlannedFault) -> None:
+        relay = self._relays[fault.choice % len(self._relays)]
+        relay.cut()
+        await asyncio.sleep(fault.seconds)
+        relay.mend()
 
-    async def _try_send(self, name: str, path: str, message: object) -> None:
+    async def _fail_swap(self, fault: PlannedFault) -> None:
+        name = self._choose(fault, 'engine')
         if name not in self._busy:
-            await self._fleet.controls.send(name, 'POST', path, message)
+            message = {'fails_swaps': 1}
+            await self._fleet.controls.send(name, 'POST', '/misbehave', message)
 
     def _choose(self, fault: PlannedFault, kind: str) -> str:
         names = [
--- a/proof/faults/schedule.py
+++ b/proof/faults/schedule.py
@@ -25,6 +25,9 @@
     swap_fails = 'swap-fails'
     engine_leaves = 'engine-leaves'
     edit_lists = 'edit-lists'
+    race_edits = 'race-edits'
+    silence_connections = 'silence-connections'
+    cut_connections = 'cut-connections'
 
 
 ALL_KINDS = tuple(FaultKind)
--- a/proof/run.py
+++ b/proof/run.py
@@ -4,10 +4,12 @@
 import contextlib
 import time
 from collections.abc import AsyncIterator
+from dataclasses import replace
 from pathlib import Path
 
 from ladder_standins.fleet import EngineLayout, Fleet, Layout, NodeLayout
 from ladder_standins.operator import ListFiles, apply_lists, write_lists
+from ladder_standins.relay import Relay
 from ladder_standins.trainer import Trainer
 from proof.faults import Injector, Schedule
 from proof.history import History, read_truth
@@ -57,10 +59,13 @@
     """
     history = History()
     fleet = Fleet(_LAYOUT, folder)
+    relays: list[Relay] = []
     try:
-        await _run(fleet, schedule, history, folder)
+        await _run(fleet, relays, schedule, history, folder)
     finally:
         await fleet.close()
+        for relay in relays:
+            await relay.close()
     read_truth(history, _list_records(folder))
     return history
 
@@ -72,16 +77,17 @@
 
 async def _run(
     fleet: Fleet,
+    relays: list[Relay],
     schedule: Schedule,
     history: History,
     folder: Path,
 ) -> None:
-    files = await _start(fleet, folder)
+    files = await _start(fleet, relays, folder)
     nodes = [
         Node(node.name, fleet.processes.find_address(node.name))
         for node in _LAYOUT.nodes
     ]
-    injector = Injector(fleet, _LAYOUT, files, history)
+    injector = Injector(fleet, _LAYOUT, files, relays, history)
     until = time.monotonic() + schedule.seconds
     async with _observe(nodes, history), asyncio.TaskGroup() as tasks:
         tasks.create_task(injector.inject(schedule))
@@ -93,8 +99,14 @@
             tasks.create_task(questions.run(until))
 
 
-async def _start(fleet: Fleet, folder: Path) -> ListFiles:
+async def _start(
+    fleet: Fleet,
+    relays: list[Relay],
+    folder: Path,
+) -> ListFiles:
     await fleet.start()
+    for engine in _LAYOUT.engines:
+        relays.append(await _relay_engine(fleet, engine))
     files = write_lists(folder, _SECRET, _BOUND)
     await apply_lists(fleet, files)
     for node in _LAYOUT.nodes:
@@ -102,6 +114,15 @@
     return files
 
 
+async def _relay_engine(fleet: Fleet, engine: EngineLayout) -> Relay:
+    """List an engine at the address of a relay before it."""
+    relay = Relay(fleet.processes.find_address(engine.name))
+    await relay.start()
+    entry = fleet.make_engine_entry(engine)
+    await fleet.controls.list_host(replace(entry, address=relay.address))
+    return relay
+
+
 async def _train(
     fleet: Fleet,
     nodes: list[Node],
--- /dev/null
+++ b/standins/ladder_standins/relay.py
@@ -0,0 +1,128 @@
+"""A TCP relay that cuts or silences connections, in the test's own process."""
+
+import asyncio
+import contextlib
+
+from ladder_core.supervision import Service
+from ladder_standins.fleet.ports import find_free_ports
+
+_CHUNK_BYTES = 65_536
+
+
+class _Link:
+    """
+    One relayed connection.
+
+    Parameters
+    ----------
+    caller : asyncio.StreamWriter
+        Writes towards the caller.
+    target : asyncio.StreamWriter
+        Writes towards the target.
+
+    """
+
+    def __init__(
+        self,
+        caller: asyncio.StreamWriter,
+        target: asyncio.StreamWriter,
+    ) -> None:
+        self.is_silent = False
+        self._caller = caller
+        self._target = target
+
+    async def copy(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Pass bytes on; while silent, swallow them and keep both ends open."""
+        while chunk := await reader.read(_CHUNK_BYTES):
+            if not self.is_silent:
+                writer.write(chunk)
+                await writer.drain()
+        if not self.is_silent:
+            writer.close()
+
+    def cut(self) -> None:
+        """Close both ends at once."""
+        self._caller.transport.abort()
+        self._target.transport.abort()
+
+
+class Relay(Service):
+    """
+    Relay connections to an address.
+
+    Parameters
+    ----------
+    target_address : str
+        ``ip:port`` to connect to.
+
+    """
+
+    def __init__(self, target_address: str) -> None:
+        self._target_address = target_address
+        self._port = find_free_ports(1)[0]
+        self._links: set[_Link] = set()
+        self._is_refusing = False
+        self._server: asyncio.Server | None = None
+
+    @property
+    def address(self) -> str:
+        """The ``ip:port`` of the relay."""
+        return f'127.0.0.1:{self._port}'
+
+    async def start(self) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(
+            self._handle,
+            '127.0.0.1',
+            self._port,
+        )
+
+    async def close(self) -> None:
+        """Cut everything and stop listening."""
+        self.cut()
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    def silence_open(self) -> None:
+        """Make every open connection silent for good; new ones work."""
+        for link in self._links:
+            link.is_silent = True
+
+    def cut(self) -> None:
+        """Cut every connection and refuse new ones until `mend`."""
+        self._is_refusing = True
+        for link in tuple(self._links):
+            link.cut()
+
+    def mend(self) -> None:
+        """Accept connections again."""
+        self._is_refusing = False
+
+    async def _handle(
+        self,
+        caller_reader: asyncio.StreamReader,
+        caller: asyncio.StreamWriter,
+    ) -> None:
+        if self._is_refusing:
+            caller.transport.abort()
+            return
+        host, _, port = self._target_address.rpartition(':')
+        try:
+            target_reader, target = await asyncio.open_connection(host, port)
+        except OSError:
+            caller.transport.abort()
+            return
+        link = _Link(caller, target)
+        self._links.add(link)
+        with contextlib.suppress(OSError):
+            await asyncio.gather(
+                link.copy(caller_reader, target),
+                link.copy(target_reader, caller),
+            )
+        self._links.discard(link)
+        link.cut()
