Send no request twice: keep aiohttp's own retry out

Cause: aiohttp sends GET, HEAD, PUT and DELETE a second time when the connection closes without an answer, on a fresh connection as well as on a kept one; the client relied on fresh connections to prevent it. A target that ran the request and closed had run it twice. Ruled out: lower-case methods (aiohttp upper-cases them first) and fresh connections (trial: two executions for each of the four methods). Change: a middleware turns the error into one that aiohttp does not handle. A trace notes whether a connection was made, so that every error before it is an UnreachableError (an invalid URL was may-have-run before). Sockets carry keep-alive probes, so a dead path breaks a long call within seconds. Conclusion: each method is guarded by a server that runs and then closes.

--- a/packages/clients/ladder_clients/transport/client.py
+++ b/packages/clients/ladder_clients/transport/client.py
@@ -12,11 +12,17 @@
     TransportError,
     UnreachableError,
 )
+from ladder_clients.transport.once import (
+    BrokenExchangeError,
+    Progress,
+    make_trace,
+    send_once,
+)
+from ladder_clients.transport.sockets import make_socket
 from ladder_core.supervision import Service
 
 _CONNECT_SECONDS = 2
 _GAP_SECONDS = 5
-_UNSENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,10 +73,11 @@
 
     Notes
     -----
-    aiohttp sends idempotent methods a second time by itself when a kept
-    connection closes without an answer. Every exchange of this client
-    therefore runs on a connection of its own, which is closed after it: no
-    late answer can reach another request, and nothing is sent twice.
+    Every exchange runs on a connection of its own, which is closed after it,
+    so no late answer can reach another request. aiohttp also sends idempotent
+    methods a second time by itself when the connection closes without an
+    answer, even a fresh one. A middleware turns the error into one of this
+    package, which aiohttp does not handle, so nothing is sent twice.
 
     """
 
@@ -79,10 +86,16 @@
 
     async def start(self) -> None:
         """Open the session."""
-        connector = aiohttp.TCPConnector(force_close=True, limit=0)
+        connector = aiohttp.TCPConnector(
+            force_close=True,
+            limit=0,
+            socket_factory=make_socket,
+        )
         self._session = aiohttp.ClientSession(
             connector=connector,
             auto_decompress=False,
+            middlewares=(send_once,),
+            trace_configs=[make_trace()],
         )
 
     async def close(self) -> None:
@@ -191,6 +204,7 @@
             sock_connect=limits.connect,
             sock_read=limits.gap,
         )
+        progress = Progress()
         try:
             async with self._session.request(
                 method,
@@ -199,14 +213,21 @@
                 headers=headers,
                 timeout=options,
                 allow_redirects=False,
+                trace_request_ctx=progress,
             ) as reply:
                 yield reply
+        except BrokenExchangeError as broken:
+            raise _translate(url, broken.cause, progress) from broken
         except (aiohttp.ClientError, TimeoutError) as error:
-            raise _translate(url, error) from error
+            raise _translate(url, error, progress) from error
 
 
-def _translate(url: str, error: Exception) -> TransportError:
-    if isinstance(error, _UNSENT):
+def _translate(
+    url: str,
+    error: Exception,
+    progress: Progress,
+) -> TransportError:
+    if not progress.is_connected:
         return UnreachableError(
             f'{url}: no connection: {error}',
             remedy='check that the host is up; try another one',
--- /dev/null
+++ b/standins/ladder_standins/scripted.py
@@ -0,0 +1,127 @@
+"""A target in the test's own process that answers raw bytes by a script."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+_HEAD_END = b'\r\n\r\n'
+_LENGTH = 'content-length'
+
+
+@dataclass(frozen=True, slots=True)
+class Received:
+    """
+    A whole request as it arrived.
+
+    Attributes
+    ----------
+    method, path : str
+        Of the request line.
+    headers : dict of str to str
+        Header fields, names in lower case.
+    body : bytes
+        The body.
+
+    """
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+Script = Callable[[Received, asyncio.StreamWriter], Awaitable[None]]
+
+
+@dataclass(slots=True)
+class ScriptedTarget:
+    """
+    Record each request that arrives, then act as the script says.
+
+    Attributes
+    ----------
+    script : Script
+        Called with each request; the connection is closed after it.
+    received : list of Received
+        Ground truth: every request that was executed, in order.
+
+    """
+
+    script: Script
+    received: list[Received] = field(default_factory=list)
+    _server: asyncio.Server | None = None
+    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    @property
+    def address(self) -> str:
+        """``ip:port`` of the target."""
+        if self._server is None:
+            raise RuntimeError('start the target first')
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f'{host}:{port}'
+
+    async def start(self) -> None:
+        """Listen on a free port of the loopback interface."""
+        self._server = await asyncio.start_server(
+            self._accept,
+            '127.0.0.1',
+            0,
+        )
+
+    async def close(self) -> None:
+        """Stop listening and end what still runs."""
+        if self._server is not None:
+            self._server.close()
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        task = asyncio.current_task()
+        if task is not None:
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        try:
+            await self._serve(reader, writer)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            return
+        except asyncio.CancelledError:
+            # The server of asyncio logs a cancelled connection as a failure.
+            return
+        finally:
+            writer.close()
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        head = (await reader.readuntil(_HEAD_END)).decode('latin-1')
+        lines = head.rstrip().split('\r\n')
+        method, path, _ = lines[0].split(' ')
+        headers = dict(_split_field(line) for line in lines[1:])
+        body = await reader.readexactly(int(headers.get(_LENGTH, 0)))
+        request = Received(method, path, headers, body)
+        self.received.append(request)
+        await self.script(request, writer)
+
+
+def format_answer(
+    body: bytes,
+    headers: dict[str, str] | None = None,
+    status: int = 200,
+) -> bytes:
+    """Return the bytes of a whole HTTP answer."""
+    fields = {_LENGTH: str(len(body)), **(headers or {})}
+    lines = [f'HTTP/1.1 {status} Status']
+    lines.extend(f'{name}: {text}' for name, text in fields.items())
+    return '\r\n'.join(lines).encode() + _HEAD_END + body
+
+
+def _split_field(line: str) -> tuple[str, str]:
+    name, _, text = line.partition(':')
+    return name.strip().lower(), text.strip()
