Run keyed calls at most once over nodes, retries and store faults

Cause: a repeated POST of a caller ran again at another replica, and after a lost attempt a later refused one was reported as not run. Change: an Idempotency-Key is recorded as an intent row, scoped by plan and pool, with the request's fingerprint and the attempt's token, before the call is sent. A lost answer of the insert is read back by token, then committed again under the same token; if that fails the call is refused as not run and the insert is revoked later. Answers up to 16 KiB are written in batches afterwards. An attempt that certainly did not run releases its row. Ruled out: deleting the row on release. A deletion that arrives late would remove the row of the retry that took over; the release is a conditional write instead, and a test holds it up on the way. GET, HEAD, PUT and DELETE are repeated at another replica; POST and PATCH never are after an attempt that may have run. Conclusion: a key's call runs at most once; store faults are true refusals.

--- a/packages/clients/ladder_clients/services/plain.py
+++ b/packages/clients/ladder_clients/services/plain.py
@@ -11,6 +11,7 @@
 
 _REQUEST_ID = 'x-request-id'
 _DEFAULT_SECONDS = 30
+_IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'PUT', 'DELETE'))
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +43,11 @@
     content_type: str = 'application/json'
     seconds: float = _DEFAULT_SECONDS
 
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether the call may be repeated, by its method (RFC 9110)."""
+        return self.method in _IDEMPOTENT_METHODS
+
 
 @dataclass(frozen=True, slots=True)
 class PlainAnswer:
--- a/packages/core/ladder_core/errors/__init__.py
+++ b/packages/core/ladder_core/errors/__init__.py
@@ -4,6 +4,7 @@
     BadRequestError,
     ConflictError,
     ForbiddenError,
+    KeyReusedError,
     NotReadyError,
     NotRunError,
     OverloadedError,
@@ -14,6 +15,8 @@
     UnknownNameError,
 )
 from ladder_core.errors.runs import (
+    AnswerNotKeptError,
+    InProgressError,
     MayHaveRunError,
     PoisonousRequestError,
     TargetLostError,
@@ -22,10 +25,13 @@
 from ladder_core.errors.tree import Execution, LadderError, SettingsError
 
 __all__ = (
+    'AnswerNotKeptError',
     'BadRequestError',
     'ConflictError',
     'Execution',
     'ForbiddenError',
+    'InProgressError',
+    'KeyReusedError',
     'LadderError',
     'MayHaveRunError',
     'NotReadyError',
--- a/packages/core/ladder_core/errors/refusals.py
+++ b/packages/core/ladder_core/errors/refusals.py
@@ -50,6 +50,13 @@
     status = 409
 
 
+class KeyReusedError(NotRunError):
+    """An idempotency key was sent with a request that differs."""
+
+    kind = 'key-reused'
+    status = 422
+
+
 class TooLargeError(NotRunError):
     """The request's body is over the limit."""
 
--- a/packages/core/ladder_core/errors/runs.py
+++ b/packages/core/ladder_core/errors/runs.py
@@ -24,6 +24,21 @@
     status = 504
 
 
+class InProgressError(MayHaveRunError):
+    """A call with the same idempotency key is not yet decided."""
+
+    kind = 'in-progress'
+    status = 409
+
+
+class AnswerNotKeptError(LadderError):
+    """The call ran and its answer is no longer available."""
+
+    kind = 'answer-not-kept'
+    status = 410
+    execution = Execution.ran
+
+
 class PoisonousRequestError(LadderError):
     """The request ran and crashed each target that executed it."""
 
--- a/packages/node/ladder_node/app/tree.py
+++ b/packages/node/ladder_node/app/tree.py
@@ -3,10 +3,17 @@
 from ladder_core.settings import NodeSettings
 from ladder_core.supervision import Supervisor
 from ladder_core.timeline import HybridClock, TimeLine
-from ladder_core.timers import SystemTimerService
+from ladder_core.timers import SystemTimerService, TimerService
 from ladder_node.app.clients import Clients, make_clients
 from ladder_node.configuration import ConfigurationKeeper
-from ladder_node.dispatch import GenerationDispatcher, PlainDispatcher
+from ladder_node.dispatch import (
+    GenerationDispatcher,
+    IntentCleaner,
+    IntentLog,
+    IntentWriter,
+    KeyedDispatcher,
+    PlainDispatcher,
+)
 from ladder_node.duties import WeightDuty
 from ladder_node.entry import EntryParts, EntryServer, make_entry_app
 from ladder_node.steps import StepRegistry
@@ -30,7 +37,9 @@
 
     """
     clients = make_clients(settings)
-    parts = _make_parts(settings, clients)
+    timers = SystemTimerService()
+    intents = IntentWriter(clients.table, timers)
+    parts = _make_parts(settings, clients, timers, intents)
     root = Supervisor('root', parts.timers)
     root.add(clients.http)
     root.add(
@@ -41,6 +50,8 @@
             parts.timers,
         ),
     )
+    root.add(intents)
+    root.add(IntentCleaner(clients.table, timers, settings.name))
     root.add(parts.configuration)
     root.add(
         WeightDuty(
@@ -56,8 +67,12 @@
     return root
 
 
-def _make_parts(settings: NodeSettings, clients: Clients) -> EntryParts:
-    timers = SystemTimerService()
+def _make_parts(
+    settings: NodeSettings,
+    clients: Clients,
+    timers: TimerService,
+    intents: IntentWriter,
+) -> EntryParts:
     timeline = TimeLine(settings.name, HybridClock(timers))
     targets = TargetTable(timers, timeline)
     generations = GenerationDispatcher(
@@ -75,5 +90,10 @@
         targets=targets,
         generations=generations,
         services=services,
+        keyed=KeyedDispatcher(
+            services,
+            IntentLog(clients.table, intents, timers),
+            timeline,
+        ),
         steps=StepRegistry(generations, services, timers, timeline),
     )
--- /dev/null
+++ b/packages/node/ladder_node/dispatch/failures.py
@@ -0,0 +1,54 @@
+"""What the failed attempts of one request add up to."""
+
+from ladder_core.errors import LadderError, MayHaveRunError, NotRunError
+
+FAILED_ATTEMPT = (NotRunError, MayHaveRunError)
+
+
+class Failures:
+    """
+    Collect the errors of one request's attempts.
+
+    Parameters
+    ----------
+    max_attempts : int
+        Attempts after which the request is given up.
+    is_repeatable : bool
+        Whether the request may be sent again after an attempt that may have
+        executed it.
+
+    Notes
+    -----
+    Once an attempt may have executed the request, no later refusal makes it
+    a request that was not run.
+
+    """
+
+    def __init__(self, max_attempts: int, *, is_repeatable: bool) -> None:
+        self._left = max_attempts
+        self._is_repeatable = is_repeatable
+        self._lost: MayHaveRunError | None = None
+        self._refusal: LadderError | None = None
+
+    @property
+    def is_final(self) -> bool:
+        """Whether no further attempt may be made."""
+        if self._lost is not None and not self._is_repeatable:
+            return True
+        return self._left <= 0
+
+    @property
+    def error(self) -> LadderError:
+        """The error that is true of all attempts together."""
+        error = self._lost or self._refusal
+        if error is None:
+            raise RuntimeError('no attempt has failed')
+        return error
+
+    def add(self, error: LadderError) -> None:
+        """Note a failed attempt."""
+        self._left -= 1
+        if isinstance(error, MayHaveRunError):
+            self._lost = error
+        else:
+            self._refusal = error
--- /dev/null
+++ b/packages/node/ladder_node/dispatch/intent_cleaner.py
@@ -0,0 +1,133 @@
+"""Delete expired intent rows at a bounded rate."""
+
+import random
+import uuid
+
+from loguru import logger
+
+from ladder_clients.table import (
+    Condition,
+    Row,
+    TableClient,
+    Transaction,
+    Write,
+)
+from ladder_core.errors import MayHaveRunError, StoreUnavailableError
+from ladder_core.supervision import Service
+from ladder_core.timers import Subscription, TimerService
+from ladder_node.dispatch.intent import (
+    INTENT_TABLE,
+    SHARD_CHARACTERS,
+    SHARDS,
+    decode_intent,
+)
+
+INTENT_LIFETIME_SECONDS = 86_400
+
+_PERIOD_SECONDS = 10
+_READ_ROWS_PER_SECOND = 2
+_BATCH_ROWS = 64
+_MILLISECONDS = 1000
+_STORE_ERRORS = (StoreUnavailableError, MayHaveRunError)
+
+
+class IntentCleaner(Service):
+    """
+    Look at one shard of the intent rows at a time.
+
+    Parameters
+    ----------
+    table : TableClient
+        The table service.
+    timers : TimerService
+        Source of time.
+    name : str
+        Name of the node; seeds the order in which it visits the shards.
+
+    Notes
+    -----
+    All nodes clean, each in an order of its own, so none is set aside for
+    it. After a scan a node rests for as long as the rows it read are worth,
+    which bounds what cleaning reads; it writes one transaction a scan.
+    Wall clocks are compared here only: an error of minutes between hosts
+    moves the end of a lifetime of a day by minutes.
+
+    """
+
+    def __init__(
+        self,
+        table: TableClient,
+        timers: TimerService,
+        name: str,
+    ) -> None:
+        self._table = table
+        self._timers = timers
+        self._random = random.Random(name)
+        self._rest_until = timers.now()
+        self._subscription: Subscription | None = None
+
+    async def start(self) -> None:
+        """Begin to clean."""
+        self._subscription = self._timers.subscribe(
+            _PERIOD_SECONDS,
+            self._visit_shard,
+        )
+
+    async def close(self) -> None:
+        """Stop cleaning."""
+        if self._subscription is not None:
+            await self._subscription.close()
+            self._subscription = None
+
+    async def clean(self, prefix: str) -> int:
+        """
+        Delete the expired rows whose keys start with a prefix.
+
+        Parameters
+        ----------
+        prefix : str
+            First characters of the keys.
+
+        Returns
+        -------
+        int
+            Number of rows read.
+
+        """
+        rows = await self._table.scan(INTENT_TABLE, prefix)
+        expired = [row for row in rows if self._is_expired(row)]
+        batch = expired[:_BATCH_ROWS]
+        if batch:
+            await self._delete(batch)
+        return len(rows)
+
+    async def _visit_shard(self) -> None:
+        if self._timers.now() < self._rest_until:
+            return
+        shard = self._random.randrange(SHARDS)
+        try:
+            count = await self.clean(f'{shard:0{SHARD_CHARACTERS}x}')
+        except _STORE_ERRORS as error:
+            logger.warning('intents are not cleaned: {}', error)
+            return
+        rest = count / _READ_ROWS_PER_SECOND
+        self._rest_until = self._timers.now() + rest
+
+    def _is_expired(self, row: Row) -> bool:
+        age = self._timers.wall_milliseconds()
+        age -= decode_intent(row.body).created_ms
+        return age > INTENT_LIFETIME_SECONDS * _MILLISECONDS
+
+    async def _delete(self, rows: list[Row]) -> None:
+        await self._table.commit(
+            Transaction(
+                uuid.uuid4().hex,
+                conditions=tuple(
+                    Condition(INTENT_TABLE, row.key, row.revision)
+                    for row in rows
+                ),
+                writes=tuple(
+                    Write(INTENT_TABLE, row.key, None) for row in rows
+                ),
+            ),
+        )
--- /dev/null
+++ b/packages/node/ladder_node/dispatch/intent_writer.py
@@ -0,0 +1,188 @@
+"""Write what became of keyed calls, in batches and after their answers."""
+
+import uuid
+from collections import OrderedDict
+from itertools import islice
+
+import msgspec
+from loguru import logger
+from prometheus_client import Counter
+
+from ladder_clients.table import Condition, TableClient, Transaction, Write
+from ladder_core.errors import MayHaveRunError, StoreUnavailableError
+from ladder_core.supervision import Service
+from ladder_core.timers import Subscription, TimerService
+from ladder_node.dispatch.intent import (
+    INTENT_TABLE,
+    Intent,
+    IntentState,
+    decode_intent,
+    encode_intent,
+)
+
+_PERIOD_SECONDS = 0.1
+_BATCH_ROWS = 32
+_CAPACITY_ROWS = 2048
+_STORE_ERRORS = (StoreUnavailableError, MayHaveRunError)
+
+_DROPPED = Counter(
+    'ladder_intent_rows_dropped',
+    'Outcomes of keyed calls that were not stored because the queue was full',
+)
+
+
+class IntentWriter(Service):
+    """
+    Keep outcomes of keyed calls until the table service has them.
+
+    Parameters
+    ----------
+    table : TableClient
+        The table service.
+    timers : TimerService
+        Source of time.
+
+    Notes
+    -----
+    The queue is bounded. An outcome that does not fit is dropped: its row
+    stays open, and a retry is told that the call may have run.
+
+    """
+
+    def __init__(self, table: TableClient, timers: TimerService) -> None:
+        self._table = table
+        self._timers = timers
+        self._outcomes: OrderedDict[str, Intent] = OrderedDict()
+        self._releases: OrderedDict[str, str] = OrderedDict()
+        self._inserts: OrderedDict[str, Transaction] = OrderedDict()
+        self._subscription: Subscription | None = None
+
+    async def start(self) -> None:
+        """Begin to write."""
+        self._subscription = self._timers.subscribe(
+            _PERIOD_SECONDS,
+            self.flush,
+        )
+
+    async def close(self) -> None:
+        """Write what is left once, and stop."""
+        if self._subscription is None:
+            return
+        await self._subscription.close()
+        self._subscription = None
+        await self.flush()
+
+    def post(self, row_key: str, intent: Intent) -> None:
+        """
+        Queue what became of a call that was sent.
+
+        Parameters
+        ----------
+        row_key : str
+            Key of the row, which this node inserted.
+        intent : Intent
+            New content of the row.
+
+        """
+        if len(self._outcomes) < _CAPACITY_ROWS:
+            self._outcomes[row_key] = intent
+        else:
+            _DROPPED.inc()
+
+    def find(self, row_key: str) -> Intent | None:
+        """Return content that is queued and not yet written, if any."""
+        return self._outcomes.get(row_key)
+
+    def revoke(self, insert: Transaction) -> None:
+        """
+        Undo an insertion whose outcome is unknown and whose call did not run.
+
+        Parameters
+        ----------
+        insert : Transaction
+            The insertion. It is committed again under its token, which
+            decides it, and its row is released if it had taken effect.
+
+        """
+        if len(self._inserts) < _CAPACITY_ROWS:
+            self._inserts[insert.token] = insert
+        else:
+            _DROPPED.inc()
+
+    async def release(self, row_key: str, token: str) -> None:
+        """
+        Mark a row whose call certainly did not run, so that a retry can run.
+
+        Parameters
+        ----------
+        row_key : str
+            Key of the row.
+        token : str
+            Token of the attempt that inserted it.
+
+        Notes
+        -----
+        Without an answer of the table service the release stays queued.
+
+        """
+        try:
+            await self._release(row_key, token)
+        except _STORE_ERRORS as error:
+            logger.warning('a release waits for the table service: {}', error)
+            if len(self._releases) < _CAPACITY_ROWS:
+                self._releases[row_key] = token
+
+    async def flush(self) -> None:
+        """Write one batch; what fails stays queued."""
+        try:
+            await self._flush()
+        except _STORE_ERRORS as error:
+            logger.warning('intents wait for the table service: {}', error)
+
+    async def _flush(self) -> None:
+        for insert in tuple(self._inserts.values())[:_BATCH_ROWS]:
+            outcome = await self._table.commit(insert)
+            if outcome.committed:
+                self._plan_release(insert)
+            self._inserts.pop(insert.token, None)
+        for row_key, token in tuple(self._releases.items())[:_BATCH_ROWS]:
+            await self._release(row_key, token)
+            self._releases.pop(row_key, None)
+        await self._write_outcomes()
+
+    def _plan_release(self, insert: Transaction) -> None:
+        write = insert.writes[0]
+        token = decode_intent(write.body or '').token
+        self._releases[write.key] = token
+
+    async def _release(self, row_key: str, token: str) -> None:
+        row = await self._table.read(INTENT_TABLE, row_key)
+        if row is None:
+            return
+        intent = decode_intent(row.body)
+        if intent.token != token or intent.state is not IntentState.open:
+            return
+        released = msgspec.structs.replace(intent, state=IntentState.released)
+        # The condition keeps a write that arrives late from undoing the
+        # attempt that has taken the row over since.
+        await self._table.commit(
+            Transaction(
+                uuid.uuid4().hex,
+                conditions=(Condition(INTENT_TABLE, row_key, row.revision),),
+                writes=(Write(INTENT_TABLE, row_key, encode_intent(released)),),
+            ),
+        )
+
+    async def _write_outcomes(self) -> None:
+        batch = dict(islice(self._outcomes.items(), _BATCH_ROWS))
+        if not batch:
+            return
+        writes = tuple(
+            Write(INTENT_TABLE, row_key, encode_intent(intent))
+            for row_key, intent in batch.items()
+        )
+        await self._table.commit(
+            Transaction(uuid.uuid4().hex, writes=writes),
+        )
+        for row_key in batch:
+            self._outcomes.pop(row_key, None)
--- /dev/null
+++ b/packages/node/ladder_node/dispatch/keyed.py
@@ -0,0 +1,145 @@
+"""Execute keyed calls at most once, also over several nodes and retries."""
+
+import msgspec
+from prometheus_client import Counter
+
+from ladder_clients.services import PlainAnswer, PlainRequest
+from ladder_core.errors import (
+    AnswerNotKeptError,
+    InProgressError,
+    KeyReusedError,
+    LadderError,
+    MayHaveRunError,
+    NotRunError,
+)
+from ladder_core.timeline import TimeLine
+from ladder_node.dispatch.intent import (
+    Intent,
+    IntentKey,
+    IntentState,
+    make_fingerprint,
+    store_answer,
+)
+from ladder_node.dispatch.intent_log import IntentLog
+from ladder_node.dispatch.plain import PlainDispatcher
+
+_ANSWER_LIMIT_BYTES = 16_384
+_RETRY_SECONDS = 1
+
+_CALLS = Counter(
+    'ladder_keyed_calls',
+    'Calls with an idempotency key, by what became of them',
+    ['outcome'],
+)
+
+
+class KeyedDispatcher:
+    """
+    Guard calls by an intent row that is inserted before they are sent.
+
+    Parameters
+    ----------
+    plain : PlainDispatcher
+        Sends the calls.
+    log : IntentLog
+        Decides who may send a call.
+    timeline : TimeLine
+        Takes calls whose outcome is unknown.
+
+    """
+
+    def __init__(
+        self,
+        plain: PlainDispatcher,
+        log: IntentLog,
+        timeline: TimeLine,
+    ) -> None:
+        self._plain = plain
+        self._log = log
+        self._timeline = timeline
+
+    async def call(self, key: IntentKey, request: PlainRequest) -> PlainAnswer:
+        """
+        Make a call that runs at most once for its key.
+
+        Parameters
+        ----------
+        key : IntentKey
+            The caller's key in its scope; names the pool of the service.
+        request : PlainRequest
+            What to call.
+
+        Returns
+        -------
+        PlainAnswer
+            The service's answer, the stored one for a repeated key.
+
+        Raises
+        ------
+        NotRunError
+            Nothing was run, and the same key may be sent again.
+        KeyReusedError
+            The key was used for another request; this one was not run.
+        MayHaveRunError
+            The call with this key may have run.
+        AnswerNotKeptError
+            The call ran; its answer was too long to keep.
+
+        """
+        intent = self._log.make_intent(make_fingerprint(request))
+        row = await self._log.insert(key, intent)
+        if row is not intent:
+            _CALLS.labels('repeated').inc()
+            return _answer_again(row, intent.fingerprint)
+        try:
+            answer = await self._plain.call(key.pool, request)
+        except NotRunError:
+            _CALLS.labels('not-run').inc()
+            await self._log.release(key, intent)
+            raise
+        except BaseException:
+            self._leave_undecided(key, intent)
+            raise
+        _CALLS.labels('answered').inc()
+        self._log.store(key, store_answer(intent, answer, _ANSWER_LIMIT_BYTES))
+        return answer
+
+    def _leave_undecided(self, key: IntentKey, intent: Intent) -> None:
+        _CALLS.labels('may-have-run').inc()
+        self._timeline.record('call-undecided', key.pool, plan=key.plan)
+        undecided = msgspec.structs.replace(
+            intent,
+            state=IntentState.undecided,
+        )
+        self._log.store(key, undecided)
+
+
+def _answer_again(row: Intent, fingerprint: str) -> PlainAnswer:
+    if row.fingerprint != fingerprint:
+        raise KeyReusedError(
+            'the idempotency key was used for another request',
+            remedy='send a new key with a new request',
+        )
+    if row.state is IntentState.answered:
+        return PlainAnswer(row.status, row.body, row.content_type)
+    raise _make_error(row)
+
+
+def _make_error(row: Intent) -> LadderError:
+    if row.state is IntentState.answered_at_length:
+        return AnswerNotKeptError(
+            f'the call ran and was answered with status {row.status}; '
+            'the answer was too long to keep',
+            remedy='ask the service for the result',
+        )
+    if row.state is IntentState.undecided:
+        return MayHaveRunError(
+            'the call was sent and its outcome is unknown',
+            remedy='ask the service whether it took effect',
+        )
+    return InProgressError(
+        'a call with this key was begun and is not yet decided',
+        remedy='send the same key again for its answer; if it stays '
+        'undecided, ask the service whether it took effect',
+        retry_after=_RETRY_SECONDS,
+    )
--- a/packages/node/ladder_node/dispatch/plain.py
+++ b/packages/node/ladder_node/dispatch/plain.py
@@ -1,6 +1,9 @@
 """Send calls to plain services and samples to scorers."""
 
 import uuid
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import TypeVar
 
 from ladder_clients.services import (
     PlainAnswer,
@@ -10,17 +13,27 @@
 )
 from ladder_core.errors import (
     LadderError,
-    MayHaveRunError,
-    NotRunError,
     TargetUnavailableError,
 )
 from ladder_core.values import HostKind
+from ladder_node.dispatch.failures import FAILED_ATTEMPT, Failures
 from ladder_node.targets import Target, TargetTable
 
+Result = TypeVar('Result')
+
 _MAX_ATTEMPTS = 4
 _RETRY_SECONDS = 1
 
 
+@dataclass(frozen=True, slots=True)
+class _Wanted:
+    """Targets to try; a repeatable call may be sent to several."""
+
+    kind: HostKind
+    pool: str
+    is_repeatable: bool
+
+
 class PlainDispatcher:
     """
     Choose replicas of plain services and of scorers.
@@ -67,20 +80,14 @@
             A replica was reached and did not answer.
 
         """
-        attempt = 0
-        while True:
-            attempt += 1
-            target = self._choose(HostKind.service, pool)
-            try:
-                with self._targets.count_request(target):
-                    return await self._services.call(
-                        target.entry.address,
-                        request,
-                    )
-            except NotRunError as error:
-                self._note_failure(target, error)
-                if attempt == _MAX_ATTEMPTS:
-                    raise
+
+        async def send(target: Target) -> PlainAnswer:
+            return await self._services.call(target.entry.address, request)
+
+        return await self._try_targets(
+            _Wanted(HostKind.service, pool, request.is_idempotent),
+            send,
+        )
 
     async def score(self, pool: str, prompt: str, text: str) -> float:
         """
@@ -106,22 +113,48 @@
             Scorers failed one after another.
 
         """
-        attempt = 0
-        while True:
-            attempt += 1
-            target = self._choose(HostKind.scorer, pool)
+
+        async def send(target: Target) -> float:
+            return await self._scorer.score(
+                target.entry.address,
+                uuid.uuid4().hex,
+                prompt,
+                text,
+            )
+
+        return await self._try_targets(
+            _Wanted(HostKind.scorer, pool, is_repeatable=True),
+            send,
+        )
+
+    async def _try_targets(
+        self,
+        wanted: _Wanted,
+        send: Callable[[Target], Awaitable[Result]],
+    ) -> Result:
+        failures = Failures(
+            _MAX_ATTEMPTS,
+            is_repeatable=wanted.is_repeatable,
+        )
+        while not failures.is_final:
             try:
-                with self._targets.count_request(target):
-                    return await self._scorer.score(
-                        target.entry.address,
-                        uuid.uuid4().hex,
-                        prompt,
-                        text,
-                    )
-            except (NotRunError, MayHaveRunError) as error:
-                self._note_failure(target, error)
-                if attempt == _MAX_ATTEMPTS:
-                    raise
+                return await self._try_target(wanted, send)
+            except FAILED_ATTEMPT as error:
+                failures.add(error)
+        raise failures.error
+
+    async def _try_target(
+        self,
+        wanted: _Wanted,
+        send: Callable[[Target], Awaitable[Result]],
+    ) -> Result:
+        target = self._choose(wanted.kind, wanted.pool)
+        try:
+            with self._targets.count_request(target):
+                return await send(target)
+        except FAILED_ATTEMPT as error:
+            self._note_failure(target, error)
+            raise
 
     def _choose(self, kind: HostKind, pool: str) -> Target:
         usable = self._targets.list_available(kind, pool)
--- a/packages/node/ladder_node/entry/parts.py
+++ b/packages/node/ladder_node/entry/parts.py
@@ -6,7 +6,11 @@
 from ladder_core.timeline import TimeLine
 from ladder_core.timers import TimerService
 from ladder_node.configuration import ConfigurationKeeper
-from ladder_node.dispatch import GenerationDispatcher, PlainDispatcher
+from ladder_node.dispatch import (
+    GenerationDispatcher,
+    KeyedDispatcher,
+    PlainDispatcher,
+)
 from ladder_node.steps import StepRegistry
 from ladder_node.targets import TargetTable
 
@@ -32,6 +36,8 @@
         Runs generations.
     services : PlainDispatcher
         Calls plain services.
+    keyed : KeyedDispatcher
+        Calls plain services at most once for each idempotency key.
     steps : StepRegistry
         The open steps.
 
@@ -44,4 +50,5 @@
     targets: TargetTable
     generations: GenerationDispatcher
     services: PlainDispatcher
+    keyed: KeyedDispatcher
     steps: StepRegistry
--- a/packages/node/ladder_node/entry/requests.py
+++ b/packages/node/ladder_node/entry/requests.py
@@ -15,6 +15,8 @@
 from ladder_core.values import Allowance, Lists, Plan
 
 _BEARER = 'bearer '
+_KEY_HEADER = 'idempotency-key'
+_MAX_KEY_CHARACTERS = 255
 
 Model = TypeVar('Model', bound=BaseModel)
 
@@ -134,6 +136,41 @@
     return plan
 
 
+def read_idempotency_key(request: Request) -> str | None:
+    """
+    Return the idempotency key of a request, or None if it carries none.
+
+    Parameters
+    ----------
+    request : Request
+        The request; its ``Idempotency-Key`` may stand in quotes.
+
+    Returns
+    -------
+    str or None
+        The key without its quotes.
+
+    Raises
+    ------
+    BadRequestError
+        The key is empty, too long or sent twice.
+
+    """
+    keys = request.headers.getlist(_KEY_HEADER)
+    if not keys:
+        return None
+    key = keys[0].strip()
+    if len(key) > 1 and key.startswith('"') and key.endswith('"'):
+        key = key[1:-1]
+    if len(keys) > 1 or not 0 < len(key) <= _MAX_KEY_CHARACTERS:
+        raise BadRequestError(
+            'the idempotency key is invalid',
+            remedy='send one Idempotency-Key of '
+            f'1 to {_MAX_KEY_CHARACTERS} characters',
+        )
+    return key
+
+
 def check_model(allowance: Allowance, model: str) -> None:
     """
     Check that a plan may use a model.
--- a/packages/node/ladder_node/entry/services.py
+++ b/packages/node/ladder_node/entry/services.py
@@ -5,9 +5,16 @@
 from starlette.requests import Request
 from starlette.responses import Response
 
-from ladder_clients.services import PlainRequest
+from ladder_clients.services import PlainAnswer, PlainRequest
+from ladder_core.values import Plan
+from ladder_node.dispatch import IntentKey
 from ladder_node.entry.parts import EntryParts
-from ladder_node.entry.requests import authenticate, check_pool, read_body
+from ladder_node.entry.requests import (
+    authenticate,
+    check_pool,
+    read_body,
+    read_idempotency_key,
+)
 
 
 class ServiceRoutes:
@@ -39,13 +46,28 @@
             body=body,
             content_type=request.headers.get('content-type', ''),
         )
-        answer = await self._parts.services.call(pool, plain)
+        answer = await self._call(plan, pool, request, plain)
         return Response(
             answer.body,
             answer.status,
             media_type=answer.content_type,
         )
 
+    async def _call(
+        self,
+        plan: Plan,
+        pool: str,
+        request: Request,
+        plain: PlainRequest,
+    ) -> PlainAnswer:
+        key = read_idempotency_key(request)
+        if key is None:
+            return await self._parts.services.call(pool, plain)
+        return await self._parts.keyed.call(
+            IntentKey(plan.name, pool, key),
+            plain,
+        )
+
 
 def _read_path(request: Request) -> str:
     path = f'/{request.path_params["path"]}'
