Spread facts and the configuration among the nodes

Cause: nodes knew nothing of each other; a leaving target, a suspect request or a new revision was learnt by each node alone and not at all without the store. Change: `Gossip.publish(Fact)` and `Gossip.subscribe(kind, callback)` over at most five chosen peers, ZeroMQ and MessagePack; digests in heartbeats, a summary and the lacking facts on a mismatch. Nodes poll a small revision row instead of the whole lists, and refuse new plan-governed work after 5 s without store and peers.

--- a/packages/cli/ladder_cli/lists.py
+++ b/packages/cli/ladder_cli/lists.py
@@ -25,6 +25,7 @@
 
 CONFIGURATION_TABLE = 'configuration'
 LISTS_KEY = 'lists'
+REVISION_KEY = 'revision'
 
 
 def check(plans: Path, allowances: Path) -> None:
@@ -84,7 +85,11 @@
     transaction = Transaction(
         lists.token,
         (Condition(CONFIGURATION_TABLE, LISTS_KEY, lists.revision - 1),),
-        (Write(CONFIGURATION_TABLE, LISTS_KEY, body),),
+        (
+            Write(CONFIGURATION_TABLE, LISTS_KEY, body),
+            # Nodes poll this small row and read the lists when it rises.
+            Write(CONFIGURATION_TABLE, REVISION_KEY, str(lists.revision)),
+        ),
     )
     try:
         return await table.commit(transaction)
--- a/packages/node/ladder_node/configuration/keeper.py
+++ b/packages/node/ladder_node/configuration/keeper.py
@@ -1,5 +1,7 @@
 """Keep the newest revision of the operators' lists in force."""
 
+from collections.abc import Callable
+
 import msgspec
 from loguru import logger
 
@@ -9,14 +11,23 @@
 from ladder_core.timeline import TimeLine
 from ladder_core.timers import Subscription, TimerService
 from ladder_core.values import Lists
+from ladder_node.configuration.metrics import REVISION
+from ladder_node.peers.source import ListsSource
 
 CONFIGURATION_TABLE = 'configuration'
 LISTS_KEY = 'lists'
+REVISION_KEY = 'revision'
+
+# An accepted change is in force everywhere within this time; a node that
+# heard nothing for so long may have missed one.
+FRESH_SECONDS = 5
 
 _READ_SECONDS = 1
 
+Listener = Callable[[], None]
+
 
-class ConfigurationKeeper(Service):
+class ConfigurationKeeper(Service, ListsSource):
     """
     Read the lists' row periodically and keep the highest revision seen.
 
@@ -41,17 +52,29 @@
         self._timers = timers
         self._timeline = timeline
         self._lists: Lists | None = None
+        self._confirmed_at = timers.now()
+        self._listeners: list[Listener] = []
         self._subscription: Subscription | None = None
 
+    @property
+    def known_lists(self) -> Lists | None:
+        """The lists in force, whatever their age, or None."""
+        return self._lists
+
+    @property
+    def is_fresh(self) -> bool:
+        """Whether the store or a peer confirmed the lists lately."""
+        return self._timers.now() - self._confirmed_at <= FRESH_SECONDS
+
     @property
     def is_ready(self) -> bool:
-        """Whether any revision was learnt."""
-        return self._lists is not None
+        """Whether plan-governed work may begin."""
+        return self._lists is not None and self.is_fresh
 
     async def start(self) -> None:
         """Read the row once, then periodically."""
-        await self._read()
-        self._subscription = self._timers.subscribe(_READ_SECONDS, self._read)
+        await self.refresh()
+        self._subscription = self._timers.subscribe(_READ_SECONDS, self.refresh)
 
     async def close(self) -> None:
         """Stop reading."""
@@ -59,9 +82,34 @@
             await self._subscription.close()
             self._subscription = None
 
+    def subscribe(self, listener: Listener) -> None:
+        """Call a listener after each change of the lists."""
+        self._listeners.append(listener)
+
     def require_lists(self) -> Lists:
         """
-        Return the lists in force.
+        Return the lists in force, for work that begins now.
+
+        Raises
+        ------
+        NotReadyError
+            No revision was learnt yet, or neither the store nor a peer was
+            heard for so long that a change may have been missed.
+
+        """
+        lists = self.require_known()
+        if not self.is_fresh:
+            raise NotReadyError(
+                f'this node has heard neither the store nor a peer for '
+                f'{FRESH_SECONDS} s and may lack a newer configuration',
+                remedy='ask another entry host',
+                retry_after=_READ_SECONDS,
+            )
+        return lists
+
+    def require_known(self) -> Lists:
+        """
+        Return the lists in force, for work that has begun already.
 
         Raises
         ------
@@ -90,18 +138,37 @@
         if self._lists is not None and lists.revision <= self._lists.revision:
             return
         self._lists = lists
+        REVISION.set(lists.revision)
         self._timeline.record(
             'configuration-in-force',
             LISTS_KEY,
             revision=lists.revision,
+            author=lists.author,
         )
+        for listener in self._listeners:
+            listener()
 
-    async def _read(self) -> None:
+    def confirm(self, peer: str, revision: int) -> None:
+        """Take note that a fresh peer has no newer revision than this node."""
+        if self._lists is not None and revision <= self._lists.revision:
+            self._confirmed_at = self._timers.now()
+
+    async def refresh(self) -> None:
+        """Read the small row with the revision, and the lists if it rose."""
+        begun_at = self._timers.now()
         try:
-            row = await self._table.read(CONFIGURATION_TABLE, LISTS_KEY)
+            await self._read_store()
         except StoreUnavailableError as error:
             logger.warning('configuration: {}', error)
             return
+        # What was committed after the call began may be missing.
+        self._confirmed_at = max(self._confirmed_at, begun_at)
+
+    async def _read_store(self) -> None:
+        mark = await self._table.read(CONFIGURATION_TABLE, REVISION_KEY)
+        known = self._lists.revision if self._lists else 0
+        if mark is None or int(mark.body) <= known:
+            return
+        row = await self._table.read(CONFIGURATION_TABLE, LISTS_KEY)
         if row is not None:
-            lists = msgspec.json.decode(row.body, type=Lists)
-            self.offer(lists)
+            self.offer(msgspec.json.decode(row.body, type=Lists))
--- /dev/null
+++ b/packages/node/ladder_node/peers/gossip.py
@@ -0,0 +1,252 @@
+"""Spread facts and the configuration among the nodes."""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from functools import partial
+
+import msgspec
+from loguru import logger
+
+from ladder_core.supervision import Service, Supervisor
+from ladder_core.timeline import TimeLine
+from ladder_core.timers import Subscription, TimerService
+from ladder_node.peers.exchange import Exchange
+from ladder_node.peers.facts import Fact, FactTable
+from ladder_node.peers.link import PeerLink
+from ladder_node.peers.members import Member, choose_peers
+from ladder_node.peers.metrics import CONNECTIONS, SILENCES
+from ladder_node.peers.source import ListsSource
+from ladder_node.peers.transport import Channel, PeerTransport
+
+FactCallback = Callable[[Fact], None]
+MemberLister = Callable[[], Iterable[Member]]
+
+_MEMBERS_SECONDS = 1
+_AVOID_SECONDS = 10
+_MAX_INCOMING = 64
+_MAX_SILENCES = 2
+_REFRESH_POLL_SECONDS = 0.2
+
+
+class Gossip(Service):
+    """
+    Keep connections to a few peers and exchange news over them.
+
+    Parameters
+    ----------
+    me : Member
+        This node.
+    list_members : MemberLister
+        Returns the other nodes that are known.
+    transport : PeerTransport
+        Makes connections; owned by the gossip.
+    source : ListsSource
+        The configuration.
+    timers : TimerService
+        Source of time.
+    timeline : TimeLine
+        Takes events; its clock observes the peers' stamps.
+
+    """
+
+    def __init__(
+        self,
+        me: Member,
+        list_members: MemberLister,
+        transport: PeerTransport,
+        source: ListsSource,
+        timers: TimerService,
+        timeline: TimeLine,
+    ) -> None:
+        self._me = me
+        self._list_members = list_members
+        self._transport = transport
+        self._timers = timers
+        self._timeline = timeline
+        self._facts = FactTable(timers)
+        self._exchange = Exchange(
+            me,
+            self._facts,
+            source,
+            timeline.clock,
+            timers,
+            self._spread,
+        )
+        self._callbacks: dict[str, list[FactCallback]] = defaultdict(list)
+        self._links: set[PeerLink] = set()
+        self._avoided: dict[str, float] = {}
+        self._supervisor = Supervisor('peers', timers)
+        self._outgoing: dict[str, Member] = {}
+        self._subscription: Subscription | None = None
+
+    @property
+    def peers(self) -> tuple[str, ...]:
+        """Names of the peers that were heard lately."""
+        heard = {link.peer for link in self._links if not link.is_silent}
+        return tuple(sorted(heard - {''}))
+
+    async def start(self) -> None:
+        """Listen, and connect to the chosen peers."""
+        await self._transport.listen(self._accept)
+        await self._update()
+        self._subscription = self._timers.subscribe(
+            _MEMBERS_SECONDS,
+            self._update,
+        )
+
+    async def close(self) -> None:
+        """End all connections."""
+        if self._subscription is not None:
+            await self._subscription.close()
+            self._subscription = None
+        await self._supervisor.close()
+        await self._transport.close()
+
+    def publish(self, fact: Fact) -> None:
+        """
+        Tell all nodes a fact.
+
+        Parameters
+        ----------
+        fact : Fact
+            Its stamp and origin are set here. Subscribers of this node get
+            it too.
+
+        """
+        stamped = msgspec.structs.replace(
+            fact,
+            stamp=self._timeline.clock.tick(),
+            origin=self._me.name,
+        )
+        if self._facts.merge(stamped):
+            self._spread(stamped, None)
+
+    def subscribe(self, kind: str, callback: FactCallback) -> None:
+        """
+        Call a callback with each fact of a kind that is news here.
+
+        Parameters
+        ----------
+        kind : str
+            Kind of the facts.
+        callback : FactCallback
+            Must not block. Gets the facts already known first.
+
+        """
+        self._callbacks[kind].append(callback)
+        for fact in self._facts.list_kind(kind):
+            callback(fact)
+
+    def list_facts(self, kind: str) -> list[Fact]:
+        """Return the facts of a kind that hold now."""
+        return self._facts.list_kind(kind)
+
+    def announce(self) -> None:
+        """Tell the peers soon that the configuration has changed."""
+        for link in self._links:
+            link.hurry()
+
+    async def refresh(self, limit: float) -> bool:
+        """
+        Ask all connected peers for what this node lacks.
+
+        Parameters
+        ----------
+        limit : float
+            Seconds to wait for the first answer.
+
+        Returns
+        -------
+        bool
+            Whether a peer answered.
+
+        """
+        answers = self._exchange.answers
+        deadline = self._timers.now() + limit
+        while self._exchange.answers == answers:
+            if self._timers.now() >= deadline:
+                return False
+            # Connections that were silent are being replaced meanwhile.
+            for link in self._links:
+                link.send(self._exchange.make_summary())
+            await self._timers.sleep(_REFRESH_POLL_SECONDS)
+        return True
+
+    async def _update(self) -> None:
+        """Connect to newly chosen peers and leave those no longer chosen."""
+        self._facts.expire()
+        now = self._timers.now()
+        others = [
+            member
+            for member in self._list_members()
+            if member.name != self._me.name
+            and self._avoided.get(member.name, 0) <= now
+        ]
+        wanted = {one.name: one for one in choose_peers(self._me, others)}
+        for name, member in tuple(self._outgoing.items()):
+            if wanted.get(name) != member:
+                self._outgoing.pop(name)
+                await self._supervisor.stop(name)
+        for name in wanted.keys() - self._outgoing.keys():
+            self._outgoing[name] = wanted[name]
+            self._supervisor.spawn(name, partial(self._keep_link, wanted[name]))
+        CONNECTIONS.set(len(self._links))
+
+    async def _keep_link(self, member: Member) -> None:
+        """Hold a connection to a chosen peer, a new one when it is silent."""
+        for _ in range(_MAX_SILENCES):
+            channel = self._transport.connect(member.address)
+            await self._run_link(channel)
+            SILENCES.inc()
+            self._timeline.record('peer-silent', member.name)
+        self._outgoing.pop(member.name, None)
+        self._avoided[member.name] = self._timers.now() + _AVOID_SECONDS
+
+    def _accept(self, channel: Channel) -> None:
+        if len(self._links) >= _MAX_INCOMING:
+            channel.close()
+            return
+        self._supervisor.spawn(
+            f'incoming-{id(channel)}',
+            lambda: self._run_link(channel),
+        )
+
+    async def _run_link(self, channel: Channel) -> None:
+        """Exchange messages over a connection until it is silent."""
+        link = PeerLink(channel, self._timers, self._exchange.make_push)
+        self._links.add(link)
+        reader = asyncio.create_task(self._read(link))
+        try:
+            await link.run_sender()
+        finally:
+            await self._end_link(link, reader)
+
+    async def _end_link(
+        self,
+        link: PeerLink,
+        reader: asyncio.Task[None],
+    ) -> None:
+        self._links.discard(link)
+        reader.cancel()
+        await asyncio.gather(reader, return_exceptions=True)
+        link.close()
+
+    async def _read(self, link: PeerLink) -> None:
+        while not link.is_silent:
+            try:
+                message = await link.receive()
+            except msgspec.DecodeError as error:
+                logger.warning('a frame of a peer is malformed: {}', error)
+                continue
+            if message is not None:
+                self._exchange.handle(link, message)
+
+    def _spread(self, fact: Fact, source: PeerLink | None) -> None:
+        """Hand news on to the other peers and to this node's subscribers."""
+        for link in self._links:
+            is_near = link.data_centre in {'', self._me.data_centre}
+            if link is not source and (fact.is_fleet_wide or is_near):
+                link.offer(fact)
+        for callback in self._callbacks[fact.kind]:
+            callback(fact)
--- /dev/null
+++ b/packages/node/ladder_node/peers/nodes.py
@@ -0,0 +1,208 @@
+"""What this node knows of the other nodes."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from ladder_core.supervision import Service
+from ladder_core.timeline import TimeLine
+from ladder_core.timers import Subscription, TimerService
+from ladder_core.values import HostEntry
+from ladder_node.peers.facts import Fact, FactKind
+from ladder_node.peers.gossip import Gossip
+from ladder_node.peers.members import Member
+
+_REFRESH_SECONDS = 10
+_NODE_TTL_SECONDS = 30
+_LEAVING_TTL_SECONDS = 600
+
+HostLister = Callable[[], tuple[HostEntry, ...]]
+
+
+class NodeState(msgspec.Struct, frozen=True, array_like=True):
+    """
+    Body of a fact on a node.
+
+    Attributes
+    ----------
+    region, data_centre : str
+        Where it stands.
+    peer_address : str
+        ``ip:port`` where it listens to peers.
+    requests : int
+        Requests in progress.
+
+    """
+
+    region: str
+    data_centre: str
+    peer_address: str
+    requests: int
+
+
+class LeavingState(msgspec.Struct, frozen=True, array_like=True):
+    """
+    Body of a fact on a node that leaves, or has come back.
+
+    Attributes
+    ----------
+    is_leaving : bool
+        False from a node that was started again under the same name.
+
+    """
+
+    is_leaving: bool
+
+
+class NodeDirectory(Service):
+    """
+    The other nodes, by the host list and by their own word.
+
+    Parameters
+    ----------
+    me : Member
+        This node.
+    list_hosts : HostLister
+        Returns the entry hosts on the platform's list.
+    timers : TimerService
+        Source of time.
+    timeline : TimeLine
+        Takes nodes that leave.
+
+    """
+
+    def __init__(
+        self,
+        me: Member,
+        list_hosts: HostLister,
+        timers: TimerService,
+        timeline: TimeLine,
+    ) -> None:
+        self._me = me
+        self._list_hosts = list_hosts
+        self._timers = timers
+        self._timeline = timeline
+        self._gossip: Gossip | None = None
+        self._leaving: set[str] = set()
+        self._nodes: dict[str, Member] = {}
+        self._is_leaving = False
+        self._count_requests: Callable[[], int] = int
+        self._subscription: Subscription | None = None
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this node leaves."""
+        return self._is_leaving
+
+    @property
+    def entry_hosts(self) -> tuple[HostEntry, ...]:
+        """The entry hosts that callers may be sent to."""
+        return tuple(
+            entry
+            for entry in self._list_hosts()
+            if entry.name not in self._leaving
+        )
+
+    def attach(self, gossip: Gossip, count_requests: Callable[[], int]) -> None:
+        """Give the directory its gossip and the number to publish."""
+        self._gossip = gossip
+        self._count_requests = count_requests
+
+    async def start(self) -> None:
+        """Publish this node, and listen to the others."""
+        gossip = self._require_gossip()
+        gossip.subscribe(FactKind.node, self._take_node)
+        gossip.subscribe(FactKind.node_leaving, self._take_leaving)
+        await self._publish()
+        self._subscription = self._timers.subscribe(
+            _REFRESH_SECONDS,
+            self._publish,
+        )
+
+    async def close(self) -> None:
+        """Publish no more."""
+        if self._subscription is not None:
+            await self._subscription.close()
+            self._subscription = None
+
+    def list_members(self) -> list[Member]:
+        """Return the nodes that may be peers."""
+        listed = [
+            Member(
+                entry.region,
+                entry.data_centre,
+                entry.name,
+                entry.peer_address,
+            )
+            for entry in self._list_hosts()
+            if entry.peer_address
+        ]
+        members = {member.name: member for member in listed}
+        if self._gossip is not None:
+            for fact in self._gossip.list_facts(FactKind.node):
+                members.setdefault(fact.key, _read_member(fact))
+        return list(members.values())
+
+    def leave(self) -> None:
+        """Tell all nodes to send no callers here any more."""
+        self._is_leaving = True
+        self._publish_leaving()
+
+    async def _publish(self) -> None:
+        state = NodeState(
+            self._me.region,
+            self._me.data_centre,
+            self._me.address,
+            self._count_requests(),
+        )
+        self._require_gossip().publish(
+            Fact(
+                FactKind.node,
+                self._me.name,
+                _NODE_TTL_SECONDS,
+                msgspec.msgpack.encode(state),
+                is_lasting=False,
+                is_fleet_wide=False,
+            ),
+        )
+
+    def _publish_leaving(self) -> None:
+        self._require_gossip().publish(
+            Fact(
+                FactKind.node_leaving,
+                self._me.name,
+                _LEAVING_TTL_SECONDS,
+                msgspec.msgpack.encode(LeavingState(self._is_leaving)),
+            ),
+        )
+
+    def _take_leaving(self, fact: Fact) -> None:
+        state = msgspec.msgpack.decode(fact.body, type=LeavingState)
+        if fact.key == self._me.name and state.is_leaving != self._is_leaving:
+            # The word of this node's predecessor under the same name.
+            self._publish_leaving()
+        elif state.is_leaving:
+            self._leaving.add(fact.key)
+            self._timeline.record('node-leaving', fact.key)
+        else:
+            self._leaving.discard(fact.key)
+
+    def _take_node(self, fact: Fact) -> None:
+        if fact.key not in self._nodes:
+            self._timeline.record('node-found', fact.key)
+        self._nodes[fact.key] = _read_member(fact)
+
+    def _require_gossip(self) -> Gossip:
+        if self._gossip is None:
+            raise RuntimeError('the directory is attached before its start')
+        return self._gossip
+
+
+def _read_member(fact: Fact) -> Member:
+    state = msgspec.msgpack.decode(fact.body, type=NodeState)
+    return Member(
+        state.region,
+        state.data_centre,
+        fact.key,
+        state.peer_address,
+    )
--- /dev/null
+++ b/packages/node/ladder_node/peers/zmq_transport.py
@@ -0,0 +1,130 @@
+"""The transport between nodes over ZeroMQ."""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable
+
+from loguru import logger
+from zmq import DEALER, DONTWAIT, LINGER, MAXMSGSIZE, ROUTER
+from zmq.asyncio import Context, Socket
+
+from ladder_node.peers.transport import Accept, Channel, PeerTransport
+
+_HIGH_WATER_MESSAGES = 64
+_MAX_MESSAGE_BYTES = 16_000_000
+
+
+class _OutgoingChannel(Channel):
+    """A DEALER socket connected to one peer."""
+
+    def __init__(self, socket: Socket) -> None:
+        self._socket = socket
+
+    def send(self, frame: bytes) -> None:
+        _drop_refused(self._socket.send(frame, DONTWAIT))
+
+    async def receive(self) -> bytes:
+        frame: bytes = await self._socket.recv()
+        return frame
+
+    def close(self) -> None:
+        self._socket.close(linger=0)
+
+
+class _IncomingChannel(Channel):
+    """One peer's identity at the ROUTER socket."""
+
+    def __init__(self, transport: 'ZmqTransport', identity: bytes) -> None:
+        self._transport = transport
+        self._identity = identity
+        self._frames: asyncio.Queue[bytes] = asyncio.Queue(_HIGH_WATER_MESSAGES)
+
+    def send(self, frame: bytes) -> None:
+        self._transport.send_to(self._identity, frame)
+
+    async def receive(self) -> bytes:
+        return await self._frames.get()
+
+    def close(self) -> None:
+        self._transport.forget(self._identity)
+
+    def put(self, frame: bytes) -> None:
+        """Queue a frame that came in; a full queue drops it."""
+        with contextlib.suppress(asyncio.QueueFull):
+            self._frames.put_nowait(frame)
+
+
+class ZmqTransport(PeerTransport):
+    """
+    DEALER sockets towards peers and one ROUTER socket for theirs.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` to listen on.
+
+    """
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._context = Context()
+        self._router: Socket | None = None
+        self._reader: asyncio.Task[None] | None = None
+        self._incoming: dict[bytes, _IncomingChannel] = {}
+
+    def connect(self, address: str) -> Channel:
+        """Open a connection to a peer."""
+        socket = self._open(DEALER)
+        socket.connect(f'tcp://{address}')
+        return _OutgoingChannel(socket)
+
+    async def listen(self, accept: Accept) -> None:
+        """Bind the address and hand each new peer's connection over."""
+        self._router = self._open(ROUTER)
+        self._router.bind(f'tcp://{self._address}')
+        self._reader = asyncio.create_task(self._read(self._router, accept))
+
+    async def close(self) -> None:
+        """Stop listening and release all sockets."""
+        if self._reader is not None:
+            self._reader.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._reader
+            self._reader = None
+        self._context.destroy(linger=0)
+
+    def send_to(self, identity: bytes, frame: bytes) -> None:
+        """Send a frame to a peer that connected here, if it still can be."""
+        if self._router is None or self._router.closed:
+            return
+        _drop_refused(
+            self._router.send_multipart([identity, frame], DONTWAIT),
+        )
+
+    def forget(self, identity: bytes) -> None:
+        """Forget a peer's connection; its next frame makes a new one."""
+        self._incoming.pop(identity, None)
+
+    async def _read(self, router: Socket, accept: Accept) -> None:
+        while True:
+            identity, *frames = await router.recv_multipart()
+            channel = self._incoming.get(identity)
+            if channel is None:
+                logger.debug('a peer connected')
+                channel = _IncomingChannel(self, identity)
+                self._incoming[identity] = channel
+                accept(channel)
+            channel.put(frames[-1])
+
+    def _open(self, kind: int) -> Socket:
+        socket = self._context.socket(kind)
+        socket.set_hwm(_HIGH_WATER_MESSAGES)
+        socket.setsockopt(MAXMSGSIZE, _MAX_MESSAGE_BYTES)
+        socket.setsockopt(LINGER, 0)
+        return socket
+
+
+def _drop_refused(sending: Awaitable[object]) -> None:
+    """Take note of a send that a full connection refused at once."""
+    if isinstance(sending, asyncio.Future) and sending.done():
+        sending.exception()
--- a/packages/node/ladder_node/targets/table.py
+++ b/packages/node/ladder_node/targets/table.py
@@ -1,7 +1,7 @@
 """The table of targets of one node."""
 
 import contextlib
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
 from ladder_clients.engines import EngineState, Role
@@ -58,12 +58,17 @@
         self._timeline = timeline
         self._targets: dict[str, Target] = {}
         self._entry_hosts: tuple[HostEntry, ...] = ()
+        self._is_stale: Callable[[], bool] = bool
 
     @property
     def entry_hosts(self) -> tuple[HostEntry, ...]:
         """The live entry hosts, by the platform's list."""
         return self._entry_hosts
 
+    def guard(self, is_stale: Callable[[], bool]) -> None:
+        """Offer no target while a check says that the table is stale."""
+        self._is_stale = is_stale
+
     def update_hosts(self, entries: Iterable[HostEntry]) -> None:
         """
         Take over the platform's host list.
@@ -141,6 +146,8 @@
 
     def list_available(self, kind: HostKind, pool: str = '') -> list[Target]:
         """Return the targets that may get new requests."""
+        if self._is_stale():
+            return []
         now = self._timers.now()
         return [
             target
--- a/packages/node/ladder_node/targets/watcher.py
+++ b/packages/node/ladder_node/targets/watcher.py
@@ -61,6 +61,10 @@
         while self._subscriptions:
             await self._subscriptions.pop().close()
 
+    async def refresh(self) -> None:
+        """Read the host list now."""
+        await self._read_hosts()
+
     async def _read_hosts(self) -> None:
         try:
             entries = await self._hosts.read()
