Wire the peers into the node, and drain it before it stops

Cause: SIGTERM closed the server at once, idle kept connections with it, and the node stayed in the address answers of all nodes until the host list told. Ruled out: waiting a fixed time for requests; only what runs bounds the drain. Change: `Drain` leaves the address answers of all nodes by gossip, answers with `Connection: close`, serves until kept answers have run out, ends pulls early and waits for the rest. `PauseGuard` reads list, configuration and peers anew after a pause before anything is dispatched. Stand-in fleets stop their nodes together, since each now takes the time of a kept answer.

--- a/packages/node/ladder_node/app/main.py
+++ b/packages/node/ladder_node/app/main.py
@@ -11,7 +11,7 @@
 from ladder_core.errors import SettingsError
 from ladder_core.logs import configure_logs
 from ladder_core.settings import NodeSettings, load_node_settings
-from ladder_node.app.tree import build_tree
+from ladder_node.app.tree import build_node
 
 _INVALID_SETTINGS = 2
 _FAILED = 1
@@ -44,7 +44,8 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    root = build_tree(settings)
+    node = build_node(settings)
+    root = node.root
     await root.start()
     logger.info('serving at {}', settings.entry_address)
     waits = {
@@ -57,6 +58,8 @@
     )
     for task in pending:
         task.cancel()
+    if stopped.is_set():
+        await node.drain.run()
     await root.close()
     logger.info('stopped')
     return stopped.is_set()
--- a/packages/node/ladder_node/app/tree.py
+++ b/packages/node/ladder_node/app/tree.py
@@ -1,20 +1,50 @@
 """Build the supervisor tree of a node."""
 
+from dataclasses import dataclass
+
 from ladder_core.settings import NodeSettings
 from ladder_core.supervision import Supervisor
 from ladder_core.timeline import HybridClock, TimeLine
 from ladder_core.timers import SystemTimerService
 from ladder_node.app.clients import Clients, make_clients
+from ladder_node.app.peers import make_peers
 from ladder_node.configuration import ConfigurationKeeper
 from ladder_node.dispatch import GenerationDispatcher, PlainDispatcher
 from ladder_node.duties import WeightDuty
-from ladder_node.entry import EntryParts, EntryServer, make_entry_app
+from ladder_node.entry import (
+    Drain,
+    EntryMiddleware,
+    EntryParts,
+    EntryServer,
+    make_entry_app,
+)
+from ladder_node.peers import LeavingTargets, PauseGuard
 from ladder_node.steps import StepRegistry
 from ladder_node.targets import TargetTable, TargetWatcher
 from ladder_policy.routing import LeastLoadedChooser
 
+_ASK_SECONDS = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Node:
+    """
+    A node that is built and not yet started.
+
+    Attributes
+    ----------
+    root : Supervisor
+        Its start starts the node; its close ends it.
+    drain : Drain
+        Run before a planned close, so that nothing is cut off.
 
-def build_tree(settings: NodeSettings) -> Supervisor:
+    """
+
+    root: Supervisor
+    drain: Drain
+
+
+def build_node(settings: NodeSettings) -> Node:
     """
     Build all parts of a node.
 
@@ -25,23 +55,23 @@
 
     Returns
     -------
-    Supervisor
-        The root; its start starts the node, its close stops it gracefully.
+    Node
+        The node.
 
     """
     clients = make_clients(settings)
     parts = _make_parts(settings, clients)
     root = Supervisor('root', parts.timers)
     root.add(clients.http)
-    root.add(
-        TargetWatcher(
-            parts.targets,
-            clients.hosts,
-            clients.engines,
-            parts.timers,
-        ),
+    watcher = TargetWatcher(
+        parts.targets,
+        clients.hosts,
+        clients.engines,
+        parts.timers,
     )
+    root.add(watcher)
     root.add(parts.configuration)
+    guard = _add_peers(root, parts, watcher)
     root.add(
         WeightDuty(
             parts.targets,
@@ -52,8 +82,35 @@
         ),
     )
     root.add(parts.steps)
-    root.add(EntryServer(make_entry_app(parts), settings.entry_address))
-    return root
+    app = EntryMiddleware(
+        make_entry_app(parts),
+        parts.drain,
+        guard.ensure_fresh,
+    )
+    root.add(EntryServer(app, settings.entry_address))
+    return Node(root, parts.drain)
+
+
+def _add_peers(
+    root: Supervisor,
+    parts: EntryParts,
+    watcher: TargetWatcher,
+) -> PauseGuard:
+    guard = PauseGuard(
+        (
+            watcher.refresh,
+            parts.configuration.refresh,
+            lambda: parts.gossip.refresh(_ASK_SECONDS),
+        ),
+        parts.timers,
+        parts.timeline,
+    )
+    parts.targets.guard(lambda: guard.is_stale)
+    root.add(parts.gossip)
+    root.add(parts.nodes)
+    root.add(LeavingTargets(parts.targets, parts.gossip, parts.timers))
+    root.add(guard)
+    return guard
 
 
 def _make_parts(settings: NodeSettings, clients: Clients) -> EntryParts:
@@ -67,13 +124,18 @@
         timers,
     )
     services = PlainDispatcher(targets, clients.services)
+    configuration = ConfigurationKeeper(clients.table, timers, timeline)
+    peers = make_peers(settings, configuration, targets, timers, timeline)
     return EntryParts(
         settings=settings,
         timers=timers,
         timeline=timeline,
-        configuration=ConfigurationKeeper(clients.table, timers, timeline),
+        configuration=configuration,
         targets=targets,
         generations=generations,
         services=services,
         steps=StepRegistry(generations, services, timers, timeline),
+        gossip=peers.gossip,
+        nodes=peers.nodes,
+        drain=peers.drain,
     )
--- a/packages/node/ladder_node/entry/operations.py
+++ b/packages/node/ladder_node/entry/operations.py
@@ -1,5 +1,7 @@
 """Addresses, health, metrics and the time line."""
 
+import asyncio
+
 import msgspec
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 from starlette.requests import Request
@@ -12,6 +14,7 @@
 _TIMELINE_LIMIT = 1000
 _SHOWN_CHARACTERS = 40
 _UNAVAILABLE = 503
+_ACCEPTED = 202
 
 
 class Addresses(msgspec.Struct, frozen=True):
@@ -48,6 +51,36 @@
     state: str
 
 
+class Status(msgspec.Struct, frozen=True):
+    """
+    What operators see of a node.
+
+    Attributes
+    ----------
+    node : str
+        Name of the node.
+    data_centre, region : str
+        Where it stands.
+    state : str
+        ``ready``, ``not-ready``, ``draining`` or ``drained``.
+    revision : int
+        Configuration revision in force.
+    requests : int
+        Requests in progress.
+    peers : tuple of str
+        Peers heard lately.
+
+    """
+
+    node: str
+    data_centre: str
+    region: str
+    state: str
+    revision: int
+    requests: int
+    peers: tuple[str, ...]
+
+
 class OperationRoutes:
     """
     Answer what operators and callers ask of the node itself.
@@ -61,12 +94,13 @@
 
     def __init__(self, parts: EntryParts) -> None:
         self._parts = parts
+        self._drainage: asyncio.Task[None] | None = None
 
     async def list_addresses(self, request: Request) -> Response:
         """Answer ``GET /v1/addresses``."""
         settings = self._parts.settings
         hosts = sorted(
-            self._parts.targets.entry_hosts,
+            self._parts.nodes.entry_hosts,
             key=lambda host: (
                 host.region != settings.region,
                 host.data_centre != settings.data_centre,
@@ -87,6 +121,18 @@
             return _answer(Health(name, 'ready'))
         return _answer(Health(name, 'not-ready'), _UNAVAILABLE)
 
+    async def read_status(self, request: Request) -> Response:
+        """Answer ``GET /v1/status``."""
+        return _answer(self._make_status())
+
+    async def begin_drain(self, request: Request) -> Response:
+        """Answer ``POST /v1/drain``: begin to drain, without an exit."""
+        if self._drainage is None:
+            self._drainage = asyncio.create_task(self._parts.drain.run())
+        # The drain marks the node before it waits for the first time.
+        await asyncio.sleep(0)
+        return _answer(self._make_status(), _ACCEPTED)
+
     async def read_metrics(self, request: Request) -> Response:
         """Answer ``GET /metrics``."""
         return Response(generate_latest(), media_type=CONTENT_TYPE_LATEST)
@@ -97,6 +143,26 @@
         events = self._parts.timeline.read(after, _TIMELINE_LIMIT)
         return _answer(events)
 
+    def _make_status(self) -> Status:
+        settings = self._parts.settings
+        lists = self._parts.configuration.known_lists
+        return Status(
+            node=settings.name,
+            data_centre=settings.data_centre,
+            region=settings.region,
+            state=self._name_state(),
+            revision=lists.revision if lists else 0,
+            requests=self._parts.drain.requests,
+            peers=self._parts.gossip.peers,
+        )
+
+    def _name_state(self) -> str:
+        if self._parts.drain.is_done:
+            return 'drained'
+        if self._parts.drain.is_leaving:
+            return 'draining'
+        return 'ready' if self._parts.configuration.is_ready else 'not-ready'
+
 
 def _parse_stamp(text: str) -> HybridTime:
     parts = text.split('.')
--- a/packages/node/ladder_node/entry/parts.py
+++ b/packages/node/ladder_node/entry/parts.py
@@ -7,6 +7,8 @@
 from ladder_core.timers import TimerService
 from ladder_node.configuration import ConfigurationKeeper
 from ladder_node.dispatch import GenerationDispatcher, PlainDispatcher
+from ladder_node.entry.drain import Drain
+from ladder_node.peers import Gossip, NodeDirectory
 from ladder_node.steps import StepRegistry
 from ladder_node.targets import TargetTable
 
@@ -34,6 +36,12 @@
         Calls plain services.
     steps : StepRegistry
         The open steps.
+    gossip : Gossip
+        Spreads facts among the nodes.
+    nodes : NodeDirectory
+        What is known of the other nodes.
+    drain : Drain
+        Counts the requests in progress and ends them.
 
     """
 
@@ -45,3 +53,6 @@
     generations: GenerationDispatcher
     services: PlainDispatcher
     steps: StepRegistry
+    gossip: Gossip
+    nodes: NodeDirectory
+    drain: Drain
--- a/packages/node/ladder_node/entry/steps.py
+++ b/packages/node/ladder_node/entry/steps.py
@@ -55,24 +55,23 @@
 
     async def pull(self, request: Request) -> Response:
         """Answer ``POST /v1/trainers/{trainer}/steps/{step}/pull``."""
-        lists = self._parts.configuration.require_lists()
+        lists = self._parts.configuration.require_known()
         plan = _authorize(request, lists)
         limit = self._parts.settings.body_limit_bytes
         body = parse_body(await read_body(request, limit), PullModel)
         held = HeldGroups.parse(body.held)
         step = request.path_params['step']
         runner = self._parts.steps.find(plan.trainer, step)
-        handover = await runner.pull(
-            body.version,
-            plan.staleness_versions,
-            held,
+        bound = plan.staleness_versions
+        handover = await self._parts.drain.shorten(
+            lambda seconds: runner.pull(body.version, bound, held, seconds),
             body.wait_seconds,
         )
         return _answer(_make_pull_body(runner.spec, handover))
 
     async def close(self, request: Request) -> Response:
         """Answer ``DELETE /v1/trainers/{trainer}/steps/{step}``."""
-        lists = self._parts.configuration.require_lists()
+        lists = self._parts.configuration.require_known()
         plan = _authorize(request, lists)
         step = request.path_params['step']
         await self._parts.steps.finish(plan.trainer, step)
--- a/standins/ladder_standins/fleet/system.py
+++ b/standins/ladder_standins/fleet/system.py
@@ -58,6 +58,10 @@
 
     async def close(self) -> None:
         """Stop every process: the nodes, then targets and platform."""
+        nodes = {node.name for node in self._layout.nodes}
+        running = nodes & set(self._processes.names)
+        # A node drains for a while; all of them do so together.
+        await asyncio.gather(*map(self._processes.stop, running))
         for name in reversed(self._processes.names):
             await self._processes.stop(name)
 
