--- a/packages/node/ladder_node/entry/parts.py
+++ b/packages/node/ladder_node/entry/parts.py
@@ -11,6 +11,8 @@
     KeyedDispatcher,
     PlainDispatcher,
 )
+from ladder_node.entry.drain import Drain
+from ladder_node.peers import Gossip, NodeDirectory
 from ladder_node.steps import StepRegistry
 from ladder_node.targets import TargetTable
 
@@ -40,6 +42,12 @@
         Calls plain services at most once for each idempotency key.
     steps : StepRegistry
         The open steps.
+    gossip : Gossip
+        Spreads facts among the nodes.
+    nodes : NodeDirectory
+        What is known of the other nodes.
+    drain : Drain
+        Counts the requests in progress and ends them.
 
     """
 
@@ -52,3 +60,6 @@
     services: PlainDispatcher
     keyed: KeyedDispatcher
     steps: StepRegistry
+    gossip: Gossip
+    nodes: NodeDirectory
+    drain: Drain
