Let a node's settings name the policy of each decision

A flag for each run or an environment variable was ruled out: settings are YAML and checked, so an unknown policy is an error that lists the known ones.

Change: a section `policies` with defaults that are the recommended way; app/tree.py reads it. Test: test_policies_are_named_and_checked. Conclusion: further decisions add a field and an enum there.

--- a/packages/core/ladder_core/settings/node.py
+++ b/packages/core/ladder_core/settings/node.py
@@ -6,6 +6,7 @@
 from pydantic import Field
 
 from ladder_core.settings.files import CheckedModel, load_yaml
+from ladder_core.settings.policies import PolicySettings
 
 _MAX_TTL_SECONDS = 300
 _DEFAULT_BODY_LIMIT_BYTES = 8_000_000
@@ -47,6 +48,8 @@
         ``ip:port`` for other nodes.
     platform : PlatformAddresses
         The platform's services.
+    policies : PolicySettings
+        The policy of each decision.
     addresses_ttl_seconds : float
         Seconds for which callers may keep an answer of ``/v1/addresses``.
     body_limit_bytes : int
@@ -62,6 +65,7 @@
     entry_address: _Address
     peer_address: _Address
     platform: PlatformAddresses
+    policies: PolicySettings = PolicySettings()
     addresses_ttl_seconds: float = Field(default=5, gt=0, le=_MAX_TTL_SECONDS)
     body_limit_bytes: int = Field(default=_DEFAULT_BODY_LIMIT_BYTES, gt=0)
     log_level: Annotated[str, Field(pattern='^(DEBUG|INFO|WARNING)$')] = 'INFO'
--- /dev/null
+++ b/packages/core/ladder_core/settings/policies.py
@@ -0,0 +1,26 @@
+"""Which policy a node takes for each decision."""
+
+from enum import StrEnum
+
+from ladder_core.settings.files import CheckedModel
+
+
+class RoutingPolicy(StrEnum):
+    """How a node chooses a target for a request."""
+
+    least_loaded = 'least-loaded'
+    round_robin = 'round-robin'
+
+
+class PolicySettings(CheckedModel):
+    """
+    The policies of one node; each default is the recommended one.
+
+    Attributes
+    ----------
+    routing : RoutingPolicy
+        Choice of a target.
+
+    """
+
+    routing: RoutingPolicy = RoutingPolicy.least_loaded
--- a/packages/core/ladder_core/settings/tests/test_settings.py
+++ b/packages/core/ladder_core/settings/tests/test_settings.py
@@ -1,7 +1,13 @@
 import pytest
+from pydantic import ValidationError
 
 from ladder_core.errors import SettingsError
-from ladder_core.settings import load_node_settings, read_lists
+from ladder_core.settings import (
+    PolicySettings,
+    RoutingPolicy,
+    load_node_settings,
+    read_lists,
+)
 
 HASH = 'a' * 64
 PLANS = f'plans:\n- name: p\n  customer: c\n  secret_sha256: {HASH}\n'
@@ -51,3 +57,11 @@
         load_node_settings(path)
     assert 'node.yaml:2: region' in str(caught.value)
     assert 'node.yaml:3: unknown' in str(caught.value)
+
+
+def test_policies_are_named_and_checked():
+    settings = PolicySettings.model_validate({'routing': 'round-robin'})
+    assert settings.routing is RoutingPolicy.round_robin
+    assert PolicySettings().routing is RoutingPolicy.least_loaded
+    with pytest.raises(ValidationError, match='least-loaded'):
+        PolicySettings.model_validate({'routing': 'random'})
--- a/packages/node/ladder_node/app/tree.py
+++ b/packages/node/ladder_node/app/tree.py
@@ -1,6 +1,6 @@
 """Build the supervisor tree of a node."""
 
-from ladder_core.settings import NodeSettings
+from ladder_core.settings import NodeSettings, RoutingPolicy
 from ladder_core.supervision import Supervisor
 from ladder_core.timeline import HybridClock, TimeLine
 from ladder_core.timers import SystemTimerService
@@ -11,7 +11,11 @@
 from ladder_node.entry import EntryParts, EntryServer, make_entry_app
 from ladder_node.steps import StepRegistry
 from ladder_node.targets import TargetTable, TargetWatcher
-from ladder_policy.routing import LeastLoadedChooser
+from ladder_policy.routing import (
+    LeastLoadedChooser,
+    RoundRobinChooser,
+    TargetChooser,
+)
 
 
 def build_tree(settings: NodeSettings) -> Supervisor:
@@ -63,7 +67,7 @@
     generations = GenerationDispatcher(
         targets,
         clients.engines,
-        LeastLoadedChooser(),
+        _make_chooser(settings.policies.routing),
         timers,
     )
     services = PlainDispatcher(targets, clients.services)
@@ -77,3 +81,9 @@
         services=services,
         steps=StepRegistry(generations, services, timers, timeline),
     )
+
+
+def _make_chooser(policy: RoutingPolicy) -> TargetChooser:
+    if policy is RoutingPolicy.round_robin:
+        return RoundRobinChooser()
+    return LeastLoadedChooser()
