Give the stand-ins delays by data centre, a region link and its cut

Stand-ins had one delay for all callers, so nothing could be measured of regions. A node now names where it stands in a header (x-origin) and a middleware of each stand-in delays by it, counts the bytes between regions, holds back by the link's rate, and goes silent when the link is cut. Ruled out: a delay for each stand-in alone, which knows no callers of the same data centre; network namespaces, which the machine's rules exclude. Left out, and said in the class: each stand-in has its own link queue, and messages between nodes pass no stand-in.

The engine draws lengths with a long tail from its prompt.

--- a/packages/clients/ladder_clients/transport/__init__.py
+++ b/packages/clients/ladder_clients/transport/__init__.py
@@ -1,6 +1,11 @@
 """HTTP transport shared by all clients."""
 
-from ladder_clients.transport.client import Answer, HttpClient, Timeouts
+from ladder_clients.transport.client import (
+    ORIGIN_HEADER,
+    Answer,
+    HttpClient,
+    Timeouts,
+)
 from ladder_clients.transport.errors import (
     SilentConnectionError,
     TransportBrokenError,
@@ -10,6 +15,7 @@
 from ladder_clients.transport.translation import translate_target_errors
 
 __all__ = (
+    'ORIGIN_HEADER',
     'Answer',
     'HttpClient',
     'SilentConnectionError',
--- a/packages/clients/ladder_clients/transport/client.py
+++ b/packages/clients/ladder_clients/transport/client.py
@@ -14,6 +14,8 @@
 )
 from ladder_core.supervision import Service
 
+ORIGIN_HEADER = 'x-origin'
+
 _CONNECT_SECONDS = 2
 _GAP_SECONDS = 5
 _UNSENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
@@ -65,6 +67,12 @@
     """
     Exchanges over HTTP, each tried exactly once.
 
+    Parameters
+    ----------
+    origin : str, optional
+        Region and data centre of this process, ``region/data-centre``, that
+        every request names in `ORIGIN_HEADER`.
+
     Notes
     -----
     aiohttp sends idempotent methods a second time by itself when a kept
@@ -74,7 +82,8 @@
 
     """
 
-    def __init__(self) -> None:
+    def __init__(self, origin: str = '') -> None:
+        self._origin = origin
         self._session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
@@ -83,6 +92,7 @@
         self._session = aiohttp.ClientSession(
             connector=connector,
             auto_decompress=False,
+            headers={ORIGIN_HEADER: self._origin} if self._origin else None,
         )
 
     async def close(self) -> None:
--- a/packages/node/ladder_node/app/clients.py
+++ b/packages/node/ladder_node/app/clients.py
@@ -52,7 +52,7 @@
 
 def make_clients(settings: NodeSettings) -> Clients:
     """Return the clients that a node's settings call for."""
-    http = HttpClient()
+    http = HttpClient(f'{settings.region}/{settings.data_centre}')
     platform = settings.platform
     return Clients(
         http=http,
--- a/standins/ladder_standins/engine/machine.py
+++ b/standins/ladder_standins/engine/machine.py
@@ -15,6 +15,7 @@
     Order,
     Role,
 )
+from ladder_clients.transport import ORIGIN_HEADER
 from ladder_standins.engine.batch import Batch
 from ladder_standins.engine.settings import EngineSettings
 from ladder_standins.engine.text import draw_length, make_word
@@ -196,7 +197,8 @@
             f'{self._settings.model}/{version}'
         )
         async with aiohttp.ClientSession() as session:
-            async with session.get(url) as reply:
+            headers = {ORIGIN_HEADER: self._settings.origin}
+            async with session.get(url, headers=headers) as reply:
                 await reply.read()
                 is_fetched = reply.status == _OK
         if is_fetched:
--- a/standins/ladder_standins/engine/settings.py
+++ b/standins/ladder_standins/engine/settings.py
@@ -18,6 +18,8 @@
         ``ip:port`` of the weight store.
     version : int
         Version it starts with.
+    origin : str
+        Where it stands, ``region/data-centre``.
     batch_limit : int
         Largest batch.
     tokens_per_second : float
@@ -37,6 +39,7 @@
     model: str
     weights_address: str
     version: int = 0
+    origin: str = ''
     batch_limit: int = 16
     tokens_per_second: float = 400
     prefill_tokens_per_second: float = 20_000
--- a/standins/ladder_standins/engine/text.py
+++ b/standins/ladder_standins/engine/text.py
@@ -6,6 +6,7 @@
 import xxhash
 
 _LENGTH_PATTERN = re.compile(r'\[length=(\d+)\]')
+_DRAW_PATTERN = re.compile(r'\[draw=([0-9.]+):([0-9.]+):([0-9.]+):([0-9.]+)\]')
 _MEDIAN_TOKENS = 24
 _SIGMA = 0.5
 _WORD_DIGITS = 6
@@ -41,7 +42,9 @@
     Parameters
     ----------
     prompt : str
-        The prompt; ``[length=N]`` in it decides the length.
+        The prompt; ``[length=N]`` in it decides the length, and
+        ``[draw=MEDIAN:SIGMA:SHARE:TIMES]`` the distribution: log-normal, of
+        which a share is that many times as long.
     seed : int
         Seed of the sampling.
     max_tokens : int
@@ -58,5 +61,14 @@
         return min(int(match.group(1)), max_tokens)
     digest = xxhash.xxh64_intdigest(f'{prompt}\n{seed}'.encode())
     generator = np.random.default_rng(digest)
-    length = int(generator.lognormal(np.log(_MEDIAN_TOKENS), _SIGMA))
-    return max(1, min(length, max_tokens))
+    return max(1, min(_draw(prompt, generator), max_tokens))
+
+
+def _draw(prompt: str, generator: np.random.Generator) -> int:
+    match = _DRAW_PATTERN.search(prompt)
+    if not match:
+        return int(generator.lognormal(np.log(_MEDIAN_TOKENS), _SIGMA))
+    median, sigma, share, times = (float(text) for text in match.groups())
+    length = generator.lognormal(np.log(median), sigma)
+    is_long = generator.random() < share
+    return int(length * times if is_long else length)
--- a/standins/ladder_standins/fleet/layout.py
+++ b/standins/ladder_standins/fleet/layout.py
@@ -1,6 +1,7 @@
 """What a system of processes consists of."""
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,11 +67,19 @@
     engines : tuple of EngineLayout
         The engines.
     services : int
-        Replicas of the plain service, pool ``taproom``.
+        Replicas of the plain service, placed beside the nodes in turn.
+    service_pool : str
+        Pool of the plain service.
     scorers : int
         Scorers.
     lag_seconds : float
         Lag of the host list.
+    policies : mapping of str to str
+        The nodes' policies; see `ladder_core.settings.PolicySettings`.
+    weight_bytes : int
+        Size of a weight version.
+    weight_bytes_per_second : float
+        Rate limit of the weight store.
 
     """
 
@@ -87,3 +96,7 @@
     services: int = 2
     scorers: int = 1
     lag_seconds: float = 0
+    service_pool: str = 'taproom'
+    policies: Mapping[str, str] = field(default_factory=dict)
+    weight_bytes: int = 1_000_000
+    weight_bytes_per_second: float = 10_000_000
--- a/standins/ladder_standins/fleet/system.py
+++ b/standins/ladder_standins/fleet/system.py
@@ -11,7 +11,6 @@
 from ladder_standins.fleet.processes import ProcessGroup
 
 _PLATFORM = ('table', 'objects', 'weights', 'hosts')
-_SERVICE_POOL = 'taproom'
 _SCORER_POOL = 'scorers'
 _STANDIN = 'ladder-standin'
 _ADDRESSES_TTL_SECONDS = 1
@@ -58,8 +57,9 @@
 
     async def close(self) -> None:
         """Stop every process: the nodes, then targets and platform."""
-        for name in reversed(self._processes.names):
-            await self._processes.stop(name)
+        nodes = {node.name for node in self._layout.nodes}
+        await self._stop_all(nodes.intersection(self._processes.names))
+        await self._stop_all(set(self._processes.names))
 
     def find_record(self, name: str) -> Path:
         """Return the file of a stand-in's ground truth."""
@@ -71,7 +71,12 @@
         record = str(self.find_record('table'))
         await self._start_standin('table', 'table', '--record', record)
         await self._start_standin('objects', 'objects')
-        await self._start_standin('weights', 'weights')
+        await self._start_standin(
+            'weights',
+            'weights',
+            f'--size-bytes={self._layout.weight_bytes}',
+            f'--bytes-per-second={self._layout.weight_bytes_per_second}',
+        )
         await self._start_standin('hosts', 'hosts', '--lag-seconds', lag)
         for name in _PLATFORM:
             await self._processes.wait_listening(name)
@@ -91,6 +96,7 @@
         flags = [
             f'--name={engine.name}',
             f'--model={engine.model}',
+            f'--origin={engine.region}/{engine.data_centre}',
             f'--weights-address={self._processes.find_address("weights")}',
             f'--tokens-per-second={engine.tokens_per_second}',
             f'--batch-limit={engine.batch_limit}',
@@ -127,6 +133,9 @@
         await self._processes.spawn(node.name, 'kumquatladderd', str(path))
         await self._controls.list_host(entry)
 
+    async def _stop_all(self, names: set[str]) -> None:
+        await asyncio.gather(*(self._processes.stop(name) for name in names))
+
     def _write_settings(self, entry: HostEntry) -> Path:
         settings = {
             'name': entry.name,
@@ -135,6 +144,7 @@
             'entry_address': entry.address,
             'peer_address': entry.peer_address,
             'addresses_ttl_seconds': _ADDRESSES_TTL_SECONDS,
+            'policies': dict(self._layout.policies),
             'platform': {
                 kind: self._processes.find_address(kind) for kind in _PLATFORM
             },
@@ -146,7 +156,8 @@
     async def _start_service(self, name: str) -> None:
         record = f'--record={self.find_record(name)}'
         await self._start_standin('service', name, f'--name={name}', record)
-        await self._list_target(name, HostKind.service, _SERVICE_POOL)
+        pool = self._layout.service_pool
+        await self._list_target(name, HostKind.service, pool)
 
     async def _start_scorer(self, name: str) -> None:
         await self._start_standin('scorer', name)
@@ -154,7 +165,8 @@
 
     async def _list_target(self, name: str, kind: HostKind, pool: str) -> None:
         await self._processes.wait_listening(name)
-        node = self._layout.nodes[0]
+        number = int(name.rpartition('-')[2]) - 1
+        node = self._layout.nodes[number % len(self._layout.nodes)]
         await self._controls.list_host(
             HostEntry(
                 name,
--- a/standins/ladder_standins/main.py
+++ b/standins/ladder_standins/main.py
@@ -11,6 +11,7 @@
 from ladder_standins.engine import EngineSettings, make_engine
 from ladder_standins.faults import FaultMiddleware, Faults
 from ladder_standins.hosts import make_host_list
+from ladder_standins.network import NetworkMiddleware
 from ladder_standins.objects import make_object_store
 from ladder_standins.plain import make_plain_service
 from ladder_standins.records import Records
@@ -104,6 +105,7 @@
     model: str,
     weights_address: str,
     version: int = 0,
+    origin: str = '',
     batch_limit: int = 16,
     tokens_per_second: float = 400,
     checks_fencing: bool = True,
@@ -118,6 +120,7 @@
     :param model: Model it serves.
     :param weights_address: Where it fetches weights.
     :param version: Version it starts with.
+    :param origin: Its ``region/data-centre``.
     :param batch_limit: Largest batch.
     :param tokens_per_second: Rate of one stream in a small batch.
     :param checks_fencing: Whether it refuses old fencing tokens.
@@ -129,6 +132,7 @@
         model=model,
         weights_address=weights_address,
         version=version,
+        origin=origin,
         batch_limit=batch_limit,
         tokens_per_second=tokens_per_second,
         checks_fencing=checks_fencing,
@@ -173,7 +177,8 @@
 
 
 def _serve(listener: Listener, app: Starlette) -> None:
-    guarded = FaultMiddleware(app, Faults(), listener.delay_ms)
+    faulty = FaultMiddleware(app, Faults(), listener.delay_ms)
+    guarded = NetworkMiddleware(faulty)
     config = uvicorn.Config(
         guarded,
         host=listener.host,
--- /dev/null
+++ b/standins/ladder_standins/network.py
@@ -0,0 +1,185 @@
+"""Delay, rate and cuts of the network between a caller and a stand-in."""
+
+import asyncio
+import time
+
+import msgspec
+from starlette.types import ASGIApp, Message, Receive, Scope, Send
+
+from ladder_clients.transport import ORIGIN_HEADER
+
+NETWORK_PATH = '/network'
+TRANSFER_HEADER = 'x-transfer-bytes'
+
+_MILLISECONDS = 1000
+_SILENCE_SECONDS = 3600
+_OK = 200
+_BITS = 8
+_ORIGIN = ORIGIN_HEADER.encode()
+_TRANSFER = TRANSFER_HEADER.encode()
+
+
+class Network(msgspec.Struct, frozen=True):
+    """
+    The network around one stand-in.
+
+    Attributes
+    ----------
+    region, data_centre : str
+        Where the stand-in stands.
+    centres_ms : float
+        One-way delay between data centres of a region, in milliseconds.
+    regions_ms : float
+        One-way delay between regions, in milliseconds.
+    clients_ms : float
+        One-way delay to callers that name no origin, in milliseconds.
+    link_bits_per_second : float
+        Rate of the link between regions; zero for no limit.
+    is_cut : bool
+        Whether the link between regions is silent.
+
+    """
+
+    region: str = ''
+    data_centre: str = ''
+    centres_ms: float = 0
+    regions_ms: float = 0
+    clients_ms: float = 0
+    link_bits_per_second: float = 0
+    is_cut: bool = False
+
+    def find_delay(self, origin: str) -> float:
+        """
+        Return the one-way delay to a caller in seconds.
+
+        Parameters
+        ----------
+        origin : str
+            The caller's ``region/data-centre``; empty for a client.
+
+        Examples
+        --------
+        >>> network = Network('attica', 'elefsina', 1.5, 12, 1)
+        >>> network.find_delay('thessaloniki/sindos')
+        0.012
+        >>> network.find_delay('attica/elefsina')
+        0.0
+
+        """
+        if not origin:
+            return self.clients_ms / _MILLISECONDS
+        if self.is_far(origin):
+            return self.regions_ms / _MILLISECONDS
+        if origin.endswith(f'/{self.data_centre}'):
+            return float(0)
+        return self.centres_ms / _MILLISECONDS
+
+    def is_far(self, origin: str) -> bool:
+        """Whether a caller stands in another region."""
+        return bool(origin) and not origin.startswith(f'{self.region}/')
+
+
+class LinkUse(msgspec.Struct, frozen=True):
+    """Bytes of bodies that crossed the link between regions."""
+
+    link_bytes: int
+
+
+class NetworkMiddleware:
+    """
+    Put the network around a stand-in; ``/network`` sets and reads it.
+
+    Parameters
+    ----------
+    app : ASGIApp
+        The stand-in.
+
+    Notes
+    -----
+    The caller names where it stands in `ORIGIN_HEADER`. Each stand-in holds
+    its own queue for the link, so transfers of two stand-ins do not slow each
+    other down; messages between nodes do not pass here at all.
+
+    """
+
+    def __init__(self, app: ASGIApp) -> None:
+        self._app = app
+        self._network = Network()
+        self._link_bytes = 0
+        self._link_free_at: float = 0
+
+    async def __call__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Handle one connection event of the server."""
+        if scope['type'] != 'http':
+            await self._app(scope, receive, send)
+        elif scope['path'] == NETWORK_PATH:
+            await self._answer(scope, receive, send)
+        else:
+            await self._carry(scope, receive, send)
+
+    async def _answer(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        if scope['method'] == 'PUT':
+            message = await receive()
+            self._network = msgspec.json.decode(message['body'], type=Network)
+        body = msgspec.json.encode(LinkUse(self._link_bytes))
+        head = {'type': 'http.response.start', 'status': _OK, 'headers': []}
+        await send(head)
+        await send({'type': 'http.response.body', 'body': body})
+
+    async def _carry(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        origin = dict(scope['headers']).get(_ORIGIN, b'').decode()
+        delay = self._network.find_delay(origin)
+        await self._wait_link(origin, 0)
+        await asyncio.sleep(delay)
+
+        async def receive_far() -> Message:
+            message = await receive()
+            self._count(origin, len(message.get('body', b'')))
+            return message
+
+        async def send_far(message: Message) -> None:
+            if message['type'] == 'http.response.start':
+                await asyncio.sleep(delay)
+            await self._wait_link(origin, _find_size(message))
+            await send(message)
+
+        await self._app(scope, receive_far, send_far)
+
+    def _count(self, origin: str, size: int) -> None:
+        if self._network.is_far(origin):
+            self._link_bytes += size
+
+    async def _wait_link(self, origin: str, size: int) -> None:
+        """Wait until the link has carried a number of bytes."""
+        if not self._network.is_far(origin):
+            return
+        if self._network.is_cut:
+            await asyncio.sleep(_SILENCE_SECONDS)
+        self._count(origin, size)
+        rate = self._network.link_bits_per_second / _BITS
+        if size and rate:
+            now = time.monotonic()
+            begin = max(self._link_free_at, now)
+            self._link_free_at = begin + size / rate
+            await asyncio.sleep(self._link_free_at - now)
+
+
+def _find_size(message: Message) -> int:
+    """Return the bytes that a part of an answer stands for."""
+    headers = dict(message.get('headers', ()))
+    return int(headers.get(_TRANSFER, len(message.get('body', b''))))
--- a/standins/ladder_standins/trainer.py
+++ b/standins/ladder_standins/trainer.py
@@ -184,6 +184,18 @@
         report.seconds = time.monotonic() - begin
         return report
 
+    async def open_step(self, request: StepRequest) -> None:
+        """
+        Open a step without pulling from it.
+
+        Raises
+        ------
+        ClientError
+            The node does not answer, or not with success.
+
+        """
+        await self._open(request)
+
     async def close_step(self, step: int) -> None:
         """Tell the service that a step is done."""
         await self._send('DELETE', f'/{step}', None)
--- a/standins/ladder_standins/weights.py
+++ b/standins/ladder_standins/weights.py
@@ -11,6 +11,7 @@
 
 from ladder_clients.platform import Weights
 from ladder_standins.answers import answer_json, read_json
+from ladder_standins.network import TRANSFER_HEADER
 
 _NOT_FOUND = 404
 
@@ -65,7 +66,9 @@
         now = time.monotonic()
         self._free_at = max(self._free_at, now) + self._size / self._rate
         await asyncio.sleep(self._free_at - now)
-        return answer_json(Publication(version))
+        answer = answer_json(Publication(version))
+        answer.headers[TRANSFER_HEADER] = str(self._size)
+        return answer
 
 
 def make_weight_store(size_bytes: int, bytes_per_second: float) -> Starlette:
