Run experiments: bin/bench run EXPERIMENT.yaml

The unavoidable idle share follows from tokens over the rate of full batches and the longest sample over the fastest stream; it is a bound, which no schedule need reach.

--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,8 @@
+"""The program of the bench."""
+
+import defopt
+
+from bench.commands import run
+
+if __name__ == '__main__':
+    defopt.run([run])
--- /dev/null
+++ b/bench/commands.py
@@ -0,0 +1,73 @@
+"""The commands of the bench."""
+
+import asyncio
+import itertools
+import os
+import sys
+import time
+from pathlib import Path
+
+from bench.experiment import Experiment, load_experiment
+from bench.outcome import Outcome
+from bench.plots import draw_plots
+from bench.report import format_table, write_lines
+from bench.session import Session
+from ladder_core.errors import SettingsError
+
+RESULTS = Path('bench-results')
+
+_INVALID_FILE = 2
+
+
+def run(experiment_path: Path, *, results: Path = RESULTS) -> None:
+    """
+    Run an experiment and write its table, JSON lines and plots.
+
+    :param experiment_path: The experiment file.
+    :param results: Folder for the results.
+    """
+    try:
+        experiment = load_experiment(experiment_path)
+    except SettingsError as error:
+        sys.stderr.write(f'{error.message}\n')
+        sys.exit(_INVALID_FILE)
+    folder = results / experiment.name
+    folder.mkdir(parents=True, exist_ok=True)
+    begin = time.monotonic()
+    outcomes = asyncio.run(_run_all(experiment, folder))
+    elapsed = time.monotonic() - begin
+    table = '\n'.join(
+        (
+            f'{experiment.name}: bin/bench run {experiment_path}',
+            f'speed factor {experiment.speed:g}; seeds {experiment.seeds}; '
+            f'{elapsed:.0f} s of the machine; load {_read_load()}',
+            '',
+            format_table(outcomes),
+        ),
+    )
+    (folder / 'table.md').write_text(f'{table}\n')
+    write_lines(folder / 'outcomes.jsonl', outcomes)
+    draw_plots(folder / 'plots.png', outcomes)
+    print(table)
+    print(f'written to {folder}')
+
+
+async def _run_all(experiment: Experiment, folder: Path) -> list[Outcome]:
+    outcomes = []
+    # Variants alternate within a seed, so that a load from outside meets all.
+    for seed, deployment, variant in itertools.product(
+        experiment.seeds,
+        experiment.deployments,
+        experiment.variants,
+    ):
+        name = f'{deployment}-{variant.name}-{seed}'
+        session = Session(experiment, deployment, variant, folder / name)
+        outcome = await session.run(seed)
+        print(f'{name}: idle share {outcome.idle_share:.3f}', flush=True)
+        outcomes.append(outcome)
+    return outcomes
+
+
+def _read_load() -> str:
+    """Return the machine's load averages over 1, 5 and 15 minutes."""
+    return ' '.join(f'{load:.1f}' for load in os.getloadavg())
--- /dev/null
+++ b/bench/deployments.py
@@ -0,0 +1,152 @@
+"""The deployments of the brief at their own size."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from types import MappingProxyType
+
+from bench.experiment import DeploymentName
+from ladder_standins.fleet import EngineLayout, Layout, NodeLayout
+from ladder_standins.network import Network
+
+MODEL = 'cask'
+BATCH_LIMIT = 16
+TOKENS_PER_SECOND = 200
+
+_LINK_BITS_PER_SECOND = 210_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """
+    A data centre and its region.
+
+    Attributes
+    ----------
+    region, data_centre : str
+        Names.
+
+    """
+
+    region: str
+    data_centre: str
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """
+    Size and network of one deployment.
+
+    Attributes
+    ----------
+    places : tuple of Place
+        The data centres; the platform's services stand in the first.
+    nodes, engines, services : int
+        Numbers of processes, placed over the data centres in turn.
+    engine_pool, service_pool : str
+        Pools of the targets.
+    clients_ms : float
+        One-way delay to clients, in milliseconds.
+
+    """
+
+    places: tuple[Place, ...]
+    nodes: int
+    engines: int
+    services: int
+    engine_pool: str
+    service_pool: str
+    clients_ms: float
+
+    @property
+    def engine_tokens_per_second(self) -> float:
+        """Tokens that one engine generates a scaled second at full batch."""
+        return BATCH_LIMIT * TOKENS_PER_SECOND / 2
+
+    def make_layout(self, speed: float, policies: dict[str, str]) -> Layout:
+        """
+        Return the processes to start.
+
+        Parameters
+        ----------
+        speed : float
+            Scaled seconds in one second.
+        policies : dict of str to str
+            The nodes' policies.
+
+        """
+        return Layout(
+            nodes=tuple(
+                NodeLayout(
+                    f'node-{number}',
+                    self._find_place(number).data_centre,
+                    self._find_place(number).region,
+                )
+                for number in range(1, self.nodes + 1)
+            ),
+            engines=tuple(
+                self._make_engine(number, speed)
+                for number in range(1, self.engines + 1)
+            ),
+            services=self.services,
+            service_pool=self.service_pool,
+            policies=policies,
+            weight_bytes_per_second=_LINK_BITS_PER_SECOND,
+        )
+
+    def make_network(self, region: str, data_centre: str) -> Network:
+        """Return the network of a stand-in."""
+        return Network(
+            region=region,
+            data_centre=data_centre,
+            centres_ms=1.5,
+            regions_ms=12,
+            clients_ms=self.clients_ms,
+            link_bits_per_second=_LINK_BITS_PER_SECOND,
+        )
+
+    def _make_engine(self, number: int, speed: float) -> EngineLayout:
+        place = self._find_place(number)
+        return EngineLayout(
+            f'engine-{number}',
+            place.data_centre,
+            place.region,
+            model=MODEL,
+            pool=self.engine_pool,
+            tokens_per_second=TOKENS_PER_SECOND * speed,
+            batch_limit=BATCH_LIMIT,
+        )
+
+    def _find_place(self, number: int) -> Place:
+        return self.places[(number - 1) % len(self.places)]
+
+
+DEPLOYMENTS: Mapping[DeploymentName, Deployment] = MappingProxyType(
+    {
+        DeploymentName.cellarwatch: Deployment(
+            places=(
+                Place('lowlands', 'leith'),
+                Place('lowlands', 'govan'),
+                Place('highlands', 'inverness'),
+            ),
+            nodes=9,
+            engines=4,
+            services=3,
+            engine_pool='brewmind',
+            service_pool='taproom',
+            clients_ms=3,
+        ),
+        DeploymentName.cooperative: Deployment(
+            places=(
+                Place('attica', 'aspropyrgos'),
+                Place('attica', 'elefsina'),
+                Place('thessaloniki', 'sindos'),
+            ),
+            nodes=10,
+            engines=5,
+            services=3,
+            engine_pool='model-pool',
+            service_pool='member-app',
+            clients_ms=1,
+        ),
+    }
+)
--- /dev/null
+++ b/bench/interactive.py
@@ -0,0 +1,128 @@
+"""Interactive calls at random times, and how long they took."""
+
+import asyncio
+import time
+from collections.abc import Sequence
+
+import aiohttp
+import msgspec
+import numpy as np
+from hdrh.histogram import HdrHistogram
+
+from bench.deployments import MODEL
+from bench.experiment import InteractiveModel
+from bench.plans import APP_PLAN, make_secret
+
+_LOWEST_MICROSECONDS = 1
+_HIGHEST_MICROSECONDS = 3_600_000_000
+_DIGITS = 3
+_MICROSECONDS = 1_000_000
+_CALL_SECONDS = 60
+_MILLISECONDS = 1000
+_OK = 200
+_REFUSED = frozenset((429, 503))
+_CALLER_SEED = 1_000_003
+
+
+class InteractiveLoad:
+    """
+    Send calls whether or not earlier ones were answered.
+
+    Parameters
+    ----------
+    model : InteractiveModel
+        Rate and size of the calls.
+    addresses : sequence of str
+        Entry hosts, drawn at random for each call.
+    seed : int
+        Seed of times and hosts.
+    speed : float
+        Scaled seconds in one second.
+    clients_ms : float
+        One-way delay between a caller and a node, in milliseconds.
+
+    """
+
+    def __init__(
+        self,
+        model: InteractiveModel,
+        addresses: Sequence[str],
+        seed: int,
+        speed: float,
+        clients_ms: float,
+    ) -> None:
+        self._model = model
+        self._addresses = addresses
+        self._generator = np.random.default_rng(seed + _CALLER_SEED)
+        self._speed = speed
+        self._delay = 2 * clients_ms / _MILLISECONDS
+        self._latencies = HdrHistogram(
+            _LOWEST_MICROSECONDS,
+            _HIGHEST_MICROSECONDS,
+            _DIGITS,
+        )
+        self._calls: set[asyncio.Task[None]] = set()
+        self.answered = 0
+        self.refused = 0
+        self.failed = 0
+
+    async def run(self) -> None:
+        """Send calls until cancelled, then wait for the answers."""
+        if not self._model.per_second:
+            return
+        timeout = aiohttp.ClientTimeout(_CALL_SECONDS)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            try:
+                await self._send_calls(session)
+            finally:
+                await asyncio.gather(*self._calls)
+
+    def find_latency(self, percentile: float) -> float:
+        """Return a percentile of the latency in seconds of the machine."""
+        microseconds = self._latencies.get_value_at_percentile(percentile)
+        return float(microseconds) / _MICROSECONDS
+
+    async def _send_calls(self, session: aiohttp.ClientSession) -> None:
+        begin = time.monotonic()
+        due = begin
+        while True:
+            scaled = (due - begin) * self._speed
+            rate = self._model.find_rate(scaled) * self._speed
+            due += self._generator.exponential(1 / rate)
+            await asyncio.sleep(max(0, due - time.monotonic()))
+            call = asyncio.create_task(self._call(session, due))
+            self._calls.add(call)
+            call.add_done_callback(self._calls.discard)
+
+    async def _call(self, session: aiohttp.ClientSession, due: float) -> None:
+        try:
+            status = await self._send(session)
+        except (aiohttp.ClientError, TimeoutError):
+            self.failed += 1
+            return
+        if status in _REFUSED:
+            self.refused += 1
+        elif status == _OK:
+            self.answered += 1
+            # From when it was due, so that a late sender hides nothing.
+            elapsed = time.monotonic() - due + self._delay
+            self._latencies.record_value(int(elapsed * _MICROSECONDS))
+        else:
+            self.failed += 1
+
+    async def _send(self, session: aiohttp.ClientSession) -> int:
+        address = self._generator.choice(self._addresses)
+        number = int(self._generator.integers(_MICROSECONDS))
+        tokens = self._model.tokens
+        body = {
+            'model': MODEL,
+            'prompt': f'[length={tokens}] is line {number} in order',
+            'max_tokens': tokens,
+        }
+        async with session.post(
+            f'http://{address}/v1/completions',
+            data=msgspec.json.encode(body),
+            headers={'authorization': f'Bearer {make_secret(APP_PLAN)}'},
+        ) as reply:
+            await reply.read()
+            return reply.status
--- /dev/null
+++ b/bench/outcome.py
@@ -0,0 +1,207 @@
+"""The measures of one run."""
+
+from collections.abc import Sequence
+
+import msgspec
+import numpy as np
+
+from bench.bounds import Capacity, TrainerNeed, find_unavoidable_share
+from bench.deployments import BATCH_LIMIT, TOKENS_PER_SECOND, Deployment
+from bench.experiment import Experiment
+from bench.interactive import InteractiveLoad
+from bench.training import TrainerLog
+
+_MEDIAN = 50
+_TAIL = 95
+_FAR_TAIL = 99
+
+
+class Quantiles(msgspec.Struct, frozen=True):
+    """
+    Distribution of a measure.
+
+    Attributes
+    ----------
+    p50, p95, most : float
+        Median, 95th percentile and largest value.
+
+    """
+
+    p50: float
+    p95: float
+    most: float
+
+
+class Outcome(msgspec.Struct, frozen=True):
+    """
+    The measures of one run, in scaled seconds.
+
+    Attributes
+    ----------
+    experiment, deployment, variant : str
+        What was run.
+    seed : int
+        Its seed.
+    idle_share : float
+        Time that trainers waited over their wall time.
+    unavoidable_share : float
+        What the engines' token rate makes unavoidable.
+    stale_versions, stale_seconds : Quantiles
+        Staleness of the samples at hand-over.
+    step_seconds : Quantiles
+        Time from the opening of a step to its last group.
+    goodput : float
+        Tokens of delivered samples a second.
+    call_p50, call_p99 : float
+        Latency of interactive calls.
+    answered, refused, failed : int
+        Interactive calls.
+    excess_replica_seconds : float
+        Time of engines that were on beyond what the tokens need.
+    link_bytes : int
+        Bytes that crossed between the regions.
+    lost, doubled, too_old : int
+        Samples, groups and samples.
+
+    """
+
+    experiment: str
+    deployment: str
+    variant: str
+    seed: int
+    idle_share: float
+    unavoidable_share: float
+    stale_versions: Quantiles
+    stale_seconds: Quantiles
+    step_seconds: Quantiles
+    goodput: float
+    call_p50: float
+    call_p99: float
+    answered: int
+    refused: int
+    failed: int
+    excess_replica_seconds: float
+    link_bytes: int
+    lost: int
+    doubled: int
+    too_old: int
+
+
+class RunRecord(msgspec.Struct, frozen=True):
+    """
+    What one run left behind, in seconds of the machine.
+
+    Attributes
+    ----------
+    variant : str
+        The variant that ran.
+    seed : int
+        Its seed.
+    logs : tuple of TrainerLog
+        The trainers' own.
+    load : InteractiveLoad
+        The callers' own.
+    link_bytes : int
+        Counted by the stand-ins.
+    engine_seconds : float
+        Seconds that engines were on, summed up.
+
+    """
+
+    variant: str
+    seed: int
+    logs: tuple[TrainerLog, ...]
+    load: InteractiveLoad
+    link_bytes: int
+    engine_seconds: float
+
+
+def measure(
+    experiment: Experiment,
+    deployment: Deployment,
+    deployment_name: str,
+    record: RunRecord,
+) -> Outcome:
+    """
+    Work out the measures of a run.
+
+    Parameters
+    ----------
+    experiment : Experiment
+        What was asked.
+    deployment : Deployment
+        Where it ran.
+    deployment_name : str
+        Its name.
+    record : RunRecord
+        What was seen.
+
+    Returns
+    -------
+    Outcome
+        The measures.
+
+    """
+    speed = experiment.speed
+    logs = record.logs
+    facts = [fact for log in logs for fact in log.samples]
+    wall = sum(log.wall_seconds for log in logs) * speed
+    longest = max((log.wall_seconds for log in logs), default=0) * speed
+    tokens = sum(fact.tokens for fact in facts)
+    idle = sum(log.idle_seconds for log in logs) * speed
+    calls = record.load.answered * experiment.interactive.tokens
+    needed = (tokens + calls) / deployment.engine_tokens_per_second
+    return Outcome(
+        experiment=experiment.name,
+        deployment=deployment_name,
+        variant=record.variant,
+        seed=record.seed,
+        idle_share=_divide(idle, wall),
+        unavoidable_share=_find_unavoidable(logs, deployment),
+        stale_versions=_summarize([fact.stale_versions for fact in facts]),
+        stale_seconds=_summarize(
+            [fact.stale_seconds * speed for fact in facts]
+        ),
+        step_seconds=_summarize(
+            [seconds * speed for log in logs for seconds in log.step_seconds],
+        ),
+        goodput=_divide(tokens, longest),
+        call_p50=record.load.find_latency(_MEDIAN) * speed,
+        call_p99=record.load.find_latency(_FAR_TAIL) * speed,
+        answered=record.load.answered,
+        refused=record.load.refused,
+        failed=record.load.failed,
+        excess_replica_seconds=record.engine_seconds * speed - needed,
+        link_bytes=record.link_bytes,
+        lost=sum(log.lost for log in logs),
+        doubled=sum(log.doubled for log in logs),
+        too_old=sum(log.too_old for log in logs),
+    )
+
+
+def _find_unavoidable(
+    logs: Sequence[TrainerLog],
+    deployment: Deployment,
+) -> float:
+    needs = [
+        TrainerNeed(
+            tuple(tuple(fact.tokens for fact in step) for step in log.steps),
+            log.trainer.train_seconds,
+            log.trainer.opens_ahead,
+        )
+        for log in logs
+    ]
+    rate = deployment.engines * deployment.engine_tokens_per_second
+    stream = TOKENS_PER_SECOND / (1 + 1 / BATCH_LIMIT)
+    return find_unavoidable_share(needs, Capacity(rate, stream))
+
+
+def _summarize(figures: Sequence[float]) -> Quantiles:
+    if not figures:
+        return Quantiles(0, 0, 0)
+    p50, p95 = np.percentile(figures, [_MEDIAN, _TAIL])
+    return Quantiles(float(p50), float(p95), float(max(figures)))
+
+
+def _divide(part: float, whole: float) -> float:
+    return part / whole if whole else float(0)
--- /dev/null
+++ b/bench/plots.py
@@ -0,0 +1,44 @@
+"""Plots of outcomes."""
+
+from collections.abc import Sequence
+from pathlib import Path
+
+import matplotlib as mpl
+from matplotlib import pyplot as plt
+
+from bench.outcome import Outcome
+from bench.report import COLUMNS
+
+_PLOTTED = ('idle share', 'step s p95', 'call p99 s', 'goodput tokens/s')
+_WIDTH_INCHES = 12
+_HEIGHT_INCHES = 7
+
+
+def draw_plots(path: Path, outcomes: Sequence[Outcome]) -> None:
+    """
+    Draw the main measures of each run, one dot for each seed.
+
+    Parameters
+    ----------
+    path : Path
+        The PNG file to write.
+    outcomes : sequence of Outcome
+        The runs.
+
+    """
+    mpl.use('agg')
+    names = [f'{run.deployment}\n{run.variant}' for run in outcomes]
+    figure, axes = plt.subplots(
+        2,
+        2,
+        figsize=(_WIDTH_INCHES, _HEIGHT_INCHES),
+        layout='constrained',
+    )
+    plotted = [column for column in COLUMNS if column.title in _PLOTTED]
+    for axis, column in zip(axes.flat, plotted, strict=True):
+        axis.scatter(names, [column.read(run) for run in outcomes])
+        axis.set_title(column.title)
+        axis.set_ylim(bottom=0)
+        axis.tick_params(axis='x', labelsize='small')
+    figure.savefig(path)
+    plt.close(figure)
--- /dev/null
+++ b/bench/report.py
@@ -0,0 +1,111 @@
+"""Tables of outcomes."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+import numpy as np
+
+from bench.outcome import Outcome, Quantiles
+
+
+@dataclass(frozen=True, slots=True)
+class Column:
+    """
+    A column of the table.
+
+    Attributes
+    ----------
+    title : str
+        Heading with its unit.
+    read : callable
+        Returns the figure of a run.
+    digits : int
+        Digits after the point.
+
+    """
+
+    title: str
+    read: Callable[[Outcome], float]
+    digits: int = 2
+
+
+def _make_columns(
+    title: str,
+    read: Callable[[Outcome], Quantiles],
+    digits: int,
+) -> list[Column]:
+    return [
+        Column(f'{title} p50', lambda outcome: read(outcome).p50, digits),
+        Column(f'{title} p95', lambda outcome: read(outcome).p95, digits),
+        Column(f'{title} max', lambda outcome: read(outcome).most, digits),
+    ]
+
+
+COLUMNS = (
+    Column('idle share', lambda outcome: outcome.idle_share, 3),
+    Column('unavoidable', lambda outcome: outcome.unavoidable_share, 3),
+    *_make_columns('stale versions', lambda run: run.stale_versions, 1),
+    *_make_columns('stale s', lambda run: run.stale_seconds, 1),
+    *_make_columns('step s', lambda run: run.step_seconds, 1),
+    Column('goodput tokens/s', lambda outcome: outcome.goodput, 0),
+    Column('call p50 s', lambda outcome: outcome.call_p50, 3),
+    Column('call p99 s', lambda outcome: outcome.call_p99, 3),
+    Column('answered', lambda outcome: outcome.answered, 0),
+    Column('refused', lambda outcome: outcome.refused, 0),
+    Column('failed', lambda outcome: outcome.failed, 0),
+    Column('excess replica s', lambda run: run.excess_replica_seconds, 1),
+    Column('link kB', lambda outcome: outcome.link_bytes / 1000, 0),
+    Column('lost', lambda outcome: outcome.lost, 0),
+    Column('doubled', lambda outcome: outcome.doubled, 0),
+    Column('too old', lambda outcome: outcome.too_old, 0),
+)
+
+
+def format_table(outcomes: Sequence[Outcome]) -> str:
+    """
+    Return a Markdown table: measures down, variants across.
+
+    Parameters
+    ----------
+    outcomes : sequence of Outcome
+        Runs; those that differ in their seed alone share a column, which
+        shows the mean and, if they differ, the smallest and largest figure.
+
+    Returns
+    -------
+    str
+        The table.
+
+    """
+    groups: dict[str, list[Outcome]] = {}
+    for outcome in outcomes:
+        name = f'{outcome.deployment}, {outcome.variant}'
+        groups.setdefault(name, []).append(outcome)
+    lines = [
+        _join(['measure', *groups]),
+        _join(['---', *('---:' for _ in groups)]),
+    ]
+    for column in COLUMNS:
+        cells = [_format_cell(column, runs) for runs in groups.values()]
+        lines.append(_join([column.title, *cells]))
+    return '\n'.join(lines)
+
+
+def write_lines(path: Path, outcomes: Sequence[Outcome]) -> None:
+    """Write the outcomes as JSON lines."""
+    encoded = [msgspec.json.encode(outcome).decode() for outcome in outcomes]
+    path.write_text(''.join(f'{line}\n' for line in encoded))
+
+
+def _format_cell(column: Column, runs: Sequence[Outcome]) -> str:
+    figures = [column.read(run) for run in runs]
+    mean = f'{np.mean(figures):.{column.digits}f}'
+    least = f'{min(figures):.{column.digits}f}'
+    most = f'{max(figures):.{column.digits}f}'
+    return mean if least == most else f'{mean} ({least} to {most})'
+
+
+def _join(cells: Sequence[str]) -> str:
+    return f'| {" | ".join(cells)} |'
--- /dev/null
+++ b/bench/session.py
@@ -0,0 +1,200 @@
+"""One run: a fleet, trainers, callers and faults."""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import msgspec
+
+from bench.deployments import DEPLOYMENTS
+from bench.experiment import DeploymentName, Experiment, Variant
+from bench.fault_schedule import FaultSchedule
+from bench.interactive import InteractiveLoad
+from bench.outcome import Outcome, RunRecord, measure
+from bench.plans import write_plans
+from bench.training import BenchTrainer
+from bench.versions import Versions
+from ladder_standins.fleet import Fleet, Layout
+from ladder_standins.network import NETWORK_PATH, LinkUse, Network
+from ladder_standins.operator import apply_lists
+
+_PLATFORM = ('table', 'objects', 'weights', 'hosts')
+
+
+class Session:
+    """
+    Run one variant on one deployment with one seed.
+
+    Parameters
+    ----------
+    experiment : Experiment
+        What to run.
+    deployment : DeploymentName
+        Where.
+    variant : Variant
+        How decisions are taken.
+    folder : Path
+        Takes settings, logs and records of the processes.
+
+    """
+
+    def __init__(
+        self,
+        experiment: Experiment,
+        deployment: DeploymentName,
+        variant: Variant,
+        folder: Path,
+    ) -> None:
+        self._experiment = experiment
+        self._name = deployment
+        self._deployment = DEPLOYMENTS[deployment]
+        self._variant = variant
+        self._layout = self._deployment.make_layout(
+            experiment.speed,
+            variant.policies.model_dump(mode='json'),
+        )
+        self._networks = self._make_networks(self._layout)
+        self._fleet = Fleet(self._layout, folder)
+        self._folder = folder
+
+    async def run(self, seed: int) -> Outcome:
+        """Run with a seed and return the measures."""
+        async with self._start():
+            begin = time.monotonic()
+            versions = Versions(self._fleet.controls)
+            trainers = self._make_trainers(versions, seed)
+            load = self._make_load(seed)
+            await self._run_all(trainers, load, versions)
+            elapsed = time.monotonic() - begin
+            record = RunRecord(
+                variant=self._variant.name,
+                seed=seed,
+                logs=tuple(trainer.log for trainer in trainers),
+                load=load,
+                link_bytes=await self._count_link_bytes(),
+                engine_seconds=elapsed * self._deployment.engines,
+            )
+        return measure(
+            self._experiment,
+            self._deployment,
+            self._name.value,
+            record,
+        )
+
+    @contextlib.asynccontextmanager
+    async def _start(self) -> AsyncIterator[None]:
+        try:
+            await self._prepare()
+            yield
+        finally:
+            await self._fleet.close()
+
+    async def _prepare(self) -> None:
+        await self._fleet.start()
+        for name, network in self._networks.items():
+            await self._fleet.controls.send(name, 'PUT', NETWORK_PATH, network)
+        await self._apply_plans()
+
+    async def _apply_plans(self) -> None:
+        files = write_plans(self._folder, self._experiment, self._deployment)
+        status = await apply_lists(self._fleet, files)
+        if status:
+            raise RuntimeError(f'the lists were not applied: status {status}')
+        for node in self._layout.nodes:
+            await self._fleet.controls.wait_answer(node.name, '/readyz')
+
+    async def _run_all(
+        self,
+        trainers: list[BenchTrainer],
+        load: InteractiveLoad,
+        versions: Versions,
+    ) -> None:
+        schedule = FaultSchedule(
+            self._fleet,
+            self._networks,
+            versions,
+            self._experiment.speed,
+        )
+        aside = (
+            asyncio.create_task(load.run()),
+            asyncio.create_task(schedule.run(self._experiment.faults)),
+        )
+        try:
+            async with asyncio.timeout(self._experiment.limit_seconds):
+                await asyncio.gather(*(trainer.run() for trainer in trainers))
+        except TimeoutError:
+            # What the trainers lack then counts as lost.
+            return
+        finally:
+            for task in aside:
+                task.cancel()
+            await asyncio.wait(aside)
+
+    def _make_trainers(
+        self,
+        versions: Versions,
+        seed: int,
+    ) -> list[BenchTrainer]:
+        addresses = self._list_addresses()
+        trainers = []
+        for number, model in enumerate(self._experiment.trainers):
+            # Each trainer keeps to an entry host of its own.
+            turned = addresses[number:] + addresses[:number]
+            trainers.append(
+                BenchTrainer(
+                    model,
+                    turned,
+                    versions,
+                    seed,
+                    self._experiment.speed,
+                ),
+            )
+        return trainers
+
+    def _make_load(self, seed: int) -> InteractiveLoad:
+        return InteractiveLoad(
+            self._experiment.interactive,
+            self._list_addresses(),
+            seed,
+            self._experiment.speed,
+            self._deployment.clients_ms,
+        )
+
+    def _list_addresses(self) -> list[str]:
+        return [
+            self._fleet.processes.find_address(node.name)
+            for node in self._layout.nodes
+        ]
+
+    def _make_networks(self, layout: Layout) -> dict[str, Network]:
+        home = self._deployment.places[0]
+        networks = {
+            name: self._deployment.make_network(home.region, home.data_centre)
+            for name in _PLATFORM
+        }
+        for engine in layout.engines:
+            networks[engine.name] = self._deployment.make_network(
+                engine.region,
+                engine.data_centre,
+            )
+        for number, node in enumerate(layout.nodes[: layout.services], 1):
+            networks[f'service-{number}'] = self._deployment.make_network(
+                node.region,
+                node.data_centre,
+            )
+        networks['scorer-1'] = networks['table']
+        return networks
+
+    async def _count_link_bytes(self) -> int:
+        total = 0
+        for name in self._networks:
+            if name in self._fleet.processes.names:
+                answer = await self._fleet.controls.send(
+                    name,
+                    'GET',
+                    NETWORK_PATH,
+                )
+                total += msgspec.json.decode(answer, type=LinkUse).link_bytes
+        return total
--- /dev/null
+++ b/bench/versions.py
@@ -0,0 +1,36 @@
+"""The weight versions of a run and when they were published."""
+
+import time
+
+from bench.deployments import MODEL
+from ladder_standins.fleet import Controls
+
+
+class Versions:
+    """
+    Publish versions and remember when.
+
+    Parameters
+    ----------
+    controls : Controls
+        Orders to the weight store.
+
+    """
+
+    def __init__(self, controls: Controls) -> None:
+        self._controls = controls
+        self._times = [time.monotonic()]
+
+    @property
+    def newest(self) -> int:
+        """The newest published version."""
+        return len(self._times) - 1
+
+    async def publish(self) -> None:
+        """Publish the next version."""
+        self._times.append(time.monotonic())
+        await self._controls.publish(MODEL, self.newest)
+
+    def find_age(self, version: int, trainer_version: int) -> float:
+        """Return the seconds between the publications of two versions."""
+        return self._times[trainer_version] - self._times[version]
