--- a/packages/node/ladder_node/app/tree.py
+++ b/packages/node/ladder_node/app/tree.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ladder_core.settings import NodeSettings
+from ladder_core.settings import NodeSettings, RoutingPolicy
 from ladder_core.supervision import Supervisor
 from ladder_core.timeline import HybridClock, TimeLine
 from ladder_core.timers import SystemTimerService, TimerService
@@ -28,7 +28,11 @@
 from ladder_node.peers import LeavingTargets, PauseGuard
 from ladder_node.steps import StepRegistry
 from ladder_node.targets import TargetTable, TargetWatcher
-from ladder_policy.routing import LeastLoadedChooser
+from ladder_policy.routing import (
+    LeastLoadedChooser,
+    RoundRobinChooser,
+    TargetChooser,
+)
 
 _ASK_SECONDS = 1
 
@@ -135,7 +139,7 @@
     generations = GenerationDispatcher(
         targets,
         clients.engines,
-        LeastLoadedChooser(),
+        _make_chooser(settings.policies.routing),
         timers,
     )
     services = PlainDispatcher(targets, clients.services)
@@ -159,3 +163,9 @@
         nodes=peers.nodes,
         drain=peers.drain,
     )
+
+
+def _make_chooser(policy: RoutingPolicy) -> TargetChooser:
+    if policy is RoutingPolicy.round_robin:
+        return RoundRobinChooser()
+    return LeastLoadedChooser()
