Hold duties by leases with epochs, renewed by one write a node

Cause: duties ran on every node at once; nothing fenced a paused holder. Weighed: renewing each lease's own row (a write per lease and period, and a guard that goes stale with each renewal) against one heartbeat row per process. Taken: the lease row changes only with its holder, so its revision is a stable guard; one heartbeat write renews all; a taker requires both rows unchanged for a term on its own clock.

--- a/packages/clients/ladder_clients/table/__init__.py
+++ b/packages/clients/ladder_clients/table/__init__.py
@@ -1,6 +1,7 @@
 """The table service."""
 
 from ladder_clients.table.base import TableClient
+from ladder_clients.table.errors import StoreOutcomeUnknownError
 from ladder_clients.table.http import HttpTableClient
 from ladder_clients.table.wire import (
     Condition,
@@ -15,6 +16,7 @@
     'HttpTableClient',
     'Outcome',
     'Row',
+    'StoreOutcomeUnknownError',
     'TableClient',
     'Transaction',
     'Write',
--- a/packages/node/ladder_node/app/tree.py
+++ b/packages/node/ladder_node/app/tree.py
@@ -7,7 +7,7 @@
 from ladder_node.app.clients import Clients, make_clients
 from ladder_node.configuration import ConfigurationKeeper
 from ladder_node.dispatch import GenerationDispatcher, PlainDispatcher
-from ladder_node.duties import WeightDuty
+from ladder_node.duties import Holder, LeaseKeeper, WeightDuty
 from ladder_node.entry import EntryParts, EntryServer, make_entry_app
 from ladder_node.steps import StepRegistry
 from ladder_node.targets import TargetTable, TargetWatcher
@@ -42,6 +42,7 @@
         ),
     )
     root.add(parts.configuration)
+    root.add(parts.leases)
     root.add(
         WeightDuty(
             parts.targets,
@@ -76,4 +77,10 @@
         generations=generations,
         services=services,
         steps=StepRegistry(generations, services, timers, timeline),
+        leases=LeaseKeeper(
+            clients.table,
+            Holder(settings.name, settings.entry_address),
+            timers,
+            timeline,
+        ),
     )
--- /dev/null
+++ b/packages/node/ladder_node/duties/keeper.py
@@ -0,0 +1,247 @@
+"""Acquire, renew and release the leases of one node."""
+
+from collections.abc import Iterable
+
+from loguru import logger
+from prometheus_client import Counter, Gauge
+
+from ladder_clients.table import Outcome, StoreOutcomeUnknownError, TableClient
+from ladder_core.errors import StoreUnavailableError
+from ladder_core.supervision import Service
+from ladder_core.timeline import TimeLine
+from ladder_core.timers import Subscription, TimerService
+from ladder_node.duties.lease import Lease
+from ladder_node.duties.lease_store import Grant, Holder, LeaseStore
+from ladder_node.duties.lease_watch import ExpiryWatch
+
+LEASE_SECONDS = 15
+_MARGIN_SECONDS = 1
+_RENEWAL_SECONDS = 3
+_STORE_ERRORS = (StoreUnavailableError, StoreOutcomeUnknownError)
+
+_held_gauge = Gauge('ladder_leases_held', 'Leases held by this node')
+_acquired_counter = Counter(
+    'ladder_leases_acquired_total',
+    'Leases acquired by this node',
+)
+_lost_counter = Counter(
+    'ladder_leases_lost_total',
+    'Leases that ended without a release',
+    ('reason',),
+)
+_failed_renewals_counter = Counter(
+    'ladder_lease_renewals_failed_total',
+    'Renewals that the table service did not confirm',
+)
+
+
+class LeaseKeeper(Service):
+    """
+    Hold leases for the duties of one node.
+
+    Parameters
+    ----------
+    table : TableClient
+        The table service.
+    node : Holder
+        This node's name and entry address.
+    timers : TimerService
+        This node's clock.
+    timeline : TimeLine
+        Takes each change of hands.
+
+    Notes
+    -----
+    A lease is valid for `LEASE_SECONDS` less a margin, counted from before
+    its renewal was sent. Another node takes it after it has seen the
+    lease's and the heartbeat's rows unchanged for `LEASE_SECONDS`, under
+    the condition that both still are. The margin covers the drift between
+    two clocks within one term.
+
+    """
+
+    def __init__(
+        self,
+        table: TableClient,
+        node: Holder,
+        timers: TimerService,
+        timeline: TimeLine,
+    ) -> None:
+        self._store = LeaseStore(table, node)
+        self._timers = timers
+        self._timeline = timeline
+        self._watch = ExpiryWatch(timers)
+        self._held: dict[str, Lease] = {}
+        self._acquiring: set[str] = set()
+        self._subscription: Subscription | None = None
+
+    async def start(self) -> None:
+        """Begin to renew what is held."""
+        self._subscription = self._timers.subscribe(
+            _RENEWAL_SECONDS,
+            self.renew,
+        )
+
+    async def close(self) -> None:
+        """Stop renewing and release everything together."""
+        if self._subscription is None:
+            return
+        await self._subscription.close()
+        self._subscription = None
+        await self._release(tuple(self._held.values()))
+        try:
+            await self._store.forget_heartbeat()
+        except _STORE_ERRORS as error:
+            logger.warning('heartbeat not deleted: {}', error)
+
+    async def acquire(self, name: str) -> Lease | None:
+        """
+        Take a lease that is free, released or run out.
+
+        Parameters
+        ----------
+        name : str
+            Name of the duty.
+
+        Returns
+        -------
+        Lease or None
+            The lease; the same one while this node holds it. None if it may
+            be another holder's, or the table service did not confirm it.
+
+        """
+        held = self._held.get(name)
+        if held is not None and held.is_valid():
+            return held
+        if name in self._acquiring:
+            return None
+        if held is not None:
+            self._lose(held, 'expired')
+        self._acquiring.add(name)
+        try:
+            return await self._acquire(name)
+        except _STORE_ERRORS as error:
+            logger.warning('lease {} not acquired: {}', name, error)
+            return None
+        finally:
+            self._acquiring.discard(name)
+
+    async def find_holder(self, name: str) -> Holder | None:
+        """
+        Return the node that the table names as a lease's holder, or None.
+
+        Raises
+        ------
+        StoreUnavailableError
+            The table service does not answer.
+
+        """
+        return await self._store.find_holder(name)
+
+    async def renew(self) -> None:
+        """Renew all held leases by one write; drop those taken by others."""
+        while self._held:
+            leases = tuple(self._held.values())
+            sent = self._timers.now()
+            try:
+                outcome = await self._store.renew(leases)
+            except _STORE_ERRORS as error:
+                _failed_renewals_counter.inc()
+                logger.warning('leases not renewed: {}', error)
+                return
+            if outcome.committed:
+                _extend(leases, sent)
+                return
+            for lease in _select_taken(leases, outcome):
+                self._lose(lease, 'taken')
+
+    async def _acquire(self, name: str) -> Lease | None:
+        reading = await self._store.read(name)
+        if reading.is_foreign:
+            unchanged = self._watch.observe(name, reading.conditions)
+            if unchanged < LEASE_SECONDS:
+                return None
+        sent = self._timers.now()
+        grant = await self._store.take(reading)
+        if grant is None:
+            return None
+        return self._hold(name, grant, sent, reading.content.holder)
+
+    def _hold(
+        self,
+        name: str,
+        grant: Grant,
+        sent: float,
+        previous: str,
+    ) -> Lease:
+        lease = Lease(
+            name,
+            grant.epoch,
+            grant.revision,
+            self._timers,
+            self._release_one,
+        )
+        _extend((lease,), sent)
+        self._held[name] = lease
+        self._watch.forget(name)
+        _acquired_counter.inc()
+        _held_gauge.set(len(self._held))
+        self._timeline.record(
+            'lease-acquired',
+            name,
+            epoch=grant.epoch,
+            previous=previous,
+        )
+        return lease
+
+    def _lose(self, lease: Lease, reason: str) -> None:
+        self._drop(lease)
+        _lost_counter.labels(reason).inc()
+        self._timeline.record(
+            'lease-lost',
+            lease.name,
+            epoch=lease.epoch,
+            reason=reason,
+        )
+
+    def _drop(self, lease: Lease) -> None:
+        lease.end()
+        if self._held.get(lease.name) is lease:
+            self._held.pop(lease.name)
+        _held_gauge.set(len(self._held))
+
+    async def _release_one(self, lease: Lease) -> None:
+        if self._held.get(lease.name) is lease:
+            await self._release((lease,))
+
+    async def _release(self, leases: tuple[Lease, ...]) -> None:
+        for lease in leases:
+            self._drop(lease)
+            self._timeline.record(
+                'lease-released',
+                lease.name,
+                epoch=lease.epoch,
+            )
+        while leases:
+            try:
+                outcome = await self._store.release(leases)
+            except _STORE_ERRORS as error:
+                logger.warning('leases not released, they run out: {}', error)
+                return
+            if outcome.committed:
+                return
+            taken = _select_taken(leases, outcome)
+            leases = tuple(lease for lease in leases if lease not in taken)
+
+
+def _extend(leases: Iterable[Lease], sent: float) -> None:
+    for lease in leases:
+        lease.extend(sent + LEASE_SECONDS - _MARGIN_SECONDS)
+
+
+def _select_taken(
+    leases: Iterable[Lease],
+    outcome: Outcome,
+) -> list[Lease]:
+    taken = {row.key for row in outcome.conflicts}
+    return [lease for lease in leases if lease.name in taken]
--- /dev/null
+++ b/packages/node/ladder_node/duties/lease_rows.py
@@ -0,0 +1,85 @@
+"""
+Rows of leases in the table service.
+
+Notes
+-----
+A lease's row is written when the lease changes hands, and only then, so its
+revision is stable while one holder has it: a duty makes its writes
+conditional on that revision. A holder renews all of its leases by one write
+of its heartbeat row, whatever their number.
+
+"""
+
+import msgspec
+
+from ladder_clients.table import Condition, Row, Write
+
+LEASES_TABLE = 'leases'
+HEARTBEATS_TABLE = 'heartbeats'
+
+
+class LeaseRow(msgspec.Struct, frozen=True):
+    """
+    Content of a lease's row.
+
+    Attributes
+    ----------
+    holder : str
+        Name of the holding node; empty for a released lease.
+    address : str
+        ``ip:port`` of the holder for callers.
+    incarnation : str
+        Key of the holder's heartbeat row; another one after each start of a
+        node's process.
+    epoch : int
+        Counts the acquisitions of the lease; its fencing token.
+
+    """
+
+    holder: str = ''
+    address: str = ''
+    incarnation: str = ''
+    epoch: int = 0
+
+
+class Heartbeat(msgspec.Struct, frozen=True):
+    """
+    Content of a holder's heartbeat row.
+
+    Attributes
+    ----------
+    holder : str
+        Name of the node.
+    count : int
+        Counts the renewals of the node's process.
+
+    """
+
+    holder: str
+    count: int
+
+
+def decode_lease(row: Row | None) -> LeaseRow:
+    """Return the content of a lease's row; a free lease for an absent row."""
+    if row is None:
+        return LeaseRow()
+    return msgspec.json.decode(row.body, type=LeaseRow)
+
+
+def make_lease_write(name: str, content: LeaseRow) -> Write:
+    """Return the write of a lease's row."""
+    return Write(LEASES_TABLE, name, _encode(content))
+
+
+def make_heartbeat_write(incarnation: str, heartbeat: Heartbeat) -> Write:
+    """Return the write of a holder's heartbeat row."""
+    return Write(HEARTBEATS_TABLE, incarnation, _encode(heartbeat))
+
+
+def require_revision(table: str, key: str, row: Row | None) -> Condition:
+    """Return the condition that a row is still as it was read."""
+    return Condition(table, key, row.revision if row else 0)
+
+
+def _encode(content: msgspec.Struct) -> str:
+    return msgspec.json.encode(content).decode()
--- /dev/null
+++ b/packages/node/ladder_node/duties/lease_store.py
@@ -0,0 +1,212 @@
+"""The transactions over the rows of leases."""
+
+import uuid
+from dataclasses import dataclass
+
+from ladder_clients.table import (
+    Condition,
+    Outcome,
+    TableClient,
+    Transaction,
+    Write,
+)
+from ladder_node.duties.lease import Lease, guard
+from ladder_node.duties.lease_rows import (
+    HEARTBEATS_TABLE,
+    LEASES_TABLE,
+    Heartbeat,
+    LeaseRow,
+    decode_lease,
+    make_heartbeat_write,
+    make_lease_write,
+    require_revision,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Holder:
+    """
+    Who holds a lease.
+
+    Attributes
+    ----------
+    name : str
+        Name of the node.
+    address : str
+        ``ip:port`` of the node for callers.
+    epoch : int
+        Fencing token of its acquisition.
+
+    """
+
+    name: str
+    address: str
+    epoch: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseReading:
+    """
+    A lease as it was read.
+
+    Attributes
+    ----------
+    name : str
+        Name of the lease.
+    content : LeaseRow
+        The lease's row.
+    conditions : tuple of Condition
+        Hold while the lease has neither changed hands nor been renewed.
+    is_foreign : bool
+        Whether another process holds it or held it last.
+
+    """
+
+    name: str
+    content: LeaseRow
+    conditions: tuple[Condition, ...]
+    is_foreign: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """
+    A lease as it was taken.
+
+    Attributes
+    ----------
+    epoch : int
+        Fencing token of the acquisition.
+    revision : int
+        Revision of the lease's row after the acquisition.
+
+    """
+
+    epoch: int
+    revision: int
+
+
+class LeaseStore:
+    """
+    Read and write the rows of leases for one process.
+
+    Parameters
+    ----------
+    table : TableClient
+        The table service.
+    node : Holder
+        This node's name and entry address.
+
+    """
+
+    def __init__(self, table: TableClient, node: Holder) -> None:
+        self._table = table
+        self._node = node
+        self._incarnation = f'{node.name}.{uuid.uuid4().hex}'
+        self._renewals = 0
+
+    async def read(self, name: str) -> LeaseReading:
+        """
+        Read a lease, and its holder's heartbeat if that is another process.
+
+        Raises
+        ------
+        StoreUnavailableError
+            The table service does not answer.
+
+        """
+        row = await self._table.read(LEASES_TABLE, name)
+        content = decode_lease(row)
+        own = require_revision(LEASES_TABLE, name, row)
+        key = content.incarnation
+        if not content.holder or key == self._incarnation:
+            return LeaseReading(name, content, (own,), is_foreign=False)
+        heartbeat = await self._table.read(HEARTBEATS_TABLE, key)
+        renewed = require_revision(HEARTBEATS_TABLE, key, heartbeat)
+        return LeaseReading(name, content, (own, renewed), is_foreign=True)
+
+    async def take(self, reading: LeaseReading) -> Grant | None:
+        """
+        Take a lease if it is still as it was read.
+
+        Raises
+        ------
+        StoreUnavailableError
+            Nothing was taken.
+        StoreOutcomeUnknownError
+            The lease may be taken; this process may take it again at once.
+
+        """
+        content = LeaseRow(
+            self._node.name,
+            self._node.address,
+            self._incarnation,
+            reading.content.epoch + 1,
+        )
+        write = make_lease_write(reading.name, content)
+        outcome = await self._commit(reading.conditions, (write,))
+        if not outcome.committed:
+            return None
+        return Grant(content.epoch, reading.conditions[0].revision + 1)
+
+    async def renew(self, leases: tuple[Lease, ...]) -> Outcome:
+        """
+        Renew leases by one write of the heartbeat row.
+
+        Raises
+        ------
+        StoreUnavailableError, StoreOutcomeUnknownError
+            The renewal is not confirmed.
+
+        """
+        self._renewals += 1
+        heartbeat = Heartbeat(self._node.name, self._renewals)
+        write = make_heartbeat_write(self._incarnation, heartbeat)
+        conditions = tuple(guard(lease) for lease in leases)
+        return await self._commit(conditions, (write,))
+
+    async def release(self, leases: tuple[Lease, ...]) -> Outcome:
+        """
+        Mark leases as free; their epochs stay.
+
+        Raises
+        ------
+        StoreUnavailableError, StoreOutcomeUnknownError
+            The leases run out instead.
+
+        """
+        conditions = tuple(guard(lease) for lease in leases)
+        writes = tuple(
+            make_lease_write(lease.name, LeaseRow(epoch=lease.epoch))
+            for lease in leases
+        )
+        return await self._commit(conditions, writes)
+
+    async def forget_heartbeat(self) -> None:
+        """Delete the heartbeat row of a process that holds nothing."""
+        await self._commit(
+            (), (Write(HEARTBEATS_TABLE, self._incarnation, None),)
+        )
+
+    async def find_holder(self, name: str) -> Holder | None:
+        """
+        Return the node that a lease's row names, or None.
+
+        Raises
+        ------
+        StoreUnavailableError
+            The table service does not answer.
+
+        """
+        content = decode_lease(await self._table.read(LEASES_TABLE, name))
+        if not content.holder:
+            return None
+        return Holder(content.holder, content.address, content.epoch)
+
+    async def _commit(
+        self,
+        conditions: tuple[Condition, ...],
+        writes: tuple[Write, ...],
+    ) -> Outcome:
+        token = uuid.uuid4().hex
+        return await self._table.commit(Transaction(token, conditions, writes))
--- /dev/null
+++ b/packages/node/ladder_node/duties/tests/test_lease.py
@@ -0,0 +1,298 @@
+import asyncio
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ladder_clients.table import TableClient, Transaction, Write
+from ladder_core.errors import LadderError
+from ladder_core.timeline import HybridClock, HybridTime, TimeLine
+from ladder_core.timers import ManualTimerService, TimerService
+from ladder_node.duties import (
+    LEASE_SECONDS,
+    Holder,
+    LeaseKeeper,
+    delay_acquisition,
+    guard,
+    rank_node,
+)
+from ladder_standins.memory import Fate, MemoryTable, Weather
+from ladder_standins.rows import TableRows
+
+DUTY = 'pool/brewmind'
+
+
+class NodeTimers(TimerService):
+    """A node's own clock: offset, drifting, and still while it is paused."""
+
+    def __init__(self, base, offset=0, rate=1):
+        self.running = asyncio.Event()
+        self.running.set()
+        self._base = base
+        self._offset = offset
+        self._rate = rate
+
+    def now(self):
+        return self._offset + self._base.now() * self._rate
+
+    async def sleep(self, seconds):
+        await self._base.sleep(seconds / self._rate)
+        await self.running.wait()
+
+    def wall_milliseconds(self):
+        return 0
+
+
+class PausableTable(TableClient):
+    """Calls go on in the network while the calling node is paused."""
+
+    def __init__(self, table, running):
+        self._table = table
+        self._running = running
+
+    async def read(self, table, key):
+        return await self._resume(self._table.read(table, key))
+
+    async def scan(self, table, prefix=''):
+        return await self._resume(self._table.scan(table, prefix))
+
+    async def commit(self, transaction):
+        return await self._resume(self._table.commit(transaction))
+
+    async def read_outcome(self, token):
+        return await self._resume(self._table.read_outcome(token))
+
+    async def _resume(self, call):
+        try:
+            return await call
+        finally:
+            await self._running.wait()
+
+
+class Node:
+    """One node that wants a lease and writes under it."""
+
+    def __init__(self, name, rows, base, draw, is_guarded=True):
+        self.timers = NodeTimers(
+            base,
+            draw.uniform(0, 1000),
+            draw.uniform(0.98, 1.02),
+        )
+        self.network = MemoryTable(rows, base, lambda: draw_weather(draw))
+        self.table = PausableTable(self.network, self.timers.running)
+        self.lease = None
+        self.timeline = TimeLine(name, HybridClock(self.timers))
+        self.keeper = LeaseKeeper(
+            self.table,
+            Holder(name, f'{name}:1'),
+            self.timers,
+            self.timeline,
+        )
+        self._is_guarded = is_guarded
+        self._draw = draw
+        self._subscription = None
+
+    async def start(self):
+        await self.keeper.start()
+        self._subscription = self.timers.subscribe(1, self._work)
+
+    async def close(self):
+        self.timers.running.set()
+        if self._subscription is not None:
+            await self._subscription.close()
+        await self.keeper.close()
+        await self.network.close()
+
+    async def _work(self):
+        self.lease = await self.keeper.acquire(DUTY)
+        if self.lease is None:
+            return
+        conditions = (guard(self.lease),) if self._is_guarded else ()
+        write = Write('work', DUTY, str(self.lease.epoch))
+        token = f'{self._draw.random()}'
+        try:
+            await self.table.commit(Transaction(token, conditions, (write,)))
+        except LadderError:
+            return
+
+
+def draw_weather(draw):
+    fate = draw.choices(tuple(Fate), (8, 1, 1, 1))[0]
+    slowness = draw.choice((0, 0, 0.3, 5))
+    return Weather(
+        fate,
+        before=draw.random() * slowness,
+        after=draw.random() * slowness,
+        lateness=draw.random() * 30,
+    )
+
+
+async def finish(timers, work):
+    """Let time pass until the work is done."""
+    task = asyncio.create_task(work)
+    while not task.done():
+        await timers.advance(1)
+    await task
+
+
+async def run_schedule(seed, is_guarded=True):
+    """Run three nodes for four minutes; return overlaps, epochs, holders."""
+    draw = random.Random(seed)
+    base = ManualTimerService()
+    written = []
+
+    def note(kind, subject, **fields):
+        if subject.startswith('work/'):
+            written.append(int(fields['body']))
+
+    rows = TableRows(note)
+    nodes = [
+        Node(f'node-{one}', rows, base, draw, is_guarded) for one in range(3)
+    ]
+    for node in nodes:
+        await node.start()
+    overlaps = 0
+    holders = set()
+    for _ in range(480):
+        await base.advance(0.5)
+        valid = [
+            node.timeline
+            for node in nodes
+            if node.lease is not None and node.lease.is_valid()
+        ]
+        overlaps += len(valid) > 1
+        holders.update(valid)
+        for node in nodes:
+            move = draw.random()
+            if move < 0.02:
+                node.timers.running.clear()
+            elif move < 0.06:
+                node.timers.running.set()
+    for node in nodes:
+        await finish(base, node.close())
+    return overlaps, written, holders
+
+
+@settings(derandomize=True, max_examples=40, deadline=None)
+@given(seed=st.integers(0, 1 << 32))
+async def test_no_two_leases_are_valid_and_no_old_epoch_writes(seed):
+    overlaps, written, _ = await run_schedule(seed)
+    assert not overlaps
+    assert written == sorted(written)
+
+
+async def test_the_drawn_schedules_move_leases_and_break_unguarded_writes():
+    changes = 0
+    is_broken = False
+    for seed in range(12):
+        _, written, holders = await run_schedule(seed, is_guarded=False)
+        changes += len(holders) > 1
+        is_broken = is_broken or written != sorted(written)
+    assert changes > 6
+    assert is_broken
+
+
+def make_keeper(name, rows, timers, forecast=Weather):
+    return LeaseKeeper(
+        MemoryTable(rows, timers, forecast),
+        Holder(name, f'{name}:1'),
+        timers,
+        TimeLine(name, HybridClock(timers)),
+    )
+
+
+def ignore_write(kind, subject, **fields):
+    """Note nothing."""
+
+
+async def test_lease_of_a_lost_holder_is_taken_with_a_higher_epoch():
+    timers = ManualTimerService()
+    rows = TableRows(ignore_write)
+    first = make_keeper('a', rows, timers)
+    second = make_keeper('b', rows, timers)
+    lease = await first.acquire(DUTY)
+    assert lease.is_valid()
+    assert await second.acquire(DUTY) is None
+    assert (await second.find_holder(DUTY)) == Holder('a', 'a:1', 1)
+    await timers.advance(LEASE_SECONDS - 1)
+    assert not lease.is_valid()
+    assert await second.acquire(DUTY) is None
+    await timers.advance(1)
+    taken = await second.acquire(DUTY)
+    assert taken.epoch == lease.epoch + 1
+    await first.renew()
+    assert not lease.is_valid()
+    assert await first.acquire(DUTY) is None
+
+
+async def test_renewals_of_many_leases_are_one_write_a_period():
+    timers = ManualTimerService()
+    writes = []
+    rows = TableRows(lambda kind, subject, **fields: writes.append(subject))
+    keeper = make_keeper('a', rows, timers)
+    await keeper.start()
+    leases = [await keeper.acquire(f'duty-{one}') for one in range(20)]
+    writes.clear()
+    await timers.advance(60)
+    assert all(lease.is_valid() for lease in leases)
+    assert len(writes) == 20
+    assert len(set(writes)) == 1
+    await keeper.close()
+
+
+async def test_released_leases_are_free_at_once_although_one_was_taken():
+    timers = ManualTimerService()
+    rows = TableRows(ignore_write)
+    first = make_keeper('a', rows, timers)
+    await first.start()
+    for name in ('kept', 'stolen'):
+        await first.acquire(name)
+    body = '{"holder":"c","address":"","incarnation":"c.1","epoch":2}'
+    theft = Write('leases', 'stolen', body)
+    rows.commit(Transaction('theft', writes=(theft,)))
+    await first.close()
+    second = make_keeper('b', rows, timers)
+    assert (await second.acquire('kept')).epoch == 2
+    assert await second.acquire('stolen') is None
+
+
+async def test_slow_store_of_five_seconds_a_call_keeps_leases():
+    timers = ManualTimerService()
+    rows = TableRows(ignore_write)
+    forecasts = iter([Weather(), Weather()])
+    slow = Weather(before=2.5, after=2.5)
+    keeper = make_keeper('a', rows, timers, lambda: next(forecasts, slow))
+    await keeper.start()
+    lease = await keeper.acquire(DUTY)
+    for _ in range(120):
+        await timers.advance(0.5)
+        assert lease.is_valid()
+    await finish(timers, keeper.close())
+
+
+async def test_lost_answer_of_an_acquisition_is_followed_by_another():
+    timers = ManualTimerService()
+    rows = TableRows(ignore_write)
+    forecasts = iter([Weather(), Weather(Fate.answer_lost)])
+    keeper = make_keeper('a', rows, timers, lambda: next(forecasts, Weather()))
+    assert await keeper.acquire(DUTY) is None
+    lease = await keeper.acquire(DUTY)
+    assert lease.epoch == 2
+    events = keeper._timeline.read(HybridTime(), 9)
+    assert [event.kind for event in events] == ['lease-acquired']
+
+
+def test_a_lost_node_moves_its_own_duties_only():
+    nodes = [f'node-{one}' for one in range(10)]
+    duties = [f'duty-{one}' for one in range(200)]
+
+    def find_first(duty, live):
+        return min(live, key=lambda node: rank_node(duty, node, live))
+
+    before = {duty: find_first(duty, nodes) for duty in duties}
+    after = {duty: find_first(duty, nodes[1:]) for duty in duties}
+    moved = [duty for duty in duties if before[duty] != after[duty]]
+    assert moved == [duty for duty in duties if before[duty] == nodes[0]]
+    assert {delay_acquisition(duties[0], node, nodes) for node in nodes} == set(
+        range(10),
+    )
--- a/packages/node/ladder_node/entry/parts.py
+++ b/packages/node/ladder_node/entry/parts.py
@@ -7,6 +7,7 @@
 from ladder_core.timers import TimerService
 from ladder_node.configuration import ConfigurationKeeper
 from ladder_node.dispatch import GenerationDispatcher, PlainDispatcher
+from ladder_node.duties import LeaseKeeper
 from ladder_node.steps import StepRegistry
 from ladder_node.targets import TargetTable
 
@@ -34,6 +35,8 @@
         Calls plain services.
     steps : StepRegistry
         The open steps.
+    leases : LeaseKeeper
+        The leases of this node's duties.
 
     """
 
@@ -45,3 +48,4 @@
     generations: GenerationDispatcher
     services: PlainDispatcher
     steps: StepRegistry
+    leases: LeaseKeeper
--- /dev/null
+++ b/standins/ladder_standins/memory.py
@@ -0,0 +1,148 @@
+"""A client of a table in the same process, for tests on a manual clock."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+
+from ladder_clients.table import (
+    Outcome,
+    Row,
+    StoreOutcomeUnknownError,
+    TableClient,
+    Transaction,
+)
+from ladder_core.errors import StoreUnavailableError
+from ladder_core.timers import TimerService
+from ladder_standins.rows import TableRows
+
+
+class Fate(StrEnum):
+    """What becomes of one call."""
+
+    answered = 'answered'
+    refused = 'refused'
+    answer_lost = 'answer-lost'
+    late_effect = 'late-effect'
+
+
+@dataclass(frozen=True, slots=True)
+class Weather:
+    """
+    How one call goes.
+
+    Attributes
+    ----------
+    fate : Fate
+        What becomes of it.
+    before, after : float
+        Seconds until its effect, and from there to its answer.
+    lateness : float
+        Seconds from the caller's error to a late effect.
+
+    """
+
+    fate: Fate = Fate.answered
+    before: float = 0
+    after: float = 0
+    lateness: float = 0
+
+
+class MemoryTable(TableClient):
+    """
+    Calls to rows in memory that go as the weather has it.
+
+    Parameters
+    ----------
+    rows : TableRows
+        The rows, shared by the clients of all nodes.
+    timers : TimerService
+        Clock of the network.
+    forecast : callable
+        Called for the weather of each call.
+
+    """
+
+    def __init__(
+        self,
+        rows: TableRows,
+        timers: TimerService,
+        forecast: Callable[[], Weather] = Weather,
+    ) -> None:
+        self._rows = rows
+        self._timers = timers
+        self._forecast = forecast
+        self._late: set[asyncio.Task[None]] = set()
+
+    async def read(self, table: str, key: str) -> Row | None:
+        """Return one row, or None if it is absent."""
+        weather = await self._begin_read()
+        row = self._rows.find(table, key)
+        await self._timers.sleep(weather.after)
+        return row
+
+    async def scan(self, table: str, prefix: str = '') -> list[Row]:
+        """Return the rows whose keys start with a prefix."""
+        weather = await self._begin_read()
+        rows = self._rows.scan(table, prefix)
+        await self._timers.sleep(weather.after)
+        return rows
+
+    async def commit(self, transaction: Transaction) -> Outcome:
+        """Apply a transaction."""
+        weather = self._forecast()
+        await self._timers.sleep(weather.before)
+        if weather.fate is Fate.refused:
+            raise _make_unavailable()
+        if weather.fate is Fate.late_effect:
+            self._schedule(transaction, weather.lateness)
+            raise _make_unknown(transaction)
+        outcome = self._rows.commit(transaction)
+        await self._timers.sleep(weather.after)
+        if weather.fate is Fate.answer_lost:
+            raise _make_unknown(transaction)
+        return outcome
+
+    async def read_outcome(self, token: str) -> Outcome | None:
+        """Return the outcome of a transaction."""
+        weather = await self._begin_read()
+        outcome = self._rows.find_outcome(token)
+        await self._timers.sleep(weather.after)
+        return outcome
+
+    async def close(self) -> None:
+        """Forget the late effects that are still to come."""
+        for task in self._late:
+            task.cancel()
+        await asyncio.gather(*self._late, return_exceptions=True)
+
+    async def _begin_read(self) -> Weather:
+        weather = self._forecast()
+        await self._timers.sleep(weather.before)
+        if weather.fate is not Fate.answered:
+            raise _make_unavailable()
+        return weather
+
+    def _schedule(self, transaction: Transaction, seconds: float) -> None:
+        task = asyncio.create_task(self._commit_late(transaction, seconds))
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+
+    async def _commit_late(
+        self,
+        transaction: Transaction,
+        seconds: float,
+    ) -> None:
+        await self._timers.sleep(seconds)
+        self._rows.commit(transaction)
+
+
+def _make_unavailable() -> StoreUnavailableError:
+    return StoreUnavailableError('the table is down', remedy='wait')
+
+
+def _make_unknown(transaction: Transaction) -> StoreOutcomeUnknownError:
+    return StoreOutcomeUnknownError(
+        f'the answer of {transaction.token} was lost',
+        remedy='read its outcome back',
+    )
