--- a/packages/node/ladder_node/app/tree.py
+++ b/packages/node/ladder_node/app/tree.py
@@ -17,7 +17,7 @@
     KeyedDispatcher,
     PlainDispatcher,
 )
-from ladder_node.duties import WeightDuty
+from ladder_node.duties import Holder, LeaseKeeper, WeightDuty
 from ladder_node.entry import (
     Drain,
     EntryMiddleware,
@@ -87,6 +87,7 @@
     root.add(watcher)
     root.add(parts.configuration)
     guard = _add_peers(root, parts, watcher)
+    root.add(parts.leases)
     root.add(
         WeightDuty(
             parts.targets,
@@ -162,6 +163,12 @@
         gossip=peers.gossip,
         nodes=peers.nodes,
         drain=peers.drain,
+        leases=LeaseKeeper(
+            clients.table,
+            Holder(settings.name, settings.entry_address),
+            timers,
+            timeline,
+        ),
     )
 
 
