--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -10,7 +10,6 @@
 
 MODEL = 'cask'
 BATCH_LIMIT = 16
-TOKENS_PER_SECOND = 200
 
 _LINK_BITS_PER_SECOND = 210_000_000
 
@@ -57,19 +56,14 @@
     service_pool: str
     clients_ms: float
 
-    @property
-    def engine_tokens_per_second(self) -> float:
-        """Tokens that one engine generates a scaled second at full batch."""
-        return BATCH_LIMIT * TOKENS_PER_SECOND / 2
-
-    def make_layout(self, speed: float, policies: dict[str, str]) -> Layout:
+    def make_layout(self, rate: float, policies: dict[str, str]) -> Layout:
         """
         Return the processes to start.
 
         Parameters
         ----------
-        speed : float
-            Scaled seconds in one second.
+        rate : float
+            Tokens a second of the machine of one stream alone on an engine.
         policies : dict of str to str
             The nodes' policies.
 
@@ -84,7 +78,7 @@
                 for number in range(1, self.nodes + 1)
             ),
             engines=tuple(
-                self._make_engine(number, speed)
+                self._make_engine(number, rate)
                 for number in range(1, self.engines + 1)
             ),
             services=self.services,
@@ -104,7 +98,7 @@
             link_bits_per_second=_LINK_BITS_PER_SECOND,
         )
 
-    def _make_engine(self, number: int, speed: float) -> EngineLayout:
+    def _make_engine(self, number: int, rate: float) -> EngineLayout:
         place = self._find_place(number)
         return EngineLayout(
             f'engine-{number}',
@@ -112,7 +106,7 @@
             place.region,
             model=MODEL,
             pool=self.engine_pool,
-            tokens_per_second=TOKENS_PER_SECOND * speed,
+            tokens_per_second=rate,
             batch_limit=BATCH_LIMIT,
         )
 
--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -98,6 +98,8 @@
         The plan's entitled rate.
     lengths : Lengths
         Lengths of its samples.
+    is_background : bool
+        Whether it only loads the engines and is left out of the measures.
 
     """
 
@@ -112,6 +114,7 @@
     weighs: Annotated[str, Field(pattern='^(idle|staleness)$')] = 'idle'
     tokens_per_second: float = Field(default=1000, gt=0)
     lengths: Lengths = Lengths()
+    is_background: bool = False
 
 
 class InteractiveModel(CheckedModel):
@@ -185,6 +188,8 @@
         Each is run with each variant.
     speed : float
         Scaled seconds that pass in one second of the machine.
+    engine_tokens_per_second : float
+        Scaled rate of one stream alone on an engine.
     trainers : tuple of TrainerModel
         The trainers, all at once.
     interactive : InteractiveModel
@@ -201,6 +206,7 @@
     variants: tuple[Variant, ...] = Field(min_length=1)
     seeds: tuple[int, ...] = Field(min_length=1)
     speed: float = Field(default=1, gt=0)
+    engine_tokens_per_second: float = Field(default=200, gt=0)
     trainers: tuple[TrainerModel, ...] = Field(min_length=1)
     interactive: InteractiveModel = InteractiveModel()
     faults: tuple[FaultModel, ...] = ()
--- a/bench/outcome.py
+++ b/bench/outcome.py
@@ -6,7 +6,7 @@
 import numpy as np
 
 from bench.bounds import Capacity, TrainerNeed, find_unavoidable_share
-from bench.deployments import BATCH_LIMIT, TOKENS_PER_SECOND, Deployment
+from bench.deployments import BATCH_LIMIT, Deployment
 from bench.experiment import Experiment
 from bench.interactive import InteractiveLoad
 from bench.training import TrainerLog
@@ -143,21 +143,22 @@
 
     """
     speed = experiment.speed
-    logs = record.logs
+    logs = [log for log in record.logs if not log.trainer.is_background]
+    capacity = _find_capacity(experiment, deployment)
     facts = [fact for log in logs for fact in log.samples]
     wall = sum(log.wall_seconds for log in logs) * speed
     longest = max((log.wall_seconds for log in logs), default=0) * speed
     tokens = sum(fact.tokens for fact in facts)
     idle = sum(log.idle_seconds for log in logs) * speed
     calls = record.load.answered * experiment.interactive.tokens
-    needed = (tokens + calls) / deployment.engine_tokens_per_second
+    busy = (tokens + calls) / capacity.tokens_per_second
     return Outcome(
         experiment=experiment.name,
         deployment=deployment_name,
         variant=record.variant,
         seed=record.seed,
         idle_share=_divide(idle, wall),
-        unavoidable_share=_find_unavoidable(logs, deployment),
+        unavoidable_share=_find_unavoidable(logs, capacity),
         stale_versions=_summarize([fact.stale_versions for fact in facts]),
         stale_seconds=_summarize(
             [fact.stale_seconds * speed for fact in facts]
@@ -171,7 +172,9 @@
         answered=record.load.answered,
         refused=record.load.refused,
         failed=record.load.failed,
-        excess_replica_seconds=record.engine_seconds * speed - needed,
+        excess_replica_seconds=(
+            record.engine_seconds * speed - busy * deployment.engines
+        ),
         link_bytes=record.link_bytes,
         lost=sum(log.lost for log in logs),
         doubled=sum(log.doubled for log in logs),
@@ -181,7 +184,7 @@
 
 def _find_unavoidable(
     logs: Sequence[TrainerLog],
-    deployment: Deployment,
+    capacity: Capacity,
 ) -> float:
     needs = [
         TrainerNeed(
@@ -191,9 +194,19 @@
         )
         for log in logs
     ]
-    rate = deployment.engines * deployment.engine_tokens_per_second
-    stream = TOKENS_PER_SECOND / (1 + 1 / BATCH_LIMIT)
-    return find_unavoidable_share(needs, Capacity(rate, stream))
+    return find_unavoidable_share(needs, capacity)
+
+
+def _find_capacity(
+    experiment: Experiment,
+    deployment: Deployment,
+) -> Capacity:
+    """Return what the cost model of the stand-ins yields at its best."""
+    rate = experiment.engine_tokens_per_second
+    return Capacity(
+        tokens_per_second=deployment.engines * BATCH_LIMIT * rate / 2,
+        stream_tokens_per_second=rate / (1 + 1 / BATCH_LIMIT),
+    )
 
 
 def _summarize(figures: Sequence[float]) -> Quantiles:
--- a/bench/session.py
+++ b/bench/session.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from pathlib import Path
 
 import msgspec
@@ -52,7 +52,7 @@
         self._deployment = DEPLOYMENTS[deployment]
         self._variant = variant
         self._layout = self._deployment.make_layout(
-            experiment.speed,
+            experiment.engine_tokens_per_second * experiment.speed,
             variant.policies.model_dump(mode='json'),
         )
         self._networks = self._make_networks(self._layout)
@@ -123,7 +123,7 @@
         )
         try:
             async with asyncio.timeout(self._experiment.limit_seconds):
-                await asyncio.gather(*(trainer.run() for trainer in trainers))
+                await _run_trainers(trainers)
         except TimeoutError:
             # What the trainers lack then counts as lost.
             return
@@ -198,3 +198,19 @@
                 )
                 total += msgspec.json.decode(answer, type=LinkUse).link_bytes
         return total
+
+
+async def _run_trainers(trainers: Sequence[BenchTrainer]) -> None:
+    """Run all trainers until those that are measured are done."""
+    tasks = {
+        asyncio.create_task(trainer.run()): trainer.is_background
+        for trainer in trainers
+    }
+    try:
+        await asyncio.gather(
+            *(task for task, is_aside in tasks.items() if not is_aside),
+        )
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks)
--- a/bench/training.py
+++ b/bench/training.py
@@ -124,6 +124,11 @@
         """What the trainer saw until now."""
         return self._log
 
+    @property
+    def is_background(self) -> bool:
+        """Whether the trainer is left out of the measures."""
+        return self._model.is_background
+
     async def run(self) -> None:
         """Run all steps, training between them."""
         begin = time.monotonic()
