Measure the cost of each role: bin/bench slopes

A node runs as a process among stand-ins; each role is set to three sizes, and processor time, memory, bytes and calls of the table service are read from outside. Ruled out: profiling inside the node, which would change what is measured, and 1,700 engine processes, since one quiet engine can stand at every replica's address.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,7 +2,7 @@
 
 import defopt
 
-from bench.commands import run
+from bench.commands import run, slopes
 
 if __name__ == '__main__':
-    defopt.run([run])
+    defopt.run([run, slopes])
--- a/bench/commands.py
+++ b/bench/commands.py
@@ -12,9 +12,12 @@
 from bench.plots import draw_plots
 from bench.report import format_table, write_lines
 from bench.session import Session
+from bench.slopes.study import study_roles
+from bench.slopes.tables import format_tables, write_tables
 from ladder_core.errors import SettingsError
 
 RESULTS = Path('bench-results')
+CAPACITY_PAGE = Path('docs/CAPACITY.md')
 
 _INVALID_FILE = 2
 
@@ -52,6 +55,32 @@
     print(f'written to {folder}')
 
 
+def slopes(
+    *,
+    repeats: int = 3,
+    page: Path = CAPACITY_PAGE,
+    results: Path = RESULTS,
+) -> None:
+    """
+    Measure each role of a node at several sizes and write the page's tables.
+
+    :param repeats: Times that each role is measured.
+    :param page: The page that takes the tables.
+    :param results: Folder for the processes' files.
+    """
+    folder = results / 'slopes'
+    begin = time.monotonic()
+    costs = asyncio.run(study_roles(folder, repeats))
+    elapsed = time.monotonic() - begin
+    note = (
+        f'`bin/bench slopes --repeats {repeats}`, {elapsed:.0f} s; '
+        f'load of the machine at its end {_read_load()}.'
+    )
+    tables = f'{note}\n\n{format_tables(costs)}'
+    write_tables(page, tables)
+    print(tables)
+
+
 async def _run_all(experiment: Experiment, folder: Path) -> list[Outcome]:
     outcomes = []
     # Variants alternate within a seed, so that a load from outside meets all.
--- a/bench/session.py
+++ b/bench/session.py
@@ -17,7 +17,7 @@
 from bench.training import BenchTrainer
 from bench.versions import Versions
 from ladder_standins.fleet import Fleet, Layout
-from ladder_standins.network import NETWORK_PATH, LinkUse, Network
+from ladder_standins.network import NETWORK_PATH, Network, Traffic
 from ladder_standins.operator import apply_lists
 
 _PLATFORM = ('table', 'objects', 'weights', 'hosts')
@@ -196,7 +196,7 @@
                     'GET',
                     NETWORK_PATH,
                 )
-                total += msgspec.json.decode(answer, type=LinkUse).link_bytes
+                total += msgspec.json.decode(answer, type=Traffic).link_bytes
         return total
 
 
--- /dev/null
+++ b/bench/slopes/fit.py
@@ -0,0 +1,97 @@
+"""Straight lines through usage over size."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+import numpy as np
+
+from bench.slopes.usage import Usage
+
+
+@dataclass(frozen=True, slots=True)
+class Point:
+    """
+    One measurement.
+
+    Attributes
+    ----------
+    repeat : int
+        Number of the repeat.
+    size : float
+        Size that was set.
+    usage : Usage
+        What the node spent.
+
+    """
+
+    repeat: int
+    size: float
+    usage: Usage
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """
+    A line fitted by least squares.
+
+    Attributes
+    ----------
+    base : float
+        Value at size zero.
+    slope : float
+        Growth with one more unit of size.
+    least, most : float
+        Smallest and largest slope of a single repeat.
+
+    """
+
+    base: float
+    slope: float
+    least: float
+    most: float
+
+    def extend(self, size: float) -> float:
+        """Return the value at a size."""
+        return self.base + self.slope * size
+
+
+def fit(points: Sequence[Point], read: Callable[[Usage], float]) -> Line:
+    """
+    Fit a line through one figure of a usage.
+
+    Parameters
+    ----------
+    points : sequence of Point
+        Measurements at two sizes or more, of one repeat or more.
+    read : callable
+        Returns the figure.
+
+    Returns
+    -------
+    Line
+        The line through all points, and the slopes of the repeats.
+
+    Examples
+    --------
+    >>> points = [Point(0, size, Usage(cpu=2 + 3 * size)) for size in (1, 5)]
+    >>> round(fit(points, lambda usage: usage.cpu).extend(10), 6)
+    32.0
+
+    """
+    slope, base = _fit_line(points, read)
+    repeats = sorted({point.repeat for point in points})
+    slopes = [
+        _fit_line([one for one in points if one.repeat == repeat], read)[0]
+        for repeat in repeats
+    ]
+    return Line(base, slope, min(slopes), max(slopes))
+
+
+def _fit_line(
+    points: Sequence[Point],
+    read: Callable[[Usage], float],
+) -> tuple[float, float]:
+    sizes = [point.size for point in points]
+    figures = [read(point.usage) for point in points]
+    slope, base = np.polyfit(sizes, figures, 1)
+    return float(slope), float(base)
--- /dev/null
+++ b/bench/slopes/probe.py
@@ -0,0 +1,206 @@
+"""One node among stand-ins, and what it spends in a window of time."""
+
+import asyncio
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from bench.deployments import DEPLOYMENTS, MODEL
+from bench.experiment import DeploymentName, Experiment, TrainerModel, Variant
+from bench.plans import write_plans
+from bench.slopes.usage import Usage, read_cpu, read_memory
+from ladder_core.values import HostEntry, HostKind
+from ladder_standins.fleet import EngineLayout, Fleet, Layout, NodeLayout
+from ladder_standins.network import NETWORK_PATH, Traffic
+from ladder_standins.operator import apply_lists
+
+NODE = 'node-1'
+TRAINER = 'notes'
+
+_DATA_CENTRE = 'leith'
+_REGION = 'lowlands'
+_POOL = 'brewmind'
+_QUIET_POOL = 'quiet'
+_QUIET_ENGINE = 'engine-3'
+_COUNTED = ('table', 'objects', 'weights', 'hosts', _QUIET_ENGINE)
+_SETTLE_SECONDS = 1.5
+_FAST_TOKENS_PER_SECOND = 2000
+_LARGE_BATCH = 256
+
+
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """
+    Counters at one moment.
+
+    Attributes
+    ----------
+    at : float
+        Seconds on a monotonic clock.
+    cpu : float
+        Milliseconds of processor time of the node.
+    table : Traffic
+        What the table service carried.
+    control_bytes : int
+        Bytes of all control traffic.
+
+    """
+
+    at: float
+    cpu: float
+    table: Traffic
+    control_bytes: int
+
+
+class NodeProbe:
+    """
+    A fleet of one node, measured from outside.
+
+    Parameters
+    ----------
+    folder : Path
+        Takes the processes' files.
+
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self.fleet = Fleet(_make_layout(), folder)
+
+    @property
+    def address(self) -> str:
+        """Address of the node."""
+        return self.fleet.processes.find_address(NODE)
+
+    async def start(self) -> None:
+        """Start the processes and apply lists."""
+        await self.fleet.start()
+        cellarwatch = DEPLOYMENTS[DeploymentName.cellarwatch]
+        files = write_plans(self._folder, _make_experiment(), cellarwatch)
+        status = await apply_lists(self.fleet, files)
+        if status:
+            raise RuntimeError(f'the lists were not applied: status {status}')
+        await self.fleet.controls.wait_answer(NODE, '/readyz')
+
+    async def close(self) -> None:
+        """Stop the processes."""
+        await self.fleet.close()
+
+    async def list_engine(self, name: str) -> None:
+        """List one more engine; all share the address of a quiet one."""
+        await self._list(name, HostKind.engine, _QUIET_ENGINE)
+
+    async def list_peer(self, name: str) -> None:
+        """List one more entry host; none answers there."""
+        await self.fleet.controls.list_host(
+            HostEntry(
+                name,
+                HostKind.entry,
+                '127.0.0.1:9',
+                _DATA_CENTRE,
+                _REGION,
+                peer_address='127.0.0.1:9',
+            ),
+        )
+
+    async def measure(self, window_seconds: float) -> Usage:
+        """Return what the node spends, after it has settled."""
+        await asyncio.sleep(_SETTLE_SECONDS)
+        before = await self.read()
+        await asyncio.sleep(window_seconds)
+        return self.compare(before, await self.read())
+
+    def compare(
+        self,
+        before: Reading,
+        after: Reading,
+        seconds: float = 0,
+    ) -> Usage:
+        """
+        Return what was spent between two readings.
+
+        Parameters
+        ----------
+        before, after : Reading
+            The readings.
+        seconds : float, optional
+            Time over which the work is spread at the target; zero for the
+            time between the readings.
+
+        """
+        elapsed = seconds or after.at - before.at
+        table_reads = after.table.reads - before.table.reads
+        table_writes = after.table.writes - before.table.writes
+        control_bytes = after.control_bytes - before.control_bytes
+        return Usage(
+            cpu=(after.cpu - before.cpu) / elapsed,
+            memory=read_memory(self.fleet.processes.find_pid(NODE)),
+            reads=table_reads / elapsed,
+            writes=table_writes / elapsed,
+            control_bytes=control_bytes / elapsed,
+        )
+
+    async def read(self) -> Reading:
+        """Return the counters."""
+        traffic = {name: await self._read_traffic(name) for name in _COUNTED}
+        return Reading(
+            at=time.monotonic(),
+            cpu=read_cpu(self.fleet.processes.find_pid(NODE)),
+            table=traffic['table'],
+            control_bytes=sum(one.bytes for one in traffic.values()),
+        )
+
+    async def _list(self, name: str, kind: HostKind, at: str) -> None:
+        entry = HostEntry(
+            name,
+            kind,
+            self.fleet.processes.find_address(at),
+            _DATA_CENTRE,
+            _REGION,
+            pool=_QUIET_POOL,
+            model=MODEL,
+        )
+        await self.fleet.controls.list_host(entry)
+
+    async def _read_traffic(self, name: str) -> Traffic:
+        answer = await self.fleet.controls.send(name, 'GET', NETWORK_PATH)
+        return msgspec.json.decode(answer, type=Traffic)
+
+
+def _make_layout() -> Layout:
+    fast = [
+        EngineLayout(
+            f'engine-{number}',
+            _DATA_CENTRE,
+            _REGION,
+            model=MODEL,
+            pool=_POOL,
+            tokens_per_second=_FAST_TOKENS_PER_SECOND,
+            batch_limit=_LARGE_BATCH,
+        )
+        for number in (1, 2)
+    ]
+    quiet = EngineLayout(
+        _QUIET_ENGINE,
+        _DATA_CENTRE,
+        _REGION,
+        model=MODEL,
+        pool=_QUIET_POOL,
+    )
+    return Layout(
+        nodes=(NodeLayout(NODE, _DATA_CENTRE, _REGION),),
+        engines=(*fast, quiet),
+        services=0,
+    )
+
+
+def _make_experiment() -> Experiment:
+    return Experiment(
+        name='slopes',
+        deployments=(DeploymentName.cellarwatch,),
+        variants=(Variant(name='default'),),
+        seeds=(1,),
+        trainers=(TrainerModel(name=TRAINER),),
+    )
--- /dev/null
+++ b/bench/slopes/study.py
@@ -0,0 +1,108 @@
+"""Measure the roles of a node, each at several sizes and several times."""
+
+import contextlib
+from collections.abc import AsyncIterator, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+from bench.slopes.fit import Line, Point, fit
+from bench.slopes.probe import NodeProbe
+from bench.slopes.roles import ROLES, Role, Scale
+
+
+@dataclass(frozen=True, slots=True)
+class RoleCost:
+    """
+    What a role costs.
+
+    Attributes
+    ----------
+    title : str
+        Name of the role.
+    scale : Scale
+        Its sizes.
+    is_control : bool
+        Whether it counts towards the budget of control.
+    cpu : Line
+        Milliseconds of processor time a second.
+    memory : Line
+        Megabytes.
+    reads, writes : Line
+        Requests to the table service a second.
+    control_bytes : Line
+        Bytes a second.
+
+    """
+
+    title: str
+    scale: Scale
+    is_control: bool
+    cpu: Line
+    memory: Line
+    reads: Line
+    writes: Line
+    control_bytes: Line
+
+
+async def study_roles(folder: Path, repeats: int) -> list[RoleCost]:
+    """
+    Measure every role.
+
+    Parameters
+    ----------
+    folder : Path
+        Takes the processes' files.
+    repeats : int
+        Times that each role is measured, on a fresh node each time.
+
+    Returns
+    -------
+    list of RoleCost
+        One for each role.
+
+    """
+    costs = []
+    for kind in ROLES:
+        points: list[Point] = []
+        for repeat in range(repeats):
+            points.extend(await _measure(kind, folder, repeat))
+            print(f'{kind.title}: repeat {repeat}', flush=True)
+        costs.append(_make_cost(kind, points))
+    return costs
+
+
+async def _measure(
+    kind: type[Role],
+    folder: Path,
+    repeat: int,
+) -> list[Point]:
+    name = f'{kind.__name__}-{repeat}'
+    async with _start_probe(folder / name) as probe:
+        role = kind(probe)
+        return [
+            Point(repeat, size, await role.measure(size))
+            for size in kind.scale.sizes
+        ]
+
+
+@contextlib.asynccontextmanager
+async def _start_probe(folder: Path) -> AsyncIterator[NodeProbe]:
+    probe = NodeProbe(folder)
+    try:
+        await probe.start()
+        yield probe
+    finally:
+        await probe.close()
+
+
+def _make_cost(kind: type[Role], points: Sequence[Point]) -> RoleCost:
+    return RoleCost(
+        title=kind.title,
+        scale=kind.scale,
+        is_control=kind.is_control,
+        cpu=fit(points, lambda usage: usage.cpu),
+        memory=fit(points, lambda usage: usage.memory),
+        reads=fit(points, lambda usage: usage.reads),
+        writes=fit(points, lambda usage: usage.writes),
+        control_bytes=fit(points, lambda usage: usage.control_bytes),
+    )
--- /dev/null
+++ b/bench/slopes/tables.py
@@ -0,0 +1,174 @@
+"""The tables of docs/CAPACITY.md."""
+
+from collections.abc import Sequence
+from pathlib import Path
+
+from bench.slopes.fit import Line
+from bench.slopes.study import RoleCost
+
+BEGIN = '<!-- written by bin/bench slopes -->'
+END = '<!-- end of bin/bench slopes -->'
+
+_NODES = 360
+_CPU_BUDGET = 12
+_MEMORY_BUDGET = 32
+_BYTES_BUDGET = 9000
+_READS_BUDGET = 2000
+_KILO = 1000
+
+
+def format_tables(costs: Sequence[RoleCost]) -> str:
+    """
+    Return the Markdown tables of the page.
+
+    Parameters
+    ----------
+    costs : sequence of RoleCost
+        What was measured.
+
+    Returns
+    -------
+    str
+        Tables of processor time, of memory and bytes, and of the ledger.
+
+    """
+    return '\n\n'.join(
+        (
+            _format_cpu(costs),
+            _format_memory(costs),
+            _format_budget(costs),
+            _format_ledger(costs),
+        ),
+    )
+
+
+def write_tables(page: Path, tables: str) -> None:
+    """
+    Put the tables between their marks on the page.
+
+    Raises
+    ------
+    ValueError
+        The page lacks one of the marks.
+
+    """
+    text = page.read_text()
+    if BEGIN not in text or END not in text:
+        raise ValueError(f'{page} lacks {BEGIN!r} or {END!r}: add both lines')
+    head = text.partition(BEGIN)[0]
+    tail = text.partition(END)[2]
+    page.write_text(f'{head}{BEGIN}\n\n{tables}\n\n{END}{tail}')
+
+
+def _format_cpu(costs: Sequence[RoleCost]) -> str:
+    rows = [
+        [
+            cost.title,
+            cost.scale.unit,
+            ', '.join(f'{size:g}' for size in cost.scale.sizes),
+            _format_slope(cost.cpu),
+            f'{cost.cpu.base:.1f}',
+            f'{cost.scale.target:g}',
+            f'{_find_growth(cost, cost.cpu):.1f}',
+        ]
+        for cost in costs
+    ]
+    titles = [
+        'role',
+        'unit',
+        'measured at',
+        'ms/s a unit (repeats)',
+        'at zero ms/s',
+        'target',
+        'added at target ms/s',
+    ]
+    return f'Processor time.\n\n{_format_table(titles, rows)}'
+
+
+def _format_memory(costs: Sequence[RoleCost]) -> str:
+    rows = [
+        [
+            cost.title,
+            _format_slope(cost.memory, _KILO),
+            f'{cost.memory.base:.1f}',
+            f'{_find_growth(cost, cost.memory):.1f}',
+            _format_slope(cost.control_bytes),
+            f'{_find_growth(cost, cost.control_bytes) / _KILO:.1f}',
+        ]
+        for cost in costs
+    ]
+    titles = [
+        'role',
+        'kB a unit (repeats)',
+        'at zero MB',
+        'added at target MB',
+        'bytes/s a unit (repeats)',
+        'added at target kB/s',
+    ]
+    return f'Memory and control bytes.\n\n{_format_table(titles, rows)}'
+
+
+def _format_budget(costs: Sequence[RoleCost]) -> str:
+    control = [cost for cost in costs if cost.is_control]
+    idle = _find_idle(control)
+    cpu = idle.cpu.base + sum(_find_growth(one, one.cpu) for one in control)
+    memory = sum(_find_growth(one, one.memory) for one in control)
+    sent = idle.control_bytes.base + sum(
+        _find_growth(one, one.control_bytes) for one in control
+    )
+    rows = [
+        _judge('processor time ms/s', cpu, _CPU_BUDGET),
+        _judge('memory added MB', memory, _MEMORY_BUDGET),
+        _judge('bytes/s', sent, _BYTES_BUDGET),
+    ]
+    titles = ['control of one node', 'at target', 'budget', 'verdict']
+    return f'Budget of control.\n\n{_format_table(titles, rows)}'
+
+
+def _format_ledger(costs: Sequence[RoleCost]) -> str:
+    control = [cost for cost in costs if cost.is_control]
+    idle = _find_idle(control)
+    rows = [
+        [
+            'every node, idle',
+            f'{idle.reads.base * _NODES:.0f}',
+            f'{max(0, idle.writes.base) * _NODES:.0f}',
+        ],
+    ]
+    for cost in costs:
+        reads = _find_growth(cost, cost.reads) * _NODES
+        writes = _find_growth(cost, cost.writes) * _NODES
+        rows.append([cost.title, f'{reads:.0f}', f'{writes:.0f}'])
+    rows.append(['budget', str(_READS_BUDGET), 'several hundred'])
+    titles = [f'spent by {_NODES} nodes', 'reads/s', 'writes/s']
+    return f'Ledger of the table service.\n\n{_format_table(titles, rows)}'
+
+
+def _find_idle(costs: Sequence[RoleCost]) -> RoleCost:
+    """Return the role whose base is a node with the fewest targets."""
+    return next(cost for cost in costs if cost.title == 'membership')
+
+
+def _find_growth(cost: RoleCost, line: Line) -> float:
+    """Return what a role adds at the target; noise below zero is zero."""
+    return max(float(0), line.slope * cost.scale.target)
+
+
+def _judge(title: str, figure: float, budget: float) -> list[str]:
+    verdict = 'met'
+    if figure > budget:
+        verdict = f'missed: {figure / budget:.1f} times the budget'
+    return [title, f'{figure:.1f}', f'{budget:g}', verdict]
+
+
+def _format_slope(line: Line, factor: float = 1) -> str:
+    slope, least, most = (
+        number * factor for number in (line.slope, line.least, line.most)
+    )
+    return f'{slope:.3g} ({least:.3g} to {most:.3g})'
+
+
+def _format_table(titles: Sequence[str], rows: Sequence[Sequence[str]]) -> str:
+    rule = ['---' for _ in titles]
+    lines = (titles, rule, *rows)
+    return '\n'.join(f'| {" | ".join(line)} |' for line in lines)
--- /dev/null
+++ b/bench/slopes/tests/test_tables.py
@@ -0,0 +1,49 @@
+import pytest
+
+from bench.slopes.fit import Line
+from bench.slopes.roles import Scale
+from bench.slopes.study import RoleCost
+from bench.slopes.tables import BEGIN, END, format_tables, write_tables
+
+_FLAT = Line(base=0, slope=0, least=0, most=0)
+
+
+def make_cost(title, cpu, is_control=True, reads=_FLAT):
+    return RoleCost(
+        title=title,
+        scale=Scale('units', (1, 2, 3), 100),
+        cpu=cpu,
+        memory=Line(60, 0.01, 0.009, 0.011),
+        control_bytes=Line(1000, 10, 9, 11),
+        is_control=is_control,
+        reads=reads,
+        writes=_FLAT,
+    )
+
+
+def test_tables_extend_slopes_to_the_target(snapshot):
+    costs = [
+        make_cost('pool', Line(2, 0.3, 0.2, 0.4)),
+        make_cost('entry', Line(1, 3, 3, 3), is_control=False),
+        make_cost(
+            'membership',
+            Line(2.5, -0.001, -0.002, 0.001),
+            reads=Line(1, 0, 0, 0),
+        ),
+    ]
+    assert format_tables(costs) == snapshot
+
+
+def test_tables_replace_what_stood_between_the_marks(tmp_path):
+    page = tmp_path / 'page.md'
+    page.write_text(f'before\n{BEGIN}\nold\n{END}\nafter\n')
+    write_tables(page, 'new')
+    assert page.read_text() == f'before\n{BEGIN}\n\nnew\n\n{END}\nafter\n'
+
+
+def test_page_without_marks_is_left_alone(tmp_path):
+    page = tmp_path / 'page.md'
+    page.write_text('before\n')
+    with pytest.raises(ValueError, match='add both lines'):
+        write_tables(page, 'new')
+    assert page.read_text() == 'before\n'
--- a/standins/ladder_standins/fleet/processes.py
+++ b/standins/ladder_standins/fleet/processes.py
@@ -69,6 +69,10 @@
             )
         self._processes[name] = process
 
+    def find_pid(self, name: str) -> int:
+        """Return the process id of a running process."""
+        return self._processes[name].pid
+
     async def restart(self, name: str) -> None:
         """Start an ended process again with its arguments, empty."""
         program, *flags = self._commands[name]
--- a/standins/ladder_standins/network.py
+++ b/standins/ladder_standins/network.py
@@ -79,10 +79,25 @@
         return bool(origin) and not origin.startswith(f'{self.region}/')
 
 
-class LinkUse(msgspec.Struct, frozen=True):
-    """Bytes of bodies that crossed the link between regions."""
+class Traffic(msgspec.Struct):
+    """
+    What a stand-in has carried since its start.
+
+    Attributes
+    ----------
+    link_bytes : int
+        Bytes of bodies that crossed the link between regions.
+    reads, writes : int
+        Requests with GET, and with any other method.
+    bytes : int
+        Header fields and bodies, both ways.
+
+    """
 
-    link_bytes: int
+    link_bytes: int = 0
+    reads: int = 0
+    writes: int = 0
+    bytes: int = 0  # noqa: WPS125 the unit of the field
 
 
 class NetworkMiddleware:
@@ -105,7 +120,7 @@
     def __init__(self, app: ASGIApp) -> None:
         self._app = app
         self._network = Network()
-        self._link_bytes = 0
+        self._traffic = Traffic()
         self._link_free_at: float = 0
 
     async def __call__(
@@ -131,7 +146,7 @@
         if scope['method'] == 'PUT':
             message = await receive()
             self._network = msgspec.json.decode(message['body'], type=Network)
-        body = msgspec.json.encode(LinkUse(self._link_bytes))
+        body = msgspec.json.encode(self._traffic)
         head = {'type': 'http.response.start', 'status': _OK, 'headers': []}
         await send(head)
         await send({'type': 'http.response.body', 'body': body})
@@ -146,23 +161,33 @@
         delay = self._network.find_delay(origin)
         await self._wait_link(origin, 0)
         await asyncio.sleep(delay)
+        self._count_request(scope)
 
         async def receive_far() -> Message:
             message = await receive()
             self._count(origin, len(message.get('body', b'')))
+            self._traffic.bytes += _count_bytes(message)
             return message
 
         async def send_far(message: Message) -> None:
             if message['type'] == 'http.response.start':
                 await asyncio.sleep(delay)
             await self._wait_link(origin, _find_size(message))
+            self._traffic.bytes += _count_bytes(message)
             await send(message)
 
         await self._app(scope, receive_far, send_far)
 
+    def _count_request(self, scope: Scope) -> None:
+        self._traffic.bytes += _count_bytes(scope)
+        if scope['method'] == 'GET':
+            self._traffic.reads += 1
+        else:
+            self._traffic.writes += 1
+
     def _count(self, origin: str, size: int) -> None:
         if self._network.is_far(origin):
-            self._link_bytes += size
+            self._traffic.link_bytes += size
 
     async def _wait_link(self, origin: str, size: int) -> None:
         """Wait until the link has carried a number of bytes."""
@@ -183,3 +208,10 @@
     """Return the bytes that a part of an answer stands for."""
     headers = dict(message.get('headers', ()))
     return int(headers.get(_TRANSFER, len(message.get('body', b''))))
+
+
+def _count_bytes(message: Message | Scope) -> int:
+    """Return the bytes of header fields and body."""
+    headers = message.get('headers', ())
+    fields = sum(len(name) + len(field) for name, field in headers)
+    return fields + len(message.get('body', b''))
--- a/standins/ladder_standins/tests/test_network.py
+++ b/standins/ladder_standins/tests/test_network.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from ladder_standins.network import LinkUse, Network, NetworkMiddleware
+from ladder_standins.network import Network, NetworkMiddleware, Traffic
 
 
 async def _app(scope, receive, send):
@@ -34,7 +34,7 @@
 
 async def _read_link_bytes(middleware):
     answer = await _ask(middleware, '/network')
-    return msgspec.json.decode(answer, type=LinkUse).link_bytes
+    return msgspec.json.decode(answer, type=Traffic).link_bytes
 
 
 async def test_only_other_regions_use_the_link():
