Make refusals true and answers whole, and cancel what callers leave

Cause: when a generation's first engine was lost and none was left, the error said not run; an engine's or scorer's own 503 was taken as proof that nothing ran; a stream that lacked a middle line passed as whole; a caller who left kept its engine slot until the generation ended. Change: Failures adds the attempts up, so a lost attempt is never hidden by a later refusal. A target's own refusal is TargetRefusedError, may-have-run: something before the target may have sent it, and no target vouches for it yet. The end marker's total is compared with the tokens that arrived. Streams are closed at a known time; one left open is cancelled at its engine. Silence is judged per stream over a second connection: a full or swapping engine has an excuse for at most 12 gaps of 5 s. Ruled out: trusting 503 per target, which the host list does not tell yet.

--- a/packages/clients/ladder_clients/engines/base.py
+++ b/packages/clients/ladder_clients/engines/base.py
@@ -34,7 +34,11 @@
         Raises
         ------
         TargetUnavailableError
-            The engine did not take the request.
+            The request was not sent.
+        TargetRefusedError
+            The engine answered that it does not take the request.
+        AnswerCorruptError
+            Tokens are missing, so the stream cannot be continued.
         TargetLostError
             The connection broke, or the stream ended without its end
             marker, or carried another request's chunk.
--- a/packages/clients/ladder_clients/engines/http.py
+++ b/packages/clients/ladder_clients/engines/http.py
@@ -1,11 +1,12 @@
 """Model engines over HTTP."""
 
 from collections.abc import AsyncIterator
+from functools import partial
 
-import aiohttp
 import msgspec
 
 from ladder_clients.engines.base import EngineClient
+from ladder_clients.engines.stream import LineStream
 from ladder_clients.engines.wire import (
     Chunk,
     EngineState,
@@ -21,14 +22,17 @@
     translate_target_errors,
 )
 from ladder_core.errors import (
+    AnswerCorruptError,
     TargetLostError,
-    TargetUnavailableError,
+    TargetRefusedError,
 )
 
 _OK = 200
 _REFUSED_STATUSES = frozenset((409, 429, 503))
 _ORDER_SECONDS = 2
 _STREAM_GAP_SECONDS = 5
+_MAX_SILENCES = 12
+_RETRY_SECONDS = 1
 
 
 class HttpEngineClient(EngineClient):
@@ -50,7 +54,13 @@
         gap_seconds: float = _STREAM_GAP_SECONDS,
     ) -> None:
         self._http = http
-        self._stream_timeouts = Timeouts(total=None, gap=gap_seconds)
+        self._gap_seconds = gap_seconds
+        # The head of the answer comes before the generation begins; silence
+        # after it is judged by the stream.
+        self._stream_timeouts = Timeouts(
+            total=None,
+            gap=gap_seconds * (_MAX_SILENCES + 1),
+        )
         self._order_timeouts = Timeouts(total=_ORDER_SECONDS)
 
     async def generate(
@@ -67,7 +77,14 @@
                 body=msgspec.json.encode(request),
                 timeouts=self._stream_timeouts,
             ) as reply:
-                async for chunk in _read_chunks(address, reply, request):
+                _check_status(address, reply.status)
+                stream = LineStream(
+                    reply.content,
+                    self._gap_seconds,
+                    partial(self._has_excuse, address),
+                    _MAX_SILENCES,
+                )
+                async for chunk in _read_chunks(address, stream, request):
                     yield chunk
 
     async def cancel(self, address: str, request_id: str) -> None:
@@ -85,6 +102,17 @@
         answer = await self._fetch('POST', address, 'orders', body)
         return msgspec.json.decode(answer.body, type=OrderOutcome)
 
+    async def _has_excuse(self, address: str, has_received: bool) -> bool:
+        """Ask over a new connection why a stream is silent."""
+        try:
+            state = await self.read_state(address)
+        except (TransportError, msgspec.DecodeError):
+            return False
+        if state.swapping:
+            return True
+        is_full = state.queued > 0 or state.running >= state.batch_limit
+        return is_full and not has_received
+
     async def _fetch(
         self,
         method: str,
@@ -106,23 +134,31 @@
         return answer
 
 
-async def _read_chunks(
-    address: str,
-    reply: aiohttp.ClientResponse,
-    request: GenerateRequest,
-) -> AsyncIterator[Chunk]:
-    if reply.status in _REFUSED_STATUSES:
-        raise TargetUnavailableError(
-            f'engine {address} refused with status {reply.status}',
+def _check_status(address: str, status: int) -> None:
+    if status in _REFUSED_STATUSES:
+        raise TargetRefusedError(
+            f'engine {address} refused with status {status}',
             remedy='send the request to another target',
+            retry_after=_RETRY_SECONDS,
         )
-    if reply.status != _OK:
+    if status != _OK:
         raise TargetLostError(
-            f'engine {address} failed with status {reply.status}',
+            f'engine {address} failed with status {status}',
             remedy='go on elsewhere',
         )
-    async for line in reply.content:
+
+
+async def _read_chunks(
+    address: str,
+    stream: LineStream,
+    request: GenerateRequest,
+) -> AsyncIterator[Chunk]:
+    tokens = request.prefix_tokens
+    async for line in stream.read():
         chunk = _decode_chunk(address, line, request)
+        tokens += chunk.tokens
+        if chunk.end:
+            _check_total(address, chunk, tokens)
         yield chunk
         if chunk.end:
             return
@@ -132,6 +168,15 @@
     )
 
 
+def _check_total(address: str, end: Chunk, tokens: int) -> None:
+    if end.total_tokens != tokens:
+        raise AnswerCorruptError(
+            f'engine {address} ended a stream of {end.total_tokens} tokens '
+            f'of which {tokens} arrived',
+            remedy='send the request again',
+        )
+
+
 def _decode_chunk(
     address: str,
     line: bytes,
--- a/packages/clients/ladder_clients/services/plain.py
+++ b/packages/clients/ladder_clients/services/plain.py
@@ -10,7 +10,7 @@
 from ladder_core.errors import TargetLostError
 
 _REQUEST_ID = 'x-request-id'
-_DEFAULT_SECONDS = 30
+_DEFAULT_SECONDS = 10
 _IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'PUT', 'DELETE'))
 
 
--- a/packages/clients/ladder_clients/services/scorer.py
+++ b/packages/clients/ladder_clients/services/scorer.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from ladder_clients.services.plain import PlainRequest, PlainServiceClient
-from ladder_core.errors import TargetUnavailableError
+from ladder_core.errors import TargetLostError
 
 _OK = 200
 
@@ -62,7 +62,7 @@
         Raises
         ------
         TargetUnavailableError
-            The scorer did not take the request or failed on it.
+            The request was not sent.
         MayHaveRunError
             No answer arrived; scoring again is harmless.
 
@@ -71,7 +71,7 @@
         request = PlainRequest(request_id, 'POST', '/v1/score', body)
         answer = await self._services.call(address, request)
         if answer.status != _OK:
-            raise TargetUnavailableError(
+            raise TargetLostError(
                 f'scorer {address} answered with status {answer.status}',
                 remedy='ask another scorer',
             )
--- a/packages/core/ladder_core/errors/__init__.py
+++ b/packages/core/ladder_core/errors/__init__.py
@@ -15,16 +15,19 @@
     UnknownNameError,
 )
 from ladder_core.errors.runs import (
+    AnswerCorruptError,
     AnswerNotKeptError,
     InProgressError,
     MayHaveRunError,
     PoisonousRequestError,
     TargetLostError,
+    TargetRefusedError,
     TargetTimeoutError,
 )
 from ladder_core.errors.tree import Execution, LadderError, SettingsError
 
 __all__ = (
+    'AnswerCorruptError',
     'AnswerNotKeptError',
     'BadRequestError',
     'ConflictError',
@@ -41,6 +44,7 @@
     'SettingsError',
     'StoreUnavailableError',
     'TargetLostError',
+    'TargetRefusedError',
     'TargetTimeoutError',
     'TargetUnavailableError',
     'TooLargeError',
--- a/packages/core/ladder_core/errors/runs.py
+++ b/packages/core/ladder_core/errors/runs.py
@@ -24,6 +24,27 @@
     status = 504
 
 
+class TargetRefusedError(MayHaveRunError):
+    """
+    The target answered that it does not take the request.
+
+    Notes
+    -----
+    The word of a target, or of something before it, is no proof that the
+    request was not executed.
+
+    """
+
+    kind = 'target-refused'
+    status = 503
+
+
+class AnswerCorruptError(MayHaveRunError):
+    """Parts of the target's answer are missing."""
+
+    kind = 'answer-corrupt'
+
+
 class InProgressError(MayHaveRunError):
     """A call with the same idempotency key is not yet decided."""
 
--- a/packages/node/ladder_node/app/tree.py
+++ b/packages/node/ladder_node/app/tree.py
@@ -62,6 +62,7 @@
             parts.timeline,
         ),
     )
+    root.add(parts.generations)
     root.add(parts.steps)
     root.add(EntryServer(make_entry_app(parts), settings.entry_address))
     return root
--- a/packages/node/ladder_node/dispatch/failures.py
+++ b/packages/node/ladder_node/dispatch/failures.py
@@ -1,6 +1,11 @@
 """What the failed attempts of one request add up to."""
 
-from ladder_core.errors import LadderError, MayHaveRunError, NotRunError
+from ladder_core.errors import (
+    AnswerCorruptError,
+    LadderError,
+    MayHaveRunError,
+    NotRunError,
+)
 
 FAILED_ATTEMPT = (NotRunError, MayHaveRunError)
 
@@ -25,6 +30,7 @@
     """
 
     def __init__(self, max_attempts: int, *, is_repeatable: bool) -> None:
+        self._max_attempts = max_attempts
         self._left = max_attempts
         self._is_repeatable = is_repeatable
         self._lost: MayHaveRunError | None = None
@@ -45,9 +51,16 @@
             raise RuntimeError('no attempt has failed')
         return error
 
+    def note_progress(self) -> None:
+        """Count the attempts anew, since one has produced something."""
+        self._left = self._max_attempts
+
     def add(self, error: LadderError) -> None:
         """Note a failed attempt."""
         self._left -= 1
+        if isinstance(error, AnswerCorruptError):
+            # Nothing can be appended to an answer that lacks a part.
+            self._left = 0
         if isinstance(error, MayHaveRunError):
             self._lost = error
         else:
--- a/packages/node/ladder_node/dispatch/generation.py
+++ b/packages/node/ladder_node/dispatch/generation.py
@@ -1,7 +1,8 @@
 """Run generations on engines and go on elsewhere when one fails."""
 
+import contextlib
 import uuid
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from dataclasses import dataclass
 
 from loguru import logger
@@ -9,18 +10,20 @@
 from ladder_clients.engines import Chunk, EngineClient, GenerateRequest
 from ladder_core.errors import (
     LadderError,
+    NotRunError,
     TargetLostError,
-    TargetTimeoutError,
     TargetUnavailableError,
 )
+from ladder_core.supervision import Service
 from ladder_core.timers import TimerService
 from ladder_core.values import HostKind
+from ladder_node.dispatch.failures import FAILED_ATTEMPT, Failures
+from ladder_node.dispatch.streams import Cancellations, closing
 from ladder_node.targets import Target, TargetTable
 from ladder_policy.routing import Candidate, TargetChooser
 
 _MAX_ATTEMPTS = 4
 _RETRY_SECONDS = 1
-_CONTINUABLE = (TargetLostError, TargetTimeoutError, TargetUnavailableError)
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,7 +59,29 @@
     priority: int = 0
 
 
-class GenerationDispatcher:
+@dataclass(slots=True)
+class _Received:
+    """What all attempts of a generation have produced together."""
+
+    text: str = ''
+    tokens: int = 0
+    is_whole: bool = False
+
+    def add(self, chunk: Chunk) -> None:
+        """Append a chunk."""
+        self.is_whole = chunk.end
+        self.text += chunk.text
+        self.tokens += chunk.tokens
+
+
+@dataclass(slots=True)
+class _Dispatch:
+    """A request at an engine; it is open until its end marker arrives."""
+
+    is_open: bool = True
+
+
+class GenerationDispatcher(Service):
     """
     Choose engines for generations.
 
@@ -84,6 +109,14 @@
         self._engines = engines
         self._chooser = chooser
         self._timers = timers
+        self._cancellations = Cancellations(engines)
+
+    async def start(self) -> None:
+        """Hold nothing yet."""
+
+    async def close(self) -> None:
+        """Wait until engines were told what to cancel."""
+        await self._cancellations.close()
 
     async def generate(self, generation: Generation) -> AsyncIterator[Chunk]:
         """
@@ -102,23 +135,35 @@
             Engines failed on it one after another.
 
         """
-        text, tokens = '', 0
-        attempt = 0
-        while True:
-            attempt += 1
+        received = _Received()
+        failures = Failures(_MAX_ATTEMPTS, is_repeatable=True)
+        while not failures.is_final:
+            async with closing(
+                self._attempt(generation, received, failures),
+            ) as chunks:
+                async for chunk in chunks:
+                    yield chunk
+            if received.is_whole:
+                return
+        raise failures.error
+
+    async def _attempt(
+        self,
+        generation: Generation,
+        received: _Received,
+        failures: Failures,
+    ) -> AsyncIterator[Chunk]:
+        """Run a generation on one engine, from where the last one ended."""
+        try:
             target = self._choose(generation)
-            request = _make_request(generation, text, tokens)
-            try:
-                async for chunk in self._run(target, request):
-                    text += chunk.text
-                    tokens += chunk.tokens
+            request = _make_request(generation, received)
+            async with closing(self._run(target, request)) as chunks:
+                async for chunk in chunks:
+                    received.add(chunk)
+                    failures.note_progress()
                     yield chunk
-            except _CONTINUABLE as error:
-                self._note_failure(target, error)
-                if attempt == _MAX_ATTEMPTS:
-                    raise
-                continue
-            return
+        except FAILED_ATTEMPT as error:
+            failures.add(error)
 
     async def _run(
         self,
@@ -126,9 +171,39 @@
         request: GenerateRequest,
     ) -> AsyncIterator[Chunk]:
         address = target.entry.address
-        with self._targets.count_request(target):
-            async for chunk in self._engines.generate(address, request):
-                yield chunk
+        with self._dispatch(target, request) as dispatch:
+            async with closing(
+                self._engines.generate(address, request),
+            ) as chunks:
+                async for chunk in chunks:
+                    dispatch.is_open = not chunk.end
+                    yield chunk
+            if dispatch.is_open:
+                raise TargetLostError(
+                    f'engine {address} ended the stream early',
+                    remedy='go on elsewhere from what was received',
+                )
+
+    @contextlib.contextmanager
+    def _dispatch(
+        self,
+        target: Target,
+        request: GenerateRequest,
+    ) -> Iterator[_Dispatch]:
+        """Account for a request at a target, however it ends."""
+        dispatch = _Dispatch()
+        try:
+            with self._targets.count_request(target):
+                yield dispatch
+        except FAILED_ATTEMPT as error:
+            if isinstance(error, NotRunError):
+                dispatch.is_open = False
+            self._note_failure(target, error)
+            raise
+        finally:
+            if dispatch.is_open:
+                address = target.entry.address
+                self._cancellations.send(address, request.request_id)
 
     def _choose(self, generation: Generation) -> Target:
         usable = {
@@ -174,8 +249,7 @@
 
 def _make_request(
     generation: Generation,
-    text: str,
-    tokens: int,
+    received: _Received,
 ) -> GenerateRequest:
     return GenerateRequest(
         request_id=uuid.uuid4().hex,
@@ -184,6 +258,6 @@
         max_tokens=generation.max_tokens,
         seed=generation.seed,
         priority=generation.priority,
-        prefix=text,
-        prefix_tokens=tokens,
+        prefix=received.text,
+        prefix_tokens=received.tokens,
     )
--- a/packages/node/ladder_node/entry/completions.py
+++ b/packages/node/ladder_node/entry/completions.py
@@ -4,96 +4,26 @@
 from collections.abc import AsyncIterator
 
 import msgspec
-from pydantic import Field
 from starlette.requests import Request
-from starlette.responses import Response, StreamingResponse
+from starlette.responses import Response
 
 from ladder_clients.engines import Chunk
-from ladder_core.errors import LadderError
 from ladder_node.dispatch import Generation
+from ladder_node.entry.completion_messages import (
+    Choice,
+    Completion,
+    CompletionModel,
+)
+from ladder_node.entry.connections import run_while_connected
+from ladder_node.entry.events import answer_events
 from ladder_node.entry.parts import EntryParts
-from ladder_node.entry.problems import make_problem
 from ladder_node.entry.requests import (
-    RequestModel,
     authenticate,
     check_model,
     parse_body,
     read_body,
 )
 
-_MAX_TOKENS = 65_536
-_DEFAULT_TOKENS = 256
-_EVENT_STREAM = 'text/event-stream'
-
-
-class CompletionModel(RequestModel):
-    """
-    The body of a completion request.
-
-    Attributes
-    ----------
-    model : str
-        Model to run.
-    prompt : str
-        The prompt.
-    max_tokens : int
-        Largest number of tokens.
-    seed : int
-        Seed of the sampling.
-    stream : bool
-        Whether to answer with server-sent events.
-
-    """
-
-    model: str
-    prompt: str
-    max_tokens: int = Field(default=_DEFAULT_TOKENS, ge=1, le=_MAX_TOKENS)
-    seed: int = 0
-    stream: bool = False
-
-
-class Choice(msgspec.Struct, frozen=True):
-    """
-    A generated text or a part of it.
-
-    Attributes
-    ----------
-    text : str
-        The text.
-    index : int
-        Always zero.
-    finish_reason : str or None
-        ``stop`` in the last part.
-
-    """
-
-    text: str
-    index: int = 0
-    finish_reason: str | None = None
-
-
-class Completion(msgspec.Struct, frozen=True):
-    """
-    A completion or a part of it.
-
-    Attributes
-    ----------
-    id : str
-        Identifies the completion.
-    model : str
-        Model that ran.
-    choices : tuple of Choice
-        One choice.
-    version : int
-        Weight version of the last tokens.
-
-    """
-
-    id: str  # noqa: WPS125 the field's name on the wire
-    model: str
-    choices: tuple[Choice, ...]
-    version: int = 0
-
 
 class CompletionRoutes:
     """
@@ -127,8 +57,11 @@
         )
         chunks = self._parts.generations.generate(generation)
         if body.stream:
-            return await _answer_stream(body.model, chunks)
-        return await _answer_whole(body.model, chunks)
+            return await answer_events(body.model, chunks)
+        return await run_while_connected(
+            request,
+            _answer_whole(body.model, chunks),
+        )
 
 
 async def _answer_whole(model: str, chunks: AsyncIterator[Chunk]) -> Response:
@@ -143,34 +76,3 @@
         msgspec.json.encode(completion),
         media_type='application/json',
     )
-
-
-async def _answer_stream(model: str, chunks: AsyncIterator[Chunk]) -> Response:
-    # An error before the first chunk still gets its own status.
-    first = await anext(chunks)
-    events = _write_events(model, first, chunks)
-    return StreamingResponse(events, media_type=_EVENT_STREAM)
-
-
-async def _write_events(
-    model: str,
-    first: Chunk,
-    chunks: AsyncIterator[Chunk],
-) -> AsyncIterator[bytes]:
-    name = uuid.uuid4().hex
-    yield _write_event(name, model, first)
-    try:
-        async for chunk in chunks:
-            yield _write_event(name, model, chunk)
-    except LadderError as error:
-        problem = msgspec.json.encode(make_problem(error))
-        yield b'event: error\ndata: %b\n\n' % problem
-        return
-    yield b'data: [DONE]\n\n'
-
-
-def _write_event(name: str, model: str, chunk: Chunk) -> bytes:
-    reason = 'stop' if chunk.end else None
-    choice = Choice(chunk.text, finish_reason=reason)
-    completion = Completion(name, model, (choice,), chunk.version)
-    return b'data: %b\n\n' % msgspec.json.encode(completion)
