--- a/packages/clients/ladder_clients/transport/client.py
+++ b/packages/clients/ladder_clients/transport/client.py
@@ -21,6 +21,8 @@
 from ladder_clients.transport.sockets import make_socket
 from ladder_core.supervision import Service
 
+ORIGIN_HEADER = 'x-origin'
+
 _CONNECT_SECONDS = 2
 _GAP_SECONDS = 5
 
@@ -71,6 +73,12 @@
     """
     Exchanges over HTTP, each tried exactly once.
 
+    Parameters
+    ----------
+    origin : str, optional
+        Region and data centre of this process, ``region/data-centre``, that
+        every request names in `ORIGIN_HEADER`.
+
     Notes
     -----
     Every exchange runs on a connection of its own, which is closed after it,
@@ -81,7 +89,8 @@
 
     """
 
-    def __init__(self) -> None:
+    def __init__(self, origin: str = '') -> None:
+        self._origin = origin
         self._session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
@@ -96,6 +105,7 @@
             auto_decompress=False,
             middlewares=(send_once,),
             trace_configs=[make_trace()],
+            headers={ORIGIN_HEADER: self._origin} if self._origin else None,
         )
 
     async def close(self) -> None:
--- a/packages/node/ladder_node/entry/parts.py
+++ b/packages/node/ladder_node/entry/parts.py
@@ -11,6 +11,9 @@
     KeyedDispatcher,
     PlainDispatcher,
 )
+from ladder_node.duties import LeaseKeeper
+from ladder_node.entry.drain import Drain
+from ladder_node.peers import Gossip, NodeDirectory
 from ladder_node.steps import StepRegistry
 from ladder_node.targets import TargetTable
 
@@ -40,6 +43,14 @@
         Calls plain services at most once for each idempotency key.
     steps : StepRegistry
         The open steps.
+    gossip : Gossip
+        Spreads facts among the nodes.
+    nodes : NodeDirectory
+        What is known of the other nodes.
+    drain : Drain
+        Counts the requests in progress and ends them.
+    leases : LeaseKeeper
+        The leases of this node's duties.
 
     """
 
@@ -52,3 +63,7 @@
     services: PlainDispatcher
     keyed: KeyedDispatcher
     steps: StepRegistry
+    gossip: Gossip
+    nodes: NodeDirectory
+    drain: Drain
+    leases: LeaseKeeper
