--- a/packages/node/ladder_node/app/tree.py
+++ b/packages/node/ladder_node/app/tree.py
@@ -88,6 +88,7 @@
     root.add(parts.configuration)
     guard = _add_peers(root, parts, watcher)
     add_duties(root, parts, clients)
+    root.add(parts.generations)
     root.add(parts.steps)
     app = EntryMiddleware(
         make_entry_app(parts),
