Bound, check and keep a step's samples until its trainer holds them

Cause: a sample's task that failed with anything but a LadderError died silently and the step never became whole; all samples of a step were started at once; a pull that waited outlived its step; a pull overtaken by a later one was judged by its own older version; 'held' took a sign, and -1 meant that the trainer held everything; a stream whose end marker named other tokens was taken; a dead scorer threw a generated text away.

Change: the runner is split into pull side, production, pool, board and sample maker. The pool bounds samples in flight by the engines' batches, lowest group first, and runs a cancelled one again. The guard keeps the highest version stated; a generation ends at its first token below the floor; only the samples that are too old are made again, not their group. Held groups are dropped from memory and no longer generated. A group whose prompt crashes engines is reported in 'failures'. A newer pull, a close or a stop ends a pull that waits with a typed error.

Ruled out: generating whole groups again, which repeats fresh samples.

--- a/packages/node/ladder_node/app/tree.py
+++ b/packages/node/ladder_node/app/tree.py
@@ -9,7 +9,7 @@
 from ladder_node.dispatch import GenerationDispatcher, PlainDispatcher
 from ladder_node.duties import WeightDuty
 from ladder_node.entry import EntryParts, EntryServer, make_entry_app
-from ladder_node.steps import StepRegistry
+from ladder_node.steps import StepCapacity, StepRegistry
 from ladder_node.targets import TargetTable, TargetWatcher
 from ladder_policy.routing import LeastLoadedChooser
 
@@ -75,5 +75,11 @@
         targets=targets,
         generations=generations,
         services=services,
-        steps=StepRegistry(generations, services, timers, timeline),
+        steps=StepRegistry(
+            generations,
+            services,
+            StepCapacity(targets),
+            timers,
+            timeline,
+        ),
     )
--- a/packages/node/ladder_node/entry/step_messages.py
+++ b/packages/node/ladder_node/entry/step_messages.py
@@ -4,6 +4,7 @@
 from pydantic import Field
 
 from ladder_core.values import VersionSpan
+from ladder_node.entry.problems import Problem
 from ladder_node.entry.requests import RequestModel
 
 _MAX_WAIT_SECONDS = 30
@@ -113,6 +114,23 @@
     samples: tuple[SampleBody, ...]
 
 
+class GroupFailureBody(msgspec.Struct, frozen=True):
+    """
+    A group that will not come.
+
+    Attributes
+    ----------
+    index : int
+        Index within the step.
+    problem : Problem
+        Why, and what to do.
+
+    """
+
+    index: int
+    problem: Problem
+
+
 class PullBody(msgspec.Struct, frozen=True):
     """
     The answer to a pull.
@@ -123,8 +141,11 @@
         Groups that the trainer lacked.
     remaining : int
         Groups that are still to come.
+    failures : tuple of GroupFailureBody
+        Groups that the service has given up on.
 
     """
 
     groups: tuple[GroupBody, ...]
     remaining: int
+    failures: tuple[GroupFailureBody, ...] = ()
--- a/packages/node/ladder_node/entry/steps.py
+++ b/packages/node/ladder_node/entry/steps.py
@@ -7,6 +7,7 @@
 from ladder_core.errors import ForbiddenError, TooLargeError
 from ladder_core.values import Group, Lists, Plan, Sample
 from ladder_node.entry.parts import EntryParts
+from ladder_node.entry.problems import make_problem
 from ladder_node.entry.requests import (
     authenticate,
     check_model,
@@ -15,13 +16,14 @@
 )
 from ladder_node.entry.step_messages import (
     GroupBody,
+    GroupFailureBody,
     PullBody,
     PullModel,
     SampleBody,
     StepModel,
     StepStatus,
 )
-from ladder_node.steps import Handover, HeldGroups, StepSpec
+from ladder_node.steps import Handover, HeldGroups, Pull, StepSpec
 
 _CREATED = 201
 
@@ -63,10 +65,8 @@
         step = request.path_params['step']
         runner = self._parts.steps.find(plan.trainer, step)
         handover = await runner.pull(
-            body.version,
-            plan.staleness_versions,
-            held,
-            body.wait_seconds,
+            Pull(body.version, held, body.wait_seconds),
+            lambda: self._find_bound(plan),
         )
         return _answer(_make_pull_body(runner.spec, handover))
 
@@ -78,6 +78,12 @@
         await self._parts.steps.finish(plan.trainer, step)
         return _answer(StepStatus(f'{plan.trainer}/{step}', '', 0))
 
+    def _find_bound(self, plan: Plan) -> int:
+        """Return a plan's bound as it is in force now."""
+        lists = self._parts.configuration.require_lists()
+        current = lists.find_plan(plan.secret_sha256) or plan
+        return current.staleness_versions
+
 
 def _authorize(request: Request, lists: Lists) -> Plan:
     plan = authenticate(request, lists)
@@ -111,7 +117,11 @@
 
 def _make_pull_body(spec: StepSpec, handover: Handover) -> PullBody:
     groups = tuple(_make_group(spec, group) for group in handover.groups)
-    return PullBody(groups, handover.remaining)
+    failures = tuple(
+        GroupFailureBody(failure.index, make_problem(failure.error))
+        for failure in handover.failures
+    )
+    return PullBody(groups, handover.remaining, failures)
 
 
 def _make_group(spec: StepSpec, group: Group) -> GroupBody:
--- /dev/null
+++ b/packages/node/ladder_node/steps/events.py
@@ -0,0 +1,95 @@
+"""Record what happens to a step in metrics, logs and time line."""
+
+from loguru import logger
+
+from ladder_core.errors import LadderError
+from ladder_core.timeline import TimeLine
+from ladder_core.values import Group
+from ladder_node.steps.metrics import (
+    GROUPS_HANDED_OVER,
+    SAMPLES_FAILED,
+    SAMPLES_FINISHED,
+    SAMPLES_TOO_OLD,
+    STALENESS,
+    STEPS_OPEN,
+)
+from ladder_node.steps.pool import SamplePlace
+from ladder_node.steps.spec import StepSpec
+from ladder_node.steps.staleness import StalenessGuard
+
+
+class StepEvents:
+    """
+    Take the events of one step.
+
+    Parameters
+    ----------
+    spec : StepSpec
+        The step.
+    timeline : TimeLine
+        Takes the events that an operator reads.
+
+    """
+
+    def __init__(self, spec: StepSpec, timeline: TimeLine) -> None:
+        self._spec = spec
+        self._timeline = timeline
+
+    def note_opened(self) -> None:
+        """Note that the step runs here."""
+        STEPS_OPEN.inc()
+        self._timeline.record('step-opened', self._spec.name)
+
+    def note_ended(self, reason: LadderError) -> None:
+        """Note that the step no longer runs here."""
+        STEPS_OPEN.dec()
+        self._timeline.record('step-ended', self._spec.name, error=reason.kind)
+
+    def note_finished(self) -> None:
+        """Note a generated and scored sample."""
+        SAMPLES_FINISHED.labels(self._spec.trainer).inc()
+
+    def note_stale(self, place: SamplePlace, guard: StalenessGuard) -> None:
+        """Note a sample that was dropped for its staleness."""
+        SAMPLES_TOO_OLD.labels(self._spec.trainer).inc()
+        self._timeline.record(
+            'sample-too-old',
+            self._name(place),
+            floor=guard.floor,
+            trainer=guard.version,
+        )
+
+    def note_failure(self, place: SamplePlace, error: Exception) -> None:
+        """Note a failed attempt at a sample."""
+        name = self._name(place)
+        kind = 'defect'
+        if isinstance(error, LadderError):
+            kind = error.kind
+            logger.warning('sample {} failed: {}', name, error)
+        else:
+            logger.opt(exception=error).error('sample {} failed', name)
+        SAMPLES_FAILED.labels(self._spec.trainer, kind).inc()
+        self._timeline.record('sample-failed', name, error=kind)
+
+    def note_given_up(self, group: int, error: LadderError) -> None:
+        """Note a group that will not come."""
+        self._timeline.record(
+            'group-given-up',
+            f'{self._spec.name}/{group}',
+            error=error.kind,
+        )
+
+    def note_handover(
+        self,
+        groups: tuple[Group, ...],
+        guard: StalenessGuard,
+    ) -> None:
+        """Note the groups of an answer to a pull."""
+        trainer = self._spec.trainer
+        GROUPS_HANDED_OVER.labels(trainer).inc(len(groups))
+        for group in groups:
+            staleness = guard.version - group.oldest_version
+            STALENESS.labels(trainer).observe(max(0, staleness))
+
+    def _name(self, place: SamplePlace) -> str:
+        return str(self._spec.identify(place.group, place.index))
--- a/packages/node/ladder_node/steps/handover.py
+++ b/packages/node/ladder_node/steps/handover.py
@@ -1,11 +1,13 @@
 """The hand-over of finished groups to a trainer."""
 
+import re
 from dataclasses import dataclass
 
-from ladder_core.errors import BadRequestError
+from ladder_core.errors import BadRequestError, LadderError
 from ladder_core.values import Group
 
 _HEXADECIMAL = 16
+_DIGITS = re.compile('[0-9a-fA-F]*')
 _SHOWN_CHARACTERS = 20
 
 
@@ -40,13 +42,35 @@
             The text is not hexadecimal.
 
         """
-        try:
-            return cls(int(text or '0', base=_HEXADECIMAL))
-        except ValueError as error:
+        # int() alone would also take a sign, which sets every bit.
+        if not _DIGITS.fullmatch(text):
             raise BadRequestError(
-                f'held is no hexadecimal number: {text[:_SHOWN_CHARACTERS]}',
-                remedy='send a bit for each group, lowest group first',
-            ) from error
+                f'held is no hexadecimal number: {text[:_SHOWN_CHARACTERS]!r}',
+                remedy='send a number whose bit i is set for each held group i',
+            )
+        return cls(int(text or '0', base=_HEXADECIMAL))
+
+    def check_groups(self, groups: int) -> None:
+        """
+        Check that only groups of a step are named.
+
+        Parameters
+        ----------
+        groups : int
+            Number of groups of the step.
+
+        Raises
+        ------
+        BadRequestError
+            A group is named that the step does not have.
+
+        """
+        if self.bits >> groups:
+            raise BadRequestError(
+                f'held names group {self.bits.bit_length() - 1} of a step '
+                f'with {groups} groups',
+                remedy='send what is held of this step only',
+            )
 
     def has(self, index: int) -> bool:
         """Whether the trainer holds a group."""
@@ -54,40 +78,60 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Handover:
+class Pull:
     """
-    The answer to one pull.
+    What a trainer states when it asks for groups.
 
     Attributes
     ----------
-    groups : tuple of Group
-        Finished groups that the trainer does not hold, all within its bound.
-    remaining : int
-        Groups that the trainer will still lack after this answer.
+    version : int
+        Version that the trainer is at.
+    held : HeldGroups
+        Groups that it holds.
+    wait_seconds : float
+        Seconds to wait for a group if none is finished.
 
     """
 
-    groups: tuple[Group, ...]
-    remaining: int
+    version: int
+    held: HeldGroups = HeldGroups()
+    wait_seconds: float = 0
 
 
-def is_too_old(group: Group, trainer_version: int, bound: int) -> bool:
+@dataclass(frozen=True, slots=True)
+class GroupFailure:
     """
-    Whether a group is staler than a plan allows.
+    A group that the service has given up on.
 
-    Parameters
+    Attributes
     ----------
-    group : Group
-        The group.
-    trainer_version : int
-        Version that the trainer is at.
-    bound : int
-        Largest allowed difference of versions.
+    index : int
+        Index of the group within the step.
+    error : LadderError
+        Why, and what the trainer can do about it.
+
+    """
+
+    index: int
+    error: LadderError
 
-    Returns
-    -------
-    bool
-        True if its oldest span is older than the bound.
 
+@dataclass(frozen=True, slots=True)
+class Handover:
     """
-    return trainer_version - group.oldest_version > bound
+    The answer to one pull.
+
+    Attributes
+    ----------
+    groups : tuple of Group
+        Finished groups that the trainer does not hold, all within its bound.
+    remaining : int
+        Groups that are still to come after this answer.
+    failures : tuple of GroupFailure
+        Groups that will not come.
+
+    """
+
+    groups: tuple[Group, ...]
+    remaining: int
+    failures: tuple[GroupFailure, ...] = ()
