--- a/packages/node/ladder_node/entry/parts.py
+++ b/packages/node/ladder_node/entry/parts.py
@@ -6,7 +6,14 @@
 from ladder_core.timeline import TimeLine
 from ladder_core.timers import TimerService
 from ladder_node.configuration import ConfigurationKeeper
-from ladder_node.dispatch import GenerationDispatcher, PlainDispatcher
+from ladder_node.dispatch import (
+    GenerationDispatcher,
+    KeyedDispatcher,
+    PlainDispatcher,
+)
+from ladder_node.duties import LeaseKeeper
+from ladder_node.entry.drain import Drain
+from ladder_node.peers import Gossip, NodeDirectory
 from ladder_node.steps import StepRegistry
 from ladder_node.targets import TargetTable
 
@@ -32,8 +39,18 @@
         Runs generations.
     services : PlainDispatcher
         Calls plain services.
+    keyed : KeyedDispatcher
+        Calls plain services at most once for each idempotency key.
     steps : StepRegistry
         The open steps.
+    gossip : Gossip
+        Spreads facts among the nodes.
+    nodes : NodeDirectory
+        What is known of the other nodes.
+    drain : Drain
+        Counts the requests in progress and ends them.
+    leases : LeaseKeeper
+        The leases of this node's duties.
 
     """
 
@@ -44,4 +61,9 @@
     targets: TargetTable
     generations: GenerationDispatcher
     services: PlainDispatcher
+    keyed: KeyedDispatcher
     steps: StepRegistry
+    gossip: Gossip
+    nodes: NodeDirectory
+    drain: Drain
+    leases: LeaseKeeper
--- a/packages/node/ladder_node/entry/steps.py
+++ b/packages/node/ladder_node/entry/steps.py
@@ -57,22 +57,25 @@
 
     async def pull(self, request: Request) -> Response:
         """Answer ``POST /v1/trainers/{trainer}/steps/{step}/pull``."""
-        lists = self._parts.configuration.require_lists()
+        lists = self._parts.configuration.require_known()
         plan = _authorize(request, lists)
         limit = self._parts.settings.body_limit_bytes
         body = parse_body(await read_body(request, limit), PullModel)
         held = HeldGroups.parse(body.held)
         step = request.path_params['step']
         runner = self._parts.steps.find(plan.trainer, step)
-        handover = await runner.pull(
-            Pull(body.version, held, body.wait_seconds),
-            lambda: self._find_bound(plan),
+        handover = await self._parts.drain.shorten(
+            lambda seconds: runner.pull(
+                Pull(body.version, held, seconds),
+                lambda: self._find_bound(plan),
+            ),
+            body.wait_seconds,
         )
         return _answer(_make_pull_body(runner.spec, handover))
 
     async def close(self, request: Request) -> Response:
         """Answer ``DELETE /v1/trainers/{trainer}/steps/{step}``."""
-        lists = self._parts.configuration.require_lists()
+        lists = self._parts.configuration.require_known()
         plan = _authorize(request, lists)
         step = request.path_params['step']
         await self._parts.steps.finish(plan.trainer, step)
@@ -80,7 +83,7 @@
 
     def _find_bound(self, plan: Plan) -> int:
         """Return a plan's bound as it is in force now."""
-        lists = self._parts.configuration.require_lists()
+        lists = self._parts.configuration.require_known()
         current = lists.find_plan(plan.secret_sha256) or plan
         return current.staleness_versions
 
--- a/standins/ladder_standins/engine/machine.py
+++ b/standins/ladder_standins/engine/machine.py
@@ -15,6 +15,7 @@
     Order,
     Role,
 )
+from ladder_clients.transport import ORIGIN_HEADER
 from ladder_standins.engine.batch import Batch
 from ladder_standins.engine.settings import EngineSettings
 from ladder_standins.engine.text import draw_length, make_word
@@ -148,7 +149,12 @@
         yield Chunk(request.request_id, end=True, total_tokens=length)
 
     def _begin(self, request: GenerateRequest) -> None:
-        self._records.add('executed', request.request_id, prompt=request.prompt)
+        self._records.add(
+            'executed',
+            request.request_id,
+            prompt=request.prompt,
+            seed=request.seed,
+        )
         if _CRASH_WORD in request.prompt:
             os._exit(_CRASH_STATUS)
 
@@ -184,6 +190,7 @@
             'generated',
             request_id,
             version=self._served_version,
+            position=position,
             tokens=count,
         )
         if self.misbehaviour.crosses_streams:
@@ -196,7 +203,8 @@
             f'{self._settings.model}/{version}'
         )
         async with aiohttp.ClientSession() as session:
-            async with session.get(url) as reply:
+            headers = {ORIGIN_HEADER: self._settings.origin}
+            async with session.get(url, headers=headers) as reply:
                 await reply.read()
                 is_fetched = reply.status == _OK
         if is_fetched:
