--- a/packages/node/ladder_node/app/tree.py
+++ b/packages/node/ladder_node/app/tree.py
@@ -26,7 +26,7 @@
     make_entry_app,
 )
 from ladder_node.peers import LeavingTargets, PauseGuard
-from ladder_node.steps import StepRegistry
+from ladder_node.steps import StepCapacity, StepRegistry
 from ladder_node.targets import TargetTable, TargetWatcher
 from ladder_policy.routing import (
     LeastLoadedChooser,
@@ -151,7 +151,13 @@
             IntentLog(clients.table, intents, timers),
             timeline,
         ),
-        steps=StepRegistry(generations, services, timers, timeline),
+        steps=StepRegistry(
+            generations,
+            services,
+            StepCapacity(targets),
+            timers,
+            timeline,
+        ),
         gossip=peers.gossip,
         nodes=peers.nodes,
         drain=peers.drain,
