Let the proof's callers ask which addresses to use

The callers went round a fixed list of nodes, so they still opened connections to a node whose kept address answers had run out and which had closed.

Ruled out: a request cut while it was in progress.

Change: an address book asks /v1/addresses and keeps the answer for keep_seconds, counted from before the question. The checker is unchanged.

--- a/proof/load/callers.py
+++ b/proof/load/callers.py
@@ -12,6 +12,7 @@
 from ladder_standins.engine.text import draw_length, make_word
 from proof.checkers.executions import CLAIM_PREFIX
 from proof.history import Attempt, History, Outcome
+from proof.load.addresses import AddressBook, Node
 
 _TIMEOUT_SECONDS = 20
 _PAUSE_SECONDS = 0.1
@@ -39,22 +40,6 @@
     choices: tuple[_Choice, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Node:
-    """
-    A node that callers may use.
-
-    Attributes
-    ----------
-    name, address : str
-        Its name and its entry address.
-
-    """
-
-    name: str
-    address: str
-
-
 @dataclass(frozen=True, slots=True)
 class _End:
     """How an exchange ended and what text it brought."""
@@ -72,7 +57,7 @@
     name : str
         Name of the caller, part of its operations' names.
     nodes : sequence of Node
-        Nodes to use in turn.
+        All entry hosts; which to use is asked of them.
     secret : str
         The plan's secret.
     history : History
@@ -88,10 +73,9 @@
         history: History,
     ) -> None:
         self._name = name
-        self._nodes = nodes
+        self._addresses = AddressBook(nodes)
         self._headers = {'authorization': f'Bearer {secret}'}
         self._history = history
-        self._turn = 0
 
     async def run(self, until: float) -> None:
         """
@@ -117,7 +101,7 @@
             await asyncio.sleep(_PAUSE_SECONDS)
 
     async def _attempt(self, subject: str) -> Outcome:
-        node = self._nodes[self._turn % len(self._nodes)]
+        node = await self._addresses.pick()
         begin = time.monotonic()
         timeout = aiohttp.ClientTimeout(_TIMEOUT_SECONDS)
         try:
@@ -128,7 +112,7 @@
         except (aiohttp.ClientError, TimeoutError):
             end = _End(Outcome.unknown)
         if end.outcome is not Outcome.answered:
-            self._turn += 1
+            self._addresses.skip()
         self._history.attempts.append(
             Attempt(
                 subject,
--- a/proof/load/observer.py
+++ b/proof/load/observer.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from proof.history import History, RevisionSeen
-from proof.load.callers import Node
+from proof.load.addresses import Node
 
 _PERIOD_SECONDS = 0.5
 _CALL_SECONDS = 1
--- a/proof/run.py
+++ b/proof/run.py
@@ -19,7 +19,7 @@
     RecordingTrainer,
     RevisionObserver,
 )
-from proof.load.callers import Node
+from proof.load.addresses import Node
 
 _SECRET = 'proof'
 _BOUND = 1
