Measure gossip and the choice of peers beside the other roles

Real nodes are started beside the measured one, in one data centre, where up to three others add a connection each way, so the unit is a connection and the target the seven that a node keeps. Ruled out: a slope over nodes, tried first: it counted the others' reads of the table as the node's own (138,444 reads/s at 360 nodes) and stretched a cost that stops at seven connections to 359 (161 ms/s).

--- /dev/null
+++ b/bench/slopes/load_roles.py
@@ -0,0 +1,87 @@
+"""Roles that carry requests."""
+
+import asyncio
+import contextlib
+
+from bench.deployments import MODEL
+from bench.experiment import InteractiveModel
+from bench.interactive import InteractiveLoad
+from bench.plans import make_secret
+from bench.slopes.probe import TRAINER, NodeProbe
+from bench.slopes.role import Role, Scale
+from bench.slopes.usage import Usage
+from ladder_standins.trainer import StepRequest, Trainer
+
+_WINDOW_SECONDS = 4
+_STEP_SECONDS = 240
+_SAMPLES_PER_GROUP = 4
+_TOKENS = 16
+
+
+class EntryRole(Role):
+    """Interactive requests."""
+
+    title = 'entry'
+    scale = Scale('requests/s', (3, 8, 15), 14.7)
+    is_control = False
+
+    async def measure(self, size: float) -> Usage:
+        """Send requests at a rate and measure."""
+        return await self._measure_load(size, _TOKENS)
+
+    async def _measure_load(self, rate: float, tokens: int) -> Usage:
+        model = InteractiveModel(per_second=rate, tokens=tokens)
+        load = InteractiveLoad(model, [self._probe.address], 1, 1, 0)
+        task = asyncio.create_task(load.run())
+        try:
+            return await self._probe.measure(_WINDOW_SECONDS)
+        finally:
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+
+
+class RouterRole(EntryRole):
+    """Tokens that pass the node."""
+
+    title = 'router'
+    scale = Scale('tokens/s in chunks of 8', (240, 960, 1920), 6111)
+
+    _rate = 3
+
+    async def measure(self, size: float) -> Usage:
+        """Send few requests with long answers and measure."""
+        return await self._measure_load(self._rate, int(size / self._rate))
+
+
+class StepRole(Role):
+    """Samples of a step."""
+
+    title = 'step duty'
+    scale = Scale('samples a step of 240 s', (64, 128, 256), 2048)
+    is_control = False
+
+    def __init__(self, probe: NodeProbe) -> None:
+        super().__init__(probe)
+        self._steps = 0
+
+    async def measure(self, size: float) -> Usage:
+        """Run one step and spread its cost over the target's step time."""
+        trainer = Trainer(
+            TRAINER,
+            make_secret(TRAINER),
+            [self._probe.address],
+            1,
+        )
+        self._steps += 1
+        prompts = tuple(
+            f'[length={_TOKENS}] step {self._steps} line {group}'
+            for group in range(int(size) // _SAMPLES_PER_GROUP)
+        )
+        step = StepRequest(self._steps, 0, MODEL, prompts, _SAMPLES_PER_GROUP)
+        before = await self._probe.read()
+        await trainer.run_step(step)
+        after = await self._probe.read()
+        usage = self._probe.compare(before, after, _STEP_SECONDS)
+        await trainer.close_step(self._steps)
+        return usage
--- /dev/null
+++ b/bench/slopes/local_roles.py
@@ -0,0 +1,65 @@
+"""Roles that need no process of a node."""
+
+import time
+import tracemalloc
+
+from bench.slopes.role import Role, Scale
+from bench.slopes.usage import Usage
+from ladder_core.timeline import HybridClock, TimeLine
+from ladder_core.timers import SystemTimerService
+from ladder_node.peers.members import Member, choose_peers
+
+_CENTRES = 11
+_CHOICES = 20
+_STEP_SECONDS = 240
+_MEGABYTE = 1_000_000
+_MILLISECONDS = 1000
+
+
+class PeerChoiceRole(Role):
+    """The choice of peers, made once a second."""
+
+    title = 'choice of peers'
+    scale = Scale('peers', (90, 180, 359), 359)
+
+    async def measure(self, size: float) -> Usage:
+        """Choose peers in this process, which needs no node."""
+        members = [
+            Member('region', f'centre-{number % _CENTRES}', f'n-{number}', '')
+            for number in range(int(size) + 1)
+        ]
+        begin = time.process_time()
+        for _ in range(_CHOICES):
+            choose_peers(members[0], members[1:])
+        spent = time.process_time() - begin
+        return Usage(cpu=spent / _CHOICES * _MILLISECONDS)
+
+
+class TimelineRole(Role):
+    """Events that a node keeps."""
+
+    title = 'time line'
+    scale = Scale('events in 240 s', (1024, 2048, 4096), 4096)
+
+    async def measure(self, size: float) -> Usage:
+        """Record events in this process, which needs no node."""
+        timers = SystemTimerService()
+        tracemalloc.start()
+        before = tracemalloc.get_traced_memory()[0]
+        timeline = TimeLine('node', HybridClock(timers), int(size))
+        for number in range(int(size)):
+            timeline.record('sample-finished', f'notes/{number}', version=1)
+        memory = tracemalloc.get_traced_memory()[0] - before
+        tracemalloc.stop()
+        return Usage(
+            cpu=_time_records(timeline, int(size)) / _STEP_SECONDS,
+            memory=memory / _MEGABYTE,
+        )
+
+
+def _time_records(timeline: TimeLine, size: int) -> float:
+    """Return the milliseconds that recording events takes."""
+    begin = time.process_time()
+    for number in range(size):
+        timeline.record('sample-finished', f'notes/{number}', version=1)
+    return (time.process_time() - begin) * _MILLISECONDS
--- a/bench/slopes/probe.py
+++ b/bench/slopes/probe.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import msgspec
+from prometheus_client.parser import text_string_to_metric_families
 
 from bench.deployments import DEPLOYMENTS, MODEL
 from bench.experiment import DeploymentName, Experiment, TrainerModel, Variant
@@ -28,6 +29,7 @@
 _SETTLE_SECONDS = 1.5
 _FAST_TOKENS_PER_SECOND = 2000
 _LARGE_BATCH = 256
+_PEER_BYTES = 'ladder_peer_bytes_total'
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +46,9 @@
     table : Traffic
         What the table service carried.
     control_bytes : int
-        Bytes of all control traffic.
+        Bytes from and to the platform's services and a quiet engine.
+    peer_bytes : int
+        Bytes of messages between nodes, by the node's own count.
 
     """
 
@@ -52,6 +56,7 @@
     cpu: float
     table: Traffic
     control_bytes: int
+    peer_bytes: int
 
 
 class NodeProbe:
@@ -92,8 +97,13 @@
         """List one more engine; all share the address of a quiet one."""
         await self._list(name, HostKind.engine, _QUIET_ENGINE)
 
+    async def start_peer(self, name: str) -> None:
+        """Start one more node, which gossips with the first."""
+        await self.fleet.start_node(NodeLayout(name, _DATA_CENTRE, _REGION))
+        await self.fleet.controls.wait_answer(name, '/readyz')
+
     async def list_peer(self, name: str) -> None:
-        """List one more entry host; none answers there."""
+        """List one more entry host, which does not gossip."""
         await self.fleet.controls.list_host(
             HostEntry(
                 name,
@@ -101,7 +111,6 @@
                 '127.0.0.1:9',
                 _DATA_CENTRE,
                 _REGION,
-                peer_address='127.0.0.1:9',
             ),
         )
 
@@ -140,6 +149,7 @@
             reads=table_reads / elapsed,
             writes=table_writes / elapsed,
             control_bytes=control_bytes / elapsed,
+            peer_bytes=(after.peer_bytes - before.peer_bytes) / elapsed,
         )
 
     async def read(self) -> Reading:
@@ -150,6 +160,7 @@
             cpu=read_cpu(self.fleet.processes.find_pid(NODE)),
             table=traffic['table'],
             control_bytes=sum(one.bytes for one in traffic.values()),
+            peer_bytes=await self._read_peer_bytes(),
         )
 
     async def _list(self, name: str, kind: HostKind, at: str) -> None:
@@ -164,6 +175,16 @@
         )
         await self.fleet.controls.list_host(entry)
 
+    async def _read_peer_bytes(self) -> int:
+        answer = await self.fleet.controls.send(NODE, 'GET', '/metrics')
+        families = text_string_to_metric_families(answer.decode())
+        return sum(
+            int(sample.value)
+            for family in families
+            for sample in family.samples
+            if sample.name == _PEER_BYTES
+        )
+
     async def _read_traffic(self, name: str) -> Traffic:
         answer = await self.fleet.controls.send(name, 'GET', NETWORK_PATH)
         return msgspec.json.decode(answer, type=Traffic)
--- /dev/null
+++ b/bench/slopes/state_roles.py
@@ -0,0 +1,129 @@
+"""Roles that keep a state up to date."""
+
+import asyncio
+import contextlib
+from dataclasses import replace
+
+import msgspec
+
+from bench.slopes.probe import NodeProbe
+from bench.slopes.role import Role, Scale
+from bench.slopes.usage import Usage
+from ladder_clients.table import Transaction, Write
+from ladder_core.values import Allowance, Lists, Plan
+
+_WINDOW_SECONDS = 4
+_GOSSIP_SECONDS = 11
+_LISTED_PLANS = 100
+_HASH_DIGITS = 64
+_FIRST_REVISION = 1000
+
+
+class MembershipRole(Role):
+    """Entry hosts in the node's tables."""
+
+    title = 'membership'
+    scale = Scale('peers listed', (20, 100, 200), 359)
+
+    async def measure(self, size: float) -> Usage:
+        """List entry hosts up to a size and measure."""
+        for number in range(int(size)):
+            await self._probe.list_peer(f'peer-{number}')
+        return await self._probe.measure(_WINDOW_SECONDS)
+
+
+class GossipRole(Role):
+    """
+    Nodes that gossip.
+
+    Notes
+    -----
+    With up to three others in the data centre each one adds a connection in
+    each direction, so that they stand for the connections at the target.
+
+    """
+
+    title = 'gossip'
+    scale = Scale('connections out and in', (1, 2, 3), 7)
+
+    async def measure(self, size: float) -> Usage:
+        """Start nodes up to a size and measure the first."""
+        running = self._probe.fleet.processes.names
+        for number in range(int(size)):
+            name = f'peer-{number}'
+            if name not in running:
+                await self._probe.start_peer(name)
+        usage = await self._probe.measure(_GOSSIP_SECONDS)
+        # The other nodes use the same platform.
+        return replace(
+            usage,
+            reads=0,
+            writes=0,
+            control_bytes=usage.peer_bytes,
+        )
+
+
+class PoolRole(Role):
+    """Replicas in the node's tables, and their states."""
+
+    title = 'pool duty and router table'
+    scale = Scale('replicas', (20, 60, 120), 1700)
+
+    async def measure(self, size: float) -> Usage:
+        """List engines up to a size and measure."""
+        for number in range(int(size)):
+            await self._probe.list_engine(f'replica-{number}')
+        return await self._probe.measure(_WINDOW_SECONDS)
+
+
+class ConfigurationRole(Role):
+    """Changes of the operators' lists."""
+
+    title = 'configuration'
+    scale = Scale('changes/s of lists of 100 plans', (0.5, 1, 2), 0.1)
+
+    def __init__(self, probe: NodeProbe) -> None:
+        super().__init__(probe)
+        self._revision = _FIRST_REVISION
+
+    async def measure(self, size: float) -> Usage:
+        """Change the lists at a rate and measure."""
+        task = asyncio.create_task(self._change(1 / size))
+        try:
+            usage = await self._probe.measure(_WINDOW_SECONDS)
+        finally:
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+        # The changes themselves are the bench's own traffic.
+        own = size * len(msgspec.json.encode(_make_lists(self._revision)))
+        return replace(
+            usage,
+            writes=0,
+            control_bytes=usage.control_bytes - own,
+        )
+
+    async def _change(self, period: float) -> None:
+        while True:
+            self._revision += 1
+            body = msgspec.json.encode(_make_lists(self._revision)).decode()
+            write = Write('configuration', 'lists', body)
+            token = f'slopes-{self._revision}'
+            await self._probe.fleet.controls.send(
+                'table',
+                'POST',
+                '/v1/transactions',
+                Transaction(token, (), (write,)),
+            )
+            await asyncio.sleep(period)
+
+
+def _make_lists(revision: int) -> Lists:
+    names = [f'plan-{number}' for number in range(_LISTED_PLANS)]
+    return Lists(
+        revision=revision,
+        plans=tuple(
+            Plan(name, 'customer', name.zfill(_HASH_DIGITS)) for name in names
+        ),
+        allowances=tuple(Allowance(name, ('brewmind',)) for name in names),
+    )
--- a/bench/slopes/study.py
+++ b/bench/slopes/study.py
@@ -6,8 +6,28 @@
 from pathlib import Path
 
 from bench.slopes.fit import Line, Point, fit
+from bench.slopes.load_roles import EntryRole, RouterRole, StepRole
+from bench.slopes.local_roles import PeerChoiceRole, TimelineRole
 from bench.slopes.probe import NodeProbe
-from bench.slopes.roles import ROLES, Role, Scale
+from bench.slopes.role import Role, Scale
+from bench.slopes.state_roles import (
+    ConfigurationRole,
+    GossipRole,
+    MembershipRole,
+    PoolRole,
+)
+
+ROLES: tuple[type[Role], ...] = (
+    EntryRole,
+    RouterRole,
+    StepRole,
+    PoolRole,
+    ConfigurationRole,
+    MembershipRole,
+    GossipRole,
+    PeerChoiceRole,
+    TimelineRole,
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/bench/slopes/tests/test_tables.py
+++ b/bench/slopes/tests/test_tables.py
@@ -1,7 +1,7 @@
 import pytest
 
 from bench.slopes.fit import Line
-from bench.slopes.roles import Scale
+from bench.slopes.role import Scale
 from bench.slopes.study import RoleCost
 from bench.slopes.tables import BEGIN, END, format_tables, write_tables
 
--- a/bench/slopes/usage.py
+++ b/bench/slopes/usage.py
@@ -25,6 +25,8 @@
         Requests to the table service a second.
     control_bytes : float
         Bytes a second of the platform's services and of engine states.
+    peer_bytes : float
+        Bytes a second of messages between nodes.
 
     """
 
@@ -33,6 +35,7 @@
     reads: float = 0
     writes: float = 0
     control_bytes: float = 0
+    peer_bytes: float = 0
 
 
 def read_cpu(pid: int) -> float:
