--- a/packages/node/ladder_node/entry/parts.py
+++ b/packages/node/ladder_node/entry/parts.py
@@ -11,6 +11,7 @@
     KeyedDispatcher,
     PlainDispatcher,
 )
+from ladder_node.duties import LeaseKeeper
 from ladder_node.entry.drain import Drain
 from ladder_node.peers import Gossip, NodeDirectory
 from ladder_node.steps import StepRegistry
@@ -48,6 +49,8 @@
         What is known of the other nodes.
     drain : Drain
         Counts the requests in progress and ends them.
+    leases : LeaseKeeper
+        The leases of this node's duties.
 
     """
 
@@ -63,3 +66,4 @@
     gossip: Gossip
     nodes: NodeDirectory
     drain: Drain
+    leases: LeaseKeeper
