Bear a table service that is down, slow or loses answers

Cause: every caller met the store's faults on its own, without a limit on rate or queue, and a slow store cost each lease whose renewal took 2 s. Change: one gate a node (share of reads and writes by live nodes, bounded queue, one circuit breaker); a lost answer is repeated under its token; two limits a call: 2 s for requests, 6 s for renewals, which bear 5 s a call. Ruled out: one limit for both, which either drops leases of a slow store or holds callers for 6 s.

--- /dev/null
+++ b/packages/clients/ladder_clients/table/tests/test_resilient.py
@@ -0,0 +1,157 @@
+import asyncio
+
+import pytest
+
+from ladder_clients.table import (
+    Condition,
+    ResilientTableClient,
+    StoreOutcomeUnknownError,
+    TableBudget,
+    TableGate,
+    Transaction,
+    Write,
+)
+from ladder_core.errors import StoreUnavailableError
+from ladder_core.timeline import HybridClock, HybridTime, TimeLine
+from ladder_core.timers import ManualTimerService
+from ladder_standins.memory import Fate, MemoryTable, Weather
+from ladder_standins.rows import TableRows
+
+INSERT = Transaction(
+    'token',
+    (Condition('t', 'k', 0),),
+    (Write('t', 'k', 'body'),),
+)
+
+
+class Bench:
+    """A resilient client over a table whose weather a test sets."""
+
+    def __init__(self, call_seconds=2, is_urgent=False, budget=None):
+        self.timers = ManualTimerService()
+        self.weather = []
+        self.climate = Weather()
+        self.calls = []
+        self.writes: list[str] = []
+        self.gate = TableGate(self.timers, budget)
+        rows = TableRows(lambda kind, subject, **_: self.writes.append(subject))
+        inner = MemoryTable(rows, self.timers, self._forecast)
+        self.client = ResilientTableClient(
+            inner,
+            self.gate,
+            self.timers,
+            call_seconds,
+            is_urgent,
+        )
+
+    async def run(self, call):
+        task = asyncio.create_task(call)
+        while not task.done():
+            await self.timers.advance(0.5)
+        return await task
+
+    async def fail(self, times):
+        for _ in range(times):
+            with pytest.raises(StoreUnavailableError):
+                await self.run(self.client.read('t', 'k'))
+
+    def _forecast(self):
+        self.calls.append(self.timers.now())
+        return self.weather.pop(0) if self.weather else self.climate
+
+
+async def test_down_store_is_probed_and_not_called_for_each_request():
+    bench = Bench()
+    timeline = TimeLine('a', HybridClock(bench.timers))
+    bench.gate.report_to(timeline)
+    bench.climate = Weather(Fate.refused)
+    await bench.fail(5)
+    calls = len(bench.calls)
+    for _ in range(50):
+        with pytest.raises(StoreUnavailableError):
+            await bench.client.read('t', 'k')
+    assert len(bench.calls) == calls
+    bench.climate = Weather()
+    await bench.timers.advance(1)
+    await bench.run(bench.client.read('t', 'k'))
+    assert not bench.gate.breaker.is_open
+    kinds = [event.kind for event in timeline.read(HybridTime(), 9)]
+    assert kinds == ['store-failed', 'store-recovered']
+
+
+async def test_slow_store_of_five_seconds_a_call_is_given_up_at_the_limit():
+    bench = Bench()
+    bench.climate = Weather(before=2.5, after=2.5)
+    with pytest.raises(StoreUnavailableError):
+        await bench.run(bench.client.read('t', 'k'))
+    assert bench.timers.now() <= 2.5
+    with pytest.raises(StoreOutcomeUnknownError):
+        await bench.run(bench.client.commit(INSERT))
+
+
+async def test_urgent_calls_bear_five_seconds_and_pass_an_open_breaker():
+    bench = Bench(call_seconds=6, is_urgent=True)
+    for _ in range(9):
+        bench.gate.breaker.note_failure()
+    bench.climate = Weather(before=2.5, after=2.5)
+    outcome = await bench.run(bench.client.commit(INSERT))
+    assert outcome.committed
+    assert bench.gate.breaker.is_open
+
+
+@pytest.mark.parametrize('losses', [1, 2])
+async def test_effect_without_answer_is_learnt_and_happens_once(losses):
+    bench = Bench()
+    bench.weather = [Weather(Fate.answer_lost) for _ in range(losses)]
+    outcome = await bench.run(bench.client.commit(INSERT))
+    assert outcome.committed
+    assert bench.writes == ['t/k']
+    assert len(bench.calls) == losses + 1
+
+
+async def test_late_effect_happens_once():
+    bench = Bench()
+    bench.weather = [Weather(Fate.late_effect, lateness=30)]
+    assert (await bench.run(bench.client.commit(INSERT))).committed
+    await bench.timers.advance(60)
+    assert bench.writes == ['t/k']
+
+
+async def test_lost_answer_is_no_refusal_although_the_store_goes_down():
+    bench = Bench()
+    bench.weather = [Weather(Fate.answer_lost), Weather(Fate.refused)]
+    with pytest.raises(StoreOutcomeUnknownError):
+        await bench.run(bench.client.commit(INSERT))
+    assert bench.writes == ['t/k']
+
+
+async def test_calls_beyond_the_queue_are_refused_at_once():
+    bench = Bench(budget=TableBudget(burst=1000, pending_calls=8))
+    bench.climate = Weather(before=2.5)
+    tasks = [
+        asyncio.create_task(bench.client.read('t', 'k')) for _ in range(100)
+    ]
+    await bench.timers.settle()
+    assert len(bench.calls) == 8
+    assert sum(task.done() for task in tasks) == 92
+    await bench.timers.advance(3)
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def test_node_keeps_to_its_share_of_writes():
+    bench = Bench(budget=TableBudget(burst=4))
+    bench.gate.share_among(100)
+
+    async def write_often():
+        for number in range(400):
+            write = Transaction(str(number), (), (Write('t', 'k', ''),))
+            task = asyncio.create_task(bench.client.commit(write))
+            await bench.timers.sleep(0.05)
+            tasks.append(task)
+
+    tasks: list[asyncio.Task[object]] = []
+    await bench.run(write_often())
+    await bench.timers.advance(5)
+    await asyncio.gather(*tasks, return_exceptions=True)
+    # A hundredth of 400 writes a second for 20 s and the burst, and no more.
+    assert 80 <= len(bench.calls) <= 20.5 * 4 + 4 + 4
--- a/packages/node/ladder_node/app/clients.py
+++ b/packages/node/ladder_node/app/clients.py
@@ -12,9 +12,18 @@
     WeightStore,
 )
 from ladder_clients.services import PlainServiceClient
-from ladder_clients.table import HttpTableClient, TableClient
+from ladder_clients.table import (
+    HttpTableClient,
+    ResilientTableClient,
+    TableClient,
+    TableGate,
+)
 from ladder_clients.transport import HttpClient
 from ladder_core.settings import NodeSettings
+from ladder_core.timers import TimerService
+
+_CALL_SECONDS = 2
+_RENEWAL_SECONDS = 6
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +37,11 @@
         The transport of all others; a child of the supervisor tree.
     table : TableClient
         The table service.
+    lease_table : TableClient
+        The same service, for the calls that keep leases: they bear answers
+        that come late.
+    gate : TableGate
+        The limits that both share.
     objects : ObjectStore
         The object store.
     weights : WeightStore
@@ -43,6 +57,8 @@
 
     http: HttpClient
     table: TableClient
+    lease_table: TableClient
+    gate: TableGate
     objects: ObjectStore
     weights: WeightStore
     hosts: HostList
@@ -50,13 +66,23 @@
     services: PlainServiceClient
 
 
-def make_clients(settings: NodeSettings) -> Clients:
+def make_clients(settings: NodeSettings, timers: TimerService) -> Clients:
     """Return the clients that a node's settings call for."""
     http = HttpClient()
     platform = settings.platform
+    table = HttpTableClient(http, platform.table, _RENEWAL_SECONDS)
+    gate = TableGate(timers)
     return Clients(
         http=http,
-        table=HttpTableClient(http, platform.table),
+        table=ResilientTableClient(table, gate, timers, _CALL_SECONDS),
+        lease_table=ResilientTableClient(
+            table,
+            gate,
+            timers,
+            _RENEWAL_SECONDS,
+            is_urgent=True,
+        ),
+        gate=gate,
         objects=HttpObjectStore(http, platform.objects),
         weights=HttpWeightStore(http, platform.weights),
         hosts=HttpHostList(http, platform.hosts),
--- a/packages/node/ladder_node/app/duties.py
+++ b/packages/node/ladder_node/app/duties.py
@@ -5,6 +5,7 @@
 from ladder_core.timeline import TimeLine
 from ladder_core.timers import TimerService
 from ladder_node.app.clients import Clients
+from ladder_node.app.share import TableShare
 from ladder_node.duties import Holder, LeaseKeeper, WeightDuty
 from ladder_node.entry import EntryParts
 
@@ -17,7 +18,7 @@
 ) -> LeaseKeeper:
     """Return the keeper of this node's leases."""
     node = Holder(settings.name, settings.entry_address)
-    return LeaseKeeper(clients.table, node, timers, timeline)
+    return LeaseKeeper(clients.lease_table, node, timers, timeline)
 
 
 def add_duties(
@@ -26,6 +27,8 @@
     clients: Clients,
 ) -> None:
     """Add the leases, then the duties that run under them."""
+    clients.gate.report_to(parts.timeline)
+    root.add(TableShare(clients.gate, parts.targets, parts.timers))
     root.add(parts.leases)
     root.add(
         WeightDuty(
--- /dev/null
+++ b/packages/node/ladder_node/app/share.py
@@ -0,0 +1,52 @@
+"""Keep a node within its share of the table service."""
+
+from ladder_clients.table import TableGate
+from ladder_core.supervision import Service
+from ladder_core.timers import Subscription, TimerService
+from ladder_node.targets import TargetTable
+
+_PERIOD_SECONDS = 5
+
+
+class TableShare(Service):
+    """
+    Divide the table service's rates by the number of live nodes.
+
+    Parameters
+    ----------
+    gate : TableGate
+        Limits of this node's calls.
+    targets : TargetTable
+        Tells the live nodes.
+    timers : TimerService
+        Source of time.
+
+    """
+
+    def __init__(
+        self,
+        gate: TableGate,
+        targets: TargetTable,
+        timers: TimerService,
+    ) -> None:
+        self._gate = gate
+        self._targets = targets
+        self._timers = timers
+        self._subscription: Subscription | None = None
+
+    async def start(self) -> None:
+        """Begin to follow the number of nodes."""
+        await self._share()
+        self._subscription = self._timers.subscribe(
+            _PERIOD_SECONDS,
+            self._share,
+        )
+
+    async def close(self) -> None:
+        """Stop following."""
+        if self._subscription is not None:
+            await self._subscription.close()
+            self._subscription = None
+
+    async def _share(self) -> None:
+        self._gate.share_among(len(self._targets.entry_hosts))
--- a/packages/node/ladder_node/app/tree.py
+++ b/packages/node/ladder_node/app/tree.py
@@ -66,8 +66,8 @@
         The node.
 
     """
-    clients = make_clients(settings)
     timers = SystemTimerService()
+    clients = make_clients(settings, timers)
     intents = IntentWriter(clients.table, timers)
     parts = _make_parts(settings, clients, timers, intents)
     root = Supervisor('root', parts.timers)
--- a/packages/node/ladder_node/duties/keeper.py
+++ b/packages/node/ladder_node/duties/keeper.py
@@ -89,6 +89,8 @@
         await self._subscription.close()
         self._subscription = None
         await self._release(tuple(self._held.values()))
+        if not self._store.has_heartbeat:
+            return
         try:
             await self._store.forget_heartbeat()
         except _STORE_ERRORS as error:
--- a/packages/node/ladder_node/duties/lease_store.py
+++ b/packages/node/ladder_node/duties/lease_store.py
@@ -105,6 +105,11 @@
         self._incarnation = f'{node.name}.{uuid.uuid4().hex}'
         self._renewals = 0
 
+    @property
+    def has_heartbeat(self) -> bool:
+        """Whether this process may have written its heartbeat row."""
+        return self._renewals > 0
+
     async def read(self, name: str) -> LeaseReading:
         """
         Read a lease, and its holder's heartbeat if that is another process.
