--- a/packages/node/ladder_node/app/tree.py
+++ b/packages/node/ladder_node/app/tree.py
@@ -7,6 +7,7 @@
 from ladder_core.timeline import HybridClock, TimeLine
 from ladder_core.timers import SystemTimerService, TimerService
 from ladder_node.app.clients import Clients, make_clients
+from ladder_node.app.duties import add_duties, make_leases
 from ladder_node.app.peers import make_peers
 from ladder_node.configuration import ConfigurationKeeper
 from ladder_node.dispatch import (
@@ -17,7 +18,6 @@
     KeyedDispatcher,
     PlainDispatcher,
 )
-from ladder_node.duties import Holder, LeaseKeeper, WeightDuty
 from ladder_node.entry import (
     Drain,
     EntryMiddleware,
@@ -87,16 +87,7 @@
     root.add(watcher)
     root.add(parts.configuration)
     guard = _add_peers(root, parts, watcher)
-    root.add(parts.leases)
-    root.add(
-        WeightDuty(
-            parts.targets,
-            clients.engines,
-            clients.weights,
-            parts.timers,
-            parts.timeline,
-        ),
-    )
+    add_duties(root, parts, clients)
     root.add(parts.generations)
     root.add(parts.steps)
     app = EntryMiddleware(
@@ -164,12 +155,7 @@
         gossip=peers.gossip,
         nodes=peers.nodes,
         drain=peers.drain,
-        leases=LeaseKeeper(
-            clients.table,
-            Holder(settings.name, settings.entry_address),
-            timers,
-            timeline,
-        ),
+        leases=make_leases(settings, clients, timers, timeline),
     )
 
 
