Lose at most two targets to a request that crashes them

Cause: a request that crashes its target was sent on to the next one, and its caller sent it again to other nodes; each attempt cost a target and all that ran beside it. Change: the requests in flight at a crash (broken stream, then a refused connection) become suspects, spread by gossip. A suspect runs again only on a target with no other request of its node, two at a time. Finishing clears a bystander. The plain way stays as UnguardedRequests. Conclusion: two targets fall while the board is shared in time.

--- a/packages/clients/ladder_clients/transport/__init__.py
+++ b/packages/clients/ladder_clients/transport/__init__.py
@@ -12,6 +12,7 @@
     TransportError,
     UnreachableError,
 )
+from ladder_clients.transport.probe import TargetProbe, TcpProbe
 from ladder_clients.transport.translation import translate_target_errors
 
 __all__ = (
@@ -19,6 +20,8 @@
     'Answer',
     'HttpClient',
     'SilentConnectionError',
+    'TargetProbe',
+    'TcpProbe',
     'Timeouts',
     'TransportBrokenError',
     'TransportError',
--- /dev/null
+++ b/packages/node/ladder_node/app/requests.py
@@ -0,0 +1,114 @@
+"""The parts of a node that send requests to targets."""
+
+from dataclasses import dataclass
+
+from ladder_clients.transport import TcpProbe
+from ladder_core.settings import NodeSettings, RoutingPolicy
+from ladder_core.supervision import Service, Supervisor
+from ladder_core.timeline import TimeLine
+from ladder_core.timers import TimerService
+from ladder_node.app.clients import Clients
+from ladder_node.dispatch import (
+    CrashGuard,
+    GenerationDispatcher,
+    IntentCleaner,
+    IntentLog,
+    IntentWriter,
+    KeyedDispatcher,
+    PlainDispatcher,
+    SharedSuspectBoard,
+)
+from ladder_node.peers import Gossip
+from ladder_node.targets import TargetTable
+from ladder_policy.routing import (
+    LeastLoadedChooser,
+    RoundRobinChooser,
+    TargetChooser,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Dispatchers:
+    """
+    The ways to targets.
+
+    Attributes
+    ----------
+    generations : GenerationDispatcher
+        Runs generations.
+    services : PlainDispatcher
+        Calls plain services and scorers.
+    keyed : KeyedDispatcher
+        Calls plain services at most once for each idempotency key.
+    children : Service
+        What they need to be started and closed.
+
+    """
+
+    generations: GenerationDispatcher
+    services: PlainDispatcher
+    keyed: KeyedDispatcher
+    children: Service
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """
+    What the dispatchers stand on.
+
+    Attributes
+    ----------
+    settings : NodeSettings
+        The node's settings.
+    clients : Clients
+        Clients of the platform and of targets.
+    targets : TargetTable
+        What is known of targets.
+    gossip : Gossip
+        Spreads what nodes should know.
+    timers : TimerService
+        Source of time.
+    timeline : TimeLine
+        The node's events.
+
+    """
+
+    settings: NodeSettings
+    clients: Clients
+    targets: TargetTable
+    gossip: Gossip
+    timers: TimerService
+    timeline: TimeLine
+
+
+def make_dispatchers(around: Surroundings) -> Dispatchers:
+    """Return the dispatchers of a node."""
+    clients, timers = around.clients, around.timers
+    board = SharedSuspectBoard(clients.table, around.gossip, timers)
+    guard = CrashGuard(board, TcpProbe(timers), timers, around.timeline)
+    generations = GenerationDispatcher(
+        around.targets,
+        clients.engines,
+        _make_chooser(around.settings.policies.routing),
+        timers,
+        guard,
+    )
+    services = PlainDispatcher(around.targets, clients.services, guard)
+    writer = IntentWriter(clients.table, timers)
+    children = Supervisor('requests', timers)
+    children.add(board)
+    children.add(writer)
+    children.add(IntentCleaner(clients.table, timers, around.settings.name))
+    children.add(generations)
+    keyed = KeyedDispatcher(
+        services,
+        IntentLog(clients.table, writer, timers),
+        around.timeline,
+    )
+    return Dispatchers(generations, services, keyed, children)
+
+
+def _make_chooser(policy: RoutingPolicy) -> TargetChooser:
+    if policy is RoutingPolicy.round_robin:
+        return RoundRobinChooser()
+    return LeastLoadedChooser()
--- a/packages/node/ladder_node/app/tree.py
+++ b/packages/node/ladder_node/app/tree.py
@@ -2,22 +2,15 @@
 
 from dataclasses import dataclass
 
-from ladder_core.settings import NodeSettings, RoutingPolicy
+from ladder_core.settings import NodeSettings
 from ladder_core.supervision import Supervisor
 from ladder_core.timeline import HybridClock, TimeLine
 from ladder_core.timers import SystemTimerService, TimerService
 from ladder_node.app.clients import Clients, make_clients
 from ladder_node.app.duties import add_duties, make_leases
 from ladder_node.app.peers import make_peers
+from ladder_node.app.requests import Surroundings, make_dispatchers
 from ladder_node.configuration import ConfigurationKeeper
-from ladder_node.dispatch import (
-    GenerationDispatcher,
-    IntentCleaner,
-    IntentLog,
-    IntentWriter,
-    KeyedDispatcher,
-    PlainDispatcher,
-)
 from ladder_node.entry import (
     Drain,
     EntryMiddleware,
@@ -28,11 +21,6 @@
 from ladder_node.peers import LeavingTargets, PauseGuard
 from ladder_node.steps import StepRegistry
 from ladder_node.targets import TargetTable, TargetWatcher
-from ladder_policy.routing import (
-    LeastLoadedChooser,
-    RoundRobinChooser,
-    TargetChooser,
-)
 
 _ASK_SECONDS = 1
 
@@ -72,8 +60,7 @@
     """
     clients = make_clients(settings)
     timers = SystemTimerService()
-    intents = IntentWriter(clients.table, timers)
-    parts = _make_parts(settings, clients, timers, intents)
+    parts = _make_parts(settings, clients, timers)
     root = Supervisor('root', parts.timers)
     root.add(clients.http)
     watcher = TargetWatcher(
@@ -82,13 +69,11 @@
         clients.engines,
         parts.timers,
     )
-    root.add(intents)
-    root.add(IntentCleaner(clients.table, timers, settings.name))
     root.add(watcher)
     root.add(parts.configuration)
     guard = _add_peers(root, parts, watcher)
     add_duties(root, parts, clients)
-    root.add(parts.generations)
+    root.add(parts.request_services)
     root.add(parts.steps)
     app = EntryMiddleware(
         make_entry_app(parts),
@@ -125,41 +110,39 @@
     settings: NodeSettings,
     clients: Clients,
     timers: TimerService,
-    intents: IntentWriter,
 ) -> EntryParts:
     timeline = TimeLine(settings.name, HybridClock(timers))
     targets = TargetTable(timers, timeline)
-    generations = GenerationDispatcher(
-        targets,
-        clients.engines,
-        _make_chooser(settings.policies.routing),
-        timers,
-    )
-    services = PlainDispatcher(targets, clients.services)
     configuration = ConfigurationKeeper(clients.table, timers, timeline)
     peers = make_peers(settings, configuration, targets, timers, timeline)
+    dispatchers = make_dispatchers(
+        Surroundings(
+            settings=settings,
+            clients=clients,
+            targets=targets,
+            gossip=peers.gossip,
+            timers=timers,
+            timeline=timeline,
+        ),
+    )
     return EntryParts(
         settings=settings,
         timers=timers,
         timeline=timeline,
         configuration=configuration,
         targets=targets,
-        generations=generations,
-        services=services,
-        keyed=KeyedDispatcher(
-            services,
-            IntentLog(clients.table, intents, timers),
+        generations=dispatchers.generations,
+        services=dispatchers.services,
+        keyed=dispatchers.keyed,
+        request_services=dispatchers.children,
+        steps=StepRegistry(
+            dispatchers.generations,
+            dispatchers.services,
+            timers,
             timeline,
         ),
-        steps=StepRegistry(generations, services, timers, timeline),
         gossip=peers.gossip,
         nodes=peers.nodes,
         drain=peers.drain,
         leases=make_leases(settings, clients, timers, timeline),
     )
-
-
-def _make_chooser(policy: RoutingPolicy) -> TargetChooser:
-    if policy is RoutingPolicy.round_robin:
-        return RoundRobinChooser()
-    return LeastLoadedChooser()
--- /dev/null
+++ b/packages/node/ladder_node/dispatch/crashes.py
@@ -0,0 +1,221 @@
+"""Find the request that crashes targets, and lose few targets to it."""
+
+from abc import ABC, abstractmethod
+from collections.abc import AsyncIterator, Callable, Sequence
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
+
+from prometheus_client import Counter
+
+from ladder_clients.transport import TargetProbe
+from ladder_core.errors import (
+    OverloadedError,
+    PoisonousRequestError,
+    TargetLostError,
+)
+from ladder_core.timeline import TimeLine
+from ladder_core.timers import TimerService
+from ladder_node.dispatch.suspects import Standing, SuspectBoard
+from ladder_node.targets import Target
+
+_MAX_APART = 2
+_WAIT_SECONDS = 20
+_POLL_SECONDS = 0.1
+_RETRY_SECONDS = 5
+
+_CRASHES = Counter(
+    'ladder_target_crashes',
+    'Crashes of targets during a request of this node, by what became of it',
+    ['verdict'],
+)
+_REFUSED = Counter(
+    'ladder_poisonous_requests',
+    'Requests that were refused because they crash targets',
+)
+
+Chooser = Callable[[], Target]
+Lister = Callable[[], Sequence[Target]]
+
+
+class RequestGuard(ABC):
+    """Decides how a request runs with regard to crashes of targets."""
+
+    @abstractmethod
+    def place(
+        self,
+        digest: str,
+        choose: Chooser,
+        list_usable: Lister,
+    ) -> AbstractAsyncContextManager[Target]:
+        """
+        Give a request its target and watch how it ends there.
+
+        Parameters
+        ----------
+        digest : str
+            The request.
+        choose : Chooser
+            Returns the target that it gets ordinarily.
+        list_usable : Lister
+            Returns the targets that could run it.
+
+        Returns
+        -------
+        context manager of Target
+            Its body runs the request.
+
+        Raises
+        ------
+        PoisonousRequestError
+            The request crashes the targets that run it.
+
+        """
+
+
+class UnguardedRequests(RequestGuard):
+    """Run each request where it is sent: the plain way."""
+
+    @asynccontextmanager
+    async def place(
+        self,
+        digest: str,
+        choose: Chooser,
+        list_usable: Lister,
+    ) -> AsyncIterator[Target]:
+        """Give a request its ordinary target."""
+        yield choose()
+
+
+class CrashGuard(RequestGuard):
+    """
+    Run suspects apart and refuse what crashes a target there.
+
+    Explanation
+    -----------
+    A request in flight at a crash is a suspect. It runs again only on a
+    target that this node gives no other request meanwhile, so that a second
+    crash is its own; a bystander is cleared by finishing. Few suspects run
+    at a time, since each keeps a target to itself.
+
+    Parameters
+    ----------
+    board : SuspectBoard
+        Standings of requests.
+    probe : TargetProbe
+        Tells a crashed target from a broken connection.
+    timers : TimerService
+        Source of time.
+    timeline : TimeLine
+        Takes suspicions, acquittals and refusals.
+
+    """
+
+    def __init__(
+        self,
+        board: SuspectBoard,
+        probe: TargetProbe,
+        timers: TimerService,
+        timeline: TimeLine,
+    ) -> None:
+        self._board = board
+        self._probe = probe
+        self._timers = timers
+        self._timeline = timeline
+        self._apart = 0
+
+    @asynccontextmanager
+    async def place(
+        self,
+        digest: str,
+        choose: Chooser,
+        list_usable: Lister,
+    ) -> AsyncIterator[Target]:
+        """Give a suspect a target of its own, others the ordinary one."""
+        standing = self._board.read(digest)
+        if standing is Standing.refused:
+            raise _make_refusal()
+        if standing is Standing.clear:
+            target = choose()
+            async with self._judge(digest, target, Standing.suspect):
+                yield target
+            return
+        async with self._reserve(list_usable) as target:
+            async with self._judge(digest, target, Standing.refused):
+                yield target
+        self._board.write(digest, Standing.clear)
+        self._timeline.record('request-cleared', digest)
+
+    @asynccontextmanager
+    async def _judge(
+        self,
+        digest: str,
+        target: Target,
+        verdict: Standing,
+    ) -> AsyncIterator[None]:
+        """Give a request a standing if its target crashes."""
+        try:
+            yield
+        except TargetLostError as error:
+            if await self._probe.is_gone(target.entry.address):
+                self._convict(digest, target, verdict, error)
+            raise
+
+    def _convict(
+        self,
+        digest: str,
+        target: Target,
+        verdict: Standing,
+        error: TargetLostError,
+    ) -> None:
+        _CRASHES.labels(verdict).inc()
+        # Another node may have convicted it meanwhile.
+        is_refused = self._board.read(digest) is Standing.refused
+        self._board.write(digest, verdict)
+        self._timeline.record(
+            f'request-{verdict}',
+            digest,
+            target=target.entry.name,
+        )
+        if is_refused or verdict is Standing.refused:
+            raise _make_refusal() from error
+
+    @asynccontextmanager
+    async def _reserve(self, list_usable: Lister) -> AsyncIterator[Target]:
+        """Keep a target for one suspect."""
+        target = await self._wait_idle(list_usable)
+        target.is_reserved = True
+        self._apart += 1
+        try:
+            yield target
+        finally:
+            target.is_reserved = False
+            self._apart -= 1
+
+    async def _wait_idle(self, list_usable: Lister) -> Target:
+        deadline = self._timers.now() + _WAIT_SECONDS
+        while self._timers.now() < deadline:
+            targets = list_usable()
+            # Suspects leave at least half of the targets to the others.
+            limit = max(1, min(_MAX_APART, len(targets) // 2))
+            idle = [one for one in targets if not one.sent]
+            if idle and self._apart < limit:
+                return min(idle, key=_read_load)
+            await self._timers.sleep(_POLL_SECONDS)
+        raise OverloadedError(
+            'no target is free to run a suspect apart',
+            remedy='send the request again later',
+            retry_after=_RETRY_SECONDS,
+        )
+
+
+def _read_load(target: Target) -> tuple[int, str]:
+    state = target.state
+    load = 0 if state is None else state.running + state.queued
+    return (load, target.entry.name)
+
+
+def _make_refusal() -> PoisonousRequestError:
+    _REFUSED.inc()
+    return PoisonousRequestError(
+        'the request ran and crashed the targets that executed it',
+        remedy='change the request; the same one is not run again for a day',
+    )
--- a/packages/node/ladder_node/dispatch/generation.py
+++ b/packages/node/ladder_node/dispatch/generation.py
@@ -1,9 +1,10 @@
 """Run generations on engines and go on elsewhere when one fails."""
 
-import contextlib
 import uuid
 from collections.abc import AsyncIterator, Iterator
+from contextlib import AbstractAsyncContextManager, contextmanager
 from dataclasses import dataclass
+from functools import partial
 
 from loguru import logger
 
@@ -17,8 +18,10 @@
 from ladder_core.supervision import Service
 from ladder_core.timers import TimerService
 from ladder_core.values import HostKind
+from ladder_node.dispatch.crashes import RequestGuard, UnguardedRequests
 from ladder_node.dispatch.failures import FAILED_ATTEMPT, Failures
 from ladder_node.dispatch.streams import Cancellations, closing
+from ladder_node.dispatch.suspects import make_request_digest
 from ladder_node.targets import Target, TargetTable
 from ladder_policy.routing import Candidate, TargetChooser
 
@@ -95,6 +98,8 @@
         Chooses among the engines.
     timers : TimerService
         Source of time.
+    guard : RequestGuard, optional
+        Finds requests that crash engines; by default none is looked for.
 
     """
 
@@ -104,11 +109,13 @@
         engines: EngineClient,
         chooser: TargetChooser,
         timers: TimerService,
+        guard: RequestGuard | None = None,
     ) -> None:
         self._targets = targets
         self._engines = engines
         self._chooser = chooser
         self._timers = timers
+        self._guard = guard or UnguardedRequests()
         self._cancellations = Cancellations(engines)
 
     async def start(self) -> None:
@@ -155,27 +162,40 @@
     ) -> AsyncIterator[Chunk]:
         """Run a generation on one engine, from where the last one ended."""
         try:
-            target = self._choose(generation)
-            request = _make_request(generation, received)
-            async with closing(self._run(target, request)) as chunks:
+            async with (
+                self._place(generation) as target,
+                closing(self._run(target, generation, received)) as chunks,
+            ):
                 async for chunk in chunks:
-                    received.add(chunk)
                     failures.note_progress()
                     yield chunk
         except FAILED_ATTEMPT as error:
             failures.add(error)
 
+    def _place(
+        self,
+        generation: Generation,
+    ) -> AbstractAsyncContextManager[Target]:
+        return self._guard.place(
+            make_request_digest(generation.model, generation.prompt),
+            partial(self._choose, generation),
+            partial(self._list_usable, generation),
+        )
+
     async def _run(
         self,
         target: Target,
-        request: GenerateRequest,
+        generation: Generation,
+        received: _Received,
     ) -> AsyncIterator[Chunk]:
         address = target.entry.address
+        request = _make_request(generation, received)
         with self._dispatch(target, request) as dispatch:
             async with closing(
                 self._engines.generate(address, request),
             ) as chunks:
                 async for chunk in chunks:
+                    received.add(chunk)
                     dispatch.is_open = not chunk.end
                     yield chunk
             if dispatch.is_open:
@@ -184,7 +204,7 @@
                     remedy='go on elsewhere from what was received',
                 )
 
-    @contextlib.contextmanager
+    @contextmanager
     def _dispatch(
         self,
         target: Target,
@@ -205,11 +225,17 @@
                 address = target.entry.address
                 self._cancellations.send(address, request.request_id)
 
+    def _list_usable(self, generation: Generation) -> list[Target]:
+        return [
+            target
+            for target in self._targets.list_available(HostKind.engine)
+            if _is_usable(target, generation)
+        ]
+
     def _choose(self, generation: Generation) -> Target:
         usable = {
             target.entry.name: target
-            for target in self._targets.list_available(HostKind.engine)
-            if _is_usable(target, generation)
+            for target in self._list_usable(generation)
         }
         if not usable:
             raise TargetUnavailableError(
--- a/packages/node/ladder_node/dispatch/plain.py
+++ b/packages/node/ladder_node/dispatch/plain.py
@@ -3,6 +3,7 @@
 import uuid
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import TypeVar
 
 from ladder_clients.services import (
@@ -16,7 +17,10 @@
     TargetUnavailableError,
 )
 from ladder_core.values import HostKind
+from ladder_node.dispatch.crashes import RequestGuard, UnguardedRequests
 from ladder_node.dispatch.failures import FAILED_ATTEMPT, Failures
+from ladder_node.dispatch.intent import make_fingerprint
+from ladder_node.dispatch.suspects import make_request_digest
 from ladder_node.targets import Target, TargetTable
 
 Result = TypeVar('Result')
@@ -31,6 +35,7 @@
 
     kind: HostKind
     pool: str
+    digest: str
     is_repeatable: bool
 
 
@@ -44,6 +49,8 @@
         What is known of the replicas.
     services : PlainServiceClient
         Makes calls.
+    guard : RequestGuard, optional
+        Finds calls that crash services; by default none is looked for.
 
     """
 
@@ -51,8 +58,10 @@
         self,
         targets: TargetTable,
         services: PlainServiceClient,
+        guard: RequestGuard | None = None,
     ) -> None:
         self._targets = targets
+        self._guard = guard or UnguardedRequests()
         self._services = services
         self._scorer = ScorerClient(services)
 
@@ -85,7 +94,12 @@
             return await self._services.call(target.entry.address, request)
 
         return await self._try_targets(
-            _Wanted(HostKind.service, pool, request.is_idempotent),
+            _Wanted(
+                HostKind.service,
+                pool,
+                make_fingerprint(request),
+                request.is_idempotent,
+            ),
             send,
         )
 
@@ -123,7 +137,12 @@
             )
 
         return await self._try_targets(
-            _Wanted(HostKind.scorer, pool, is_repeatable=True),
+            _Wanted(
+                HostKind.scorer,
+                pool,
+                make_request_digest(prompt, text),
+                is_repeatable=True,
+            ),
             send,
         )
 
@@ -148,7 +167,18 @@
         wanted: _Wanted,
         send: Callable[[Target], Awaitable[Result]],
     ) -> Result:
-        target = self._choose(wanted.kind, wanted.pool)
+        async with self._guard.place(
+            wanted.digest,
+            partial(self._choose, wanted),
+            partial(self._list_usable, wanted),
+        ) as target:
+            return await self._send(target, send)
+
+    async def _send(
+        self,
+        target: Target,
+        send: Callable[[Target], Awaitable[Result]],
+    ) -> Result:
         try:
             with self._targets.count_request(target):
                 return await send(target)
@@ -156,11 +186,14 @@
             self._note_failure(target, error)
             raise
 
-    def _choose(self, kind: HostKind, pool: str) -> Target:
-        usable = self._targets.list_available(kind, pool)
+    def _list_usable(self, wanted: _Wanted) -> list[Target]:
+        return self._targets.list_available(wanted.kind, wanted.pool)
+
+    def _choose(self, wanted: _Wanted) -> Target:
+        usable = self._list_usable(wanted)
         if not usable:
             raise TargetUnavailableError(
-                f'no {kind} of pool {pool or "any"} is available',
+                f'no {wanted.kind} of pool {wanted.pool or "any"} is available',
                 remedy='come back later',
                 retry_after=_RETRY_SECONDS,
             )
--- /dev/null
+++ b/packages/node/ladder_node/dispatch/shared_suspects.py
@@ -0,0 +1,139 @@
+"""Share the standings of requests among the nodes."""
+
+import uuid
+from collections import OrderedDict
+
+import msgspec
+from loguru import logger
+
+from ladder_clients.table import TableClient, Transaction, Write
+from ladder_core.errors import MayHaveRunError, StoreUnavailableError
+from ladder_core.supervision import Service
+from ladder_core.timers import Subscription, TimerService
+from ladder_node.dispatch.suspects import (
+    REFUSAL_SECONDS,
+    SUSPICION_SECONDS,
+    MemorySuspectBoard,
+    Standing,
+    SuspectBoard,
+)
+from ladder_node.peers import Fact, FactKind, Gossip
+
+REFUSED_TABLE = 'refused-requests'
+
+_SYNC_SECONDS = 30
+_BATCH_ROWS = 32
+_MAX_PENDING = 1024
+_MILLISECONDS = 1000
+_STORE_ERRORS = (StoreUnavailableError, MayHaveRunError)
+
+
+class _Refusal(msgspec.Struct, frozen=True):
+    """The body of a refusal's row."""
+
+    created_ms: int
+
+
+class SharedSuspectBoard(SuspectBoard, Service):
+    """
+    Spread standings by gossip and keep refusals in the table service.
+
+    Explanation
+    -----------
+    Gossip carries a standing to the other nodes at once. Only refusals have
+    a row, the durable copy for nodes that start later; all nodes read the
+    rows periodically and delete the expired ones.
+
+    Parameters
+    ----------
+    table : TableClient
+        The table service.
+    gossip : Gossip
+        Spreads facts.
+    timers : TimerService
+        Source of time.
+
+    """
+
+    def __init__(
+        self,
+        table: TableClient,
+        gossip: Gossip,
+        timers: TimerService,
+    ) -> None:
+        self._table = table
+        self._gossip = gossip
+        self._timers = timers
+        self._memory = MemorySuspectBoard(timers)
+        self._pending: OrderedDict[str, str | None] = OrderedDict()
+        self._subscription: Subscription | None = None
+
+    async def start(self) -> None:
+        """Read the rows once, then periodically, and listen to peers."""
+        self._gossip.subscribe(FactKind.suspect, self._take)
+        await self.sync()
+        self._subscription = self._timers.subscribe(_SYNC_SECONDS, self.sync)
+
+    async def close(self) -> None:
+        """Write what is left once, and stop."""
+        if self._subscription is None:
+            return
+        await self._subscription.close()
+        self._subscription = None
+        await self.sync()
+
+    def read(self, digest: str) -> Standing:
+        """Return a request's standing as far as this node knows."""
+        return self._memory.read(digest)
+
+    def write(self, digest: str, standing: Standing) -> None:
+        """Set a request's standing, here and at the other nodes."""
+        self._memory.write(digest, standing)
+        self._gossip.publish(
+            Fact(
+                FactKind.suspect,
+                digest,
+                SUSPICION_SECONDS,
+                standing.encode(),
+            ),
+        )
+        if standing is Standing.refused:
+            now = self._timers.wall_milliseconds()
+            body = msgspec.json.encode(_Refusal(now)).decode()
+            self._queue(digest, body)
+
+    async def sync(self) -> None:
+        """Write the queued rows and take over the rows of others."""
+        try:
+            await self._sync()
+        except _STORE_ERRORS as error:
+            logger.warning('refusals wait for the table service: {}', error)
+
+    def _take(self, fact: Fact) -> None:
+        self._memory.write(fact.key, Standing(fact.body.decode()))
+
+    def _queue(self, digest: str, body: str | None) -> None:
+        if len(self._pending) < _MAX_PENDING:
+            self._pending[digest] = body
+
+    async def _sync(self) -> None:
+        await self._write_rows()
+        oldest = self._timers.wall_milliseconds()
+        oldest -= REFUSAL_SECONDS * _MILLISECONDS
+        for row in await self._table.scan(REFUSED_TABLE):
+            refusal = msgspec.json.decode(row.body, type=_Refusal)
+            if refusal.created_ms < oldest:
+                self._queue(row.key, None)
+            else:
+                self._memory.write(row.key, Standing.refused)
+
+    async def _write_rows(self) -> None:
+        batch = dict(list(self._pending.items())[:_BATCH_ROWS])
+        if not batch:
+            return
+        writes = tuple(
+            Write(REFUSED_TABLE, digest, body) for digest, body in batch.items()
+        )
+        await self._table.commit(Transaction(uuid.uuid4().hex, writes=writes))
+        for digest in batch:
+            self._pending.pop(digest, None)
--- a/packages/node/ladder_node/entry/parts.py
+++ b/packages/node/ladder_node/entry/parts.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from ladder_core.settings import NodeSettings
+from ladder_core.supervision import Service
 from ladder_core.timeline import TimeLine
 from ladder_core.timers import TimerService
 from ladder_node.configuration import ConfigurationKeeper
@@ -41,6 +42,8 @@
         Calls plain services.
     keyed : KeyedDispatcher
         Calls plain services at most once for each idempotency key.
+    request_services : Service
+        What the dispatchers need to be started and closed.
     steps : StepRegistry
         The open steps.
     gossip : Gossip
@@ -62,6 +65,7 @@
     generations: GenerationDispatcher
     services: PlainDispatcher
     keyed: KeyedDispatcher
+    request_services: Service
     steps: StepRegistry
     gossip: Gossip
     nodes: NodeDirectory
--- a/packages/node/ladder_node/targets/table.py
+++ b/packages/node/ladder_node/targets/table.py
@@ -27,6 +27,8 @@
         Requests of this node in flight there.
     is_leaving : bool
         Whether the target itself or a peer said that it leaves.
+    is_reserved : bool
+        Whether the target is kept for one request.
     suspended_until : float
         Seconds on the timer service's clock before which the target gets no
         new requests because it failed.
@@ -37,6 +39,7 @@
     state: EngineState | None = None
     sent: int = 0
     is_leaving: bool = False
+    is_reserved: bool = False
     suspended_until: float = field(default=0)
 
 
@@ -176,6 +179,8 @@
 
 
 def _is_available(target: Target, now: float) -> bool:
-    if target.is_leaving or now < target.suspended_until:
+    if target.is_leaving or target.is_reserved:
+        return False
+    if now < target.suspended_until:
         return False
     return target.state is None or target.state.role is Role.serving
