--- a/packages/node/ladder_node/peers/gossip.py
+++ b/packages/node/ladder_node/peers/gossip.py
@@ -11,6 +11,7 @@
 from ladder_core.supervision import Service, Supervisor
 from ladder_core.timeline import TimeLine
 from ladder_core.timers import Subscription, TimerService
+from ladder_node.peers import messages
 from ladder_node.peers.exchange import Exchange
 from ladder_node.peers.facts import Fact, FactTable
 from ladder_node.peers.link import PeerLink
@@ -197,6 +198,8 @@
         """Hold a connection to a chosen peer, a new one when it is silent."""
         for _ in range(_MAX_SILENCES):
             channel = self._transport.connect(member.address)
+            # A newcomer gets everything at once in answer to its summary.
+            channel.send(messages.encode(self._exchange.make_summary()))
             await self._run_link(channel)
             SILENCES.inc()
             self._timeline.record('peer-silent', member.name)
--- a/packages/node/ladder_node/peers/nodes.py
+++ b/packages/node/ladder_node/peers/nodes.py
@@ -97,11 +97,10 @@
     @property
     def entry_hosts(self) -> tuple[HostEntry, ...]:
         """The entry hosts that callers may be sent to."""
-        return tuple(
-            entry
-            for entry in self._list_hosts()
-            if entry.name not in self._leaving
-        )
+        listed = self._list_hosts()
+        staying = tuple(entry for entry in listed if self._is_staying(entry))
+        # Where all leave, one that leaves still serves better than none.
+        return staying or listed
 
     def attach(self, gossip: Gossip, count_requests: Callable[[], int]) -> None:
         """Give the directory its gossip and the number to publish."""
@@ -176,11 +175,17 @@
             ),
         )
 
+    def _is_staying(self, entry: HostEntry) -> bool:
+        if entry.name == self._me.name:
+            return not self._is_leaving
+        return entry.name not in self._leaving
+
     def _take_leaving(self, fact: Fact) -> None:
         state = msgspec.msgpack.decode(fact.body, type=LeavingState)
-        if fact.key == self._me.name and state.is_leaving != self._is_leaving:
-            # The word of this node's predecessor under the same name.
-            self._publish_leaving()
+        if fact.key == self._me.name:
+            # Perhaps the word of this node's predecessor of the same name.
+            if state.is_leaving and not self._is_leaving:
+                self._publish_leaving()
         elif state.is_leaving:
             self._leaving.add(fact.key)
             self._timeline.record('node-leaving', fact.key)
