--- a/packages/node/ladder_node/app/tree.py
+++ b/packages/node/ladder_node/app/tree.py
@@ -5,11 +5,18 @@
 from ladder_core.settings import NodeSettings
 from ladder_core.supervision import Supervisor
 from ladder_core.timeline import HybridClock, TimeLine
-from ladder_core.timers import SystemTimerService
+from ladder_core.timers import SystemTimerService, TimerService
 from ladder_node.app.clients import Clients, make_clients
 from ladder_node.app.peers import make_peers
 from ladder_node.configuration import ConfigurationKeeper
-from ladder_node.dispatch import GenerationDispatcher, PlainDispatcher
+from ladder_node.dispatch import (
+    GenerationDispatcher,
+    IntentCleaner,
+    IntentLog,
+    IntentWriter,
+    KeyedDispatcher,
+    PlainDispatcher,
+)
 from ladder_node.duties import WeightDuty
 from ladder_node.entry import (
     Drain,
@@ -60,7 +67,9 @@
 
     """
     clients = make_clients(settings)
-    parts = _make_parts(settings, clients)
+    timers = SystemTimerService()
+    intents = IntentWriter(clients.table, timers)
+    parts = _make_parts(settings, clients, timers, intents)
     root = Supervisor('root', parts.timers)
     root.add(clients.http)
     watcher = TargetWatcher(
@@ -69,6 +78,8 @@
         clients.engines,
         parts.timers,
     )
+    root.add(intents)
+    root.add(IntentCleaner(clients.table, timers, settings.name))
     root.add(watcher)
     root.add(parts.configuration)
     guard = _add_peers(root, parts, watcher)
@@ -113,8 +124,12 @@
     return guard
 
 
-def _make_parts(settings: NodeSettings, clients: Clients) -> EntryParts:
-    timers = SystemTimerService()
+def _make_parts(
+    settings: NodeSettings,
+    clients: Clients,
+    timers: TimerService,
+    intents: IntentWriter,
+) -> EntryParts:
     timeline = TimeLine(settings.name, HybridClock(timers))
     targets = TargetTable(timers, timeline)
     generations = GenerationDispatcher(
@@ -134,6 +149,11 @@
         targets=targets,
         generations=generations,
         services=services,
+        keyed=KeyedDispatcher(
+            services,
+            IntentLog(clients.table, intents, timers),
+            timeline,
+        ),
         steps=StepRegistry(generations, services, timers, timeline),
         gossip=peers.gossip,
         nodes=peers.nodes,
