Give operators show, diff, status, drain and timeline

Cause: the command line could only check and apply; the loser of two edits was told an author and not what was changed, and an edit whose answer was lost while the store went down was reported as not run. Ruled out: keeping old lists whole for the comparison; a row of differences for each of the latest 100 edits is written in the edit's own transaction. Change: `ConfigurationRows` owns the rows for nodes and operators; `show` writes the two files with their revision, `apply` holds them to it and renews it; status, drain and timeline ask all nodes. Usage errors exit 2, failures 1. Before, with the condition off: hypothesis finds two accepted edits of one revision, {(1, bob)} <= {(1, ada)}; with the read-back off, four of eight tests of the rows fail.

--- a/packages/cli/ladder_cli/lists.py
+++ b/packages/cli/ladder_cli/lists.py
@@ -7,25 +7,10 @@
 from dataclasses import replace
 from pathlib import Path
 
-import msgspec
-
-from ladder_clients.table import (
-    Condition,
-    HttpTableClient,
-    Outcome,
-    TableClient,
-    Transaction,
-    Write,
-)
-from ladder_clients.table.errors import StoreOutcomeUnknownError
-from ladder_clients.transport import HttpClient
-from ladder_core.errors import ConflictError
+from ladder_cli.files import mark_revision, write_lists
+from ladder_cli.programs import open_rows
 from ladder_core.settings import read_lists
-from ladder_core.values import Lists
-
-CONFIGURATION_TABLE = 'configuration'
-LISTS_KEY = 'lists'
-REVISION_KEY = 'revision'
+from ladder_core.values import Lists, compare_lists
 
 
 def check(plans: Path, allowances: Path) -> None:
@@ -42,6 +27,28 @@
     )
 
 
+def diff(plans: Path, allowances: Path, *, table: str) -> None:
+    """
+    Show what applying the two files would change.
+
+    :param plans: The plans file.
+    :param allowances: The allowances file.
+    :param table: Address of the table service, ip:port.
+    """
+    wanted = read_lists(plans, allowances)
+    present = asyncio.run(_read(table))
+    if wanted.revision and wanted.revision != present.revision:
+        sys.stdout.write(
+            f'the files were read at revision {wanted.revision}, '
+            f'the lists are at {present.revision} by {present.author}\n',
+        )
+    differences = compare_lists(present, wanted)
+    for difference in differences:
+        sys.stdout.write(f'{difference}\n')
+    if not differences:
+        sys.stdout.write('nothing differs\n')
+
+
 def apply(
     plans: Path,
     allowances: Path,
@@ -56,55 +63,50 @@
     :param plans: The plans file.
     :param allowances: The allowances file.
     :param table: Address of the table service, ip:port.
-    :param revision: Revision at which the files were read.
+    :param revision: Revision at which the files were read; by default the
+        one that they name.
     :param author: Who applies; the user's name by default.
     """
+    lists = read_lists(plans, allowances)
+    base = revision or lists.revision
     lists = replace(
-        read_lists(plans, allowances),
-        revision=revision + 1,
+        lists,
+        revision=base + 1,
         author=author or getpass.getuser(),
         token=uuid.uuid4().hex,
     )
     asyncio.run(_apply(lists, table))
+    for path in (plans, allowances):
+        mark_revision(path, lists.revision)
     sys.stdout.write(f'revision {lists.revision} is accepted\n')
 
 
-async def _apply(lists: Lists, address: str) -> None:
-    http = HttpClient()
-    await http.start()
-    try:
-        outcome = await _commit(HttpTableClient(http, address), lists)
-    finally:
-        await http.close()
-    if not outcome.committed:
-        raise _make_conflict(outcome, lists)
-
-
-async def _commit(table: TableClient, lists: Lists) -> Outcome:
-    body = msgspec.json.encode(lists).decode()
-    transaction = Transaction(
-        lists.token,
-        (Condition(CONFIGURATION_TABLE, LISTS_KEY, lists.revision - 1),),
-        (
-            Write(CONFIGURATION_TABLE, LISTS_KEY, body),
-            # Nodes poll this small row and read the lists when it rises.
-            Write(CONFIGURATION_TABLE, REVISION_KEY, str(lists.revision)),
-        ),
-    )
-    try:
-        return await table.commit(transaction)
-    except StoreOutcomeUnknownError:
-        outcome = await table.read_outcome(lists.token)
-    return outcome or await table.commit(transaction)
-
-
-def _make_conflict(outcome: Outcome, lists: Lists) -> ConflictError:
-    row = outcome.conflicts[0]
-    author = 'nobody'
-    if row.revision:
-        author = msgspec.json.decode(row.body, type=Lists).author
-    return ConflictError(
-        f'the lists are at revision {row.revision} by {author}, '
-        f'not at {lists.revision - 1}',
-        remedy='read the present lists, merge your change and apply again',
+def show(
+    *,
+    table: str,
+    plans: Path | None = None,
+    allowances: Path | None = None,
+) -> None:
+    """
+    Show the lists that are accepted, or write them to two files to edit.
+
+    :param table: Address of the table service, ip:port.
+    :param plans: Takes the plans instead of standard output.
+    :param allowances: Takes the allowances instead of standard output.
+    """
+    lists = asyncio.run(_read(table))
+    sys.stdout.write(
+        f'# revision {lists.revision} by {lists.author or "nobody"}, '
+        f'token {lists.token or "none"}\n',
     )
+    write_lists(lists, plans, allowances)
+
+
+async def _read(address: str) -> Lists:
+    async with open_rows(address) as rows:
+        return await rows.read_lists()
+
+
+async def _apply(lists: Lists, address: str) -> None:
+    async with open_rows(address) as rows:
+        await rows.edit(lists)
--- a/packages/cli/ladder_cli/main.py
+++ b/packages/cli/ladder_cli/main.py
@@ -4,7 +4,8 @@
 
 import defopt
 
-from ladder_cli.lists import apply, check
+from ladder_cli.lists import apply, check, diff, show
+from ladder_cli.nodes import drain, status, timeline
 from ladder_core.errors import LadderError
 
 _FAILED = 1
@@ -13,7 +14,7 @@
 def main() -> None:
     """Run the command that the arguments name."""
     try:
-        defopt.run([check, apply])
+        defopt.run([check, diff, apply, show, status, drain, timeline])
     except LadderError as error:
         sys.stderr.write(f'{error.message}\n{error.remedy}\n')
         sys.exit(_FAILED)
--- /dev/null
+++ b/packages/cli/ladder_cli/nodes.py
@@ -0,0 +1,122 @@
+"""Commands on the nodes."""
+
+import asyncio
+import sys
+
+from ladder_cli.fleet import ListedNode, NodeFleet, NodeStatus
+from ladder_cli.programs import open_http
+from ladder_core.errors import LadderError
+from ladder_core.timeline import Event, HybridTime, merge_events
+from ladder_core.timers import SystemTimerService
+
+_POLL_SECONDS = 0.5
+_DRAINED = frozenset(('drained', 'unreachable'))
+_ROW = '{:<24} {:<16} {:<12} {:>8} {:>8}  {}\n'
+
+
+def status(*, node: str) -> None:
+    """
+    Show the state of all nodes.
+
+    :param node: Address of any node, ip:port.
+    """
+    statuses = asyncio.run(_read_statuses(node))
+    sys.stdout.write(
+        _ROW.format(
+            'node',
+            'data centre',
+            'state',
+            'revision',
+            'requests',
+            'peers',
+        ),
+    )
+    for one in statuses:
+        sys.stdout.write(_format_status(one))
+
+
+def drain(name: str, *, node: str, wait: bool = True) -> None:
+    """
+    Take a node out of service gracefully; its process goes on.
+
+    :param name: Name of the node to drain.
+    :param node: Address of any node, ip:port.
+    :param wait: Return only when the node is drained.
+    """
+    state = asyncio.run(_drain(name, node, wait))
+    sys.stdout.write(f'{name} is {state}\n')
+
+
+def timeline(*, node: str, after: str = '0.0') -> None:
+    """
+    Show the events of all nodes in causal order.
+
+    :param node: Address of any node, ip:port.
+    :param after: Stamp after which to begin, milliseconds.counter.
+    """
+    for event in asyncio.run(_read_timeline(node, _parse_stamp(after))):
+        sys.stdout.write(_format_event(event))
+
+
+async def _read_statuses(address: str) -> list[NodeStatus]:
+    async with open_http() as http:
+        return await NodeFleet(http, address).read_statuses()
+
+
+async def _drain(name: str, address: str, is_waiting: bool) -> str:
+    timers = SystemTimerService()
+    async with open_http() as http:
+        fleet = NodeFleet(http, address)
+        node = await fleet.find_node(name)
+        state = (await fleet.drain(node)).state
+        while is_waiting and state not in _DRAINED:
+            await timers.sleep(_POLL_SECONDS)
+            state = (await fleet.read_status(node)).state
+    return state
+
+
+async def _read_timeline(address: str, after: HybridTime) -> list[Event]:
+    async with open_http() as http:
+        fleet = NodeFleet(http, address)
+        nodes = await fleet.list_nodes()
+        reads = (_read_events(fleet, node, after) for node in nodes)
+        return merge_events(await asyncio.gather(*reads))
+
+
+async def _read_events(
+    fleet: NodeFleet,
+    node: ListedNode,
+    after: HybridTime,
+) -> list[Event]:
+    """Return a node's events; what one lacks does not hide the others'."""
+    try:
+        return await fleet.read_events(node, after)
+    except LadderError as error:
+        sys.stderr.write(f'{error.message}\n')
+        return []
+
+
+def _parse_stamp(text: str) -> HybridTime:
+    milliseconds, _, counter = text.partition('.')
+    try:
+        return HybridTime(int(milliseconds), int(counter or 0))
+    except ValueError:
+        sys.stderr.write(f'--after: {text!r} is no stamp\n')
+        sys.exit(2)
+
+
+def _format_status(one: NodeStatus) -> str:
+    return _ROW.format(
+        one.node,
+        one.data_centre,
+        one.state,
+        one.revision,
+        one.requests,
+        ' '.join(one.peers),
+    )
+
+
+def _format_event(event: Event) -> str:
+    stamp = f'{event.stamp.milliseconds}.{event.stamp.counter}'
+    details = ' '.join(f'{name}={text}' for name, text in event.fields.items())
+    return f'{stamp} {event.node} {event.kind} {event.subject} {details}\n'
--- /dev/null
+++ b/packages/cli/ladder_cli/programs.py
@@ -0,0 +1,34 @@
+"""What the commands need while they run."""
+
+import contextlib
+from collections.abc import AsyncIterator
+
+from ladder_clients.configuration import ConfigurationRows
+from ladder_clients.table import HttpTableClient
+from ladder_clients.transport import HttpClient
+
+
+@contextlib.asynccontextmanager
+async def open_http() -> AsyncIterator[HttpClient]:
+    """Run an HTTP client."""
+    http = HttpClient()
+    await http.start()
+    try:
+        yield http
+    finally:
+        await http.close()
+
+
+@contextlib.asynccontextmanager
+async def open_rows(address: str) -> AsyncIterator[ConfigurationRows]:
+    """
+    Open the rows of the lists.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` of the table service.
+
+    """
+    async with open_http() as http:
+        yield ConfigurationRows(HttpTableClient(http, address))
--- /dev/null
+++ b/packages/clients/ladder_clients/configuration/tests/test_rows.py
@@ -0,0 +1,116 @@
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ladder_clients.configuration import ConfigurationRows
+from ladder_clients.table.errors import StoreOutcomeUnknownError
+from ladder_core.errors import ConflictError, LadderError
+from ladder_core.values import Allowance, Lists, Plan, Weighing
+from ladder_standins.memory_table import MemoryTable, TableFault
+
+
+def make_lists(revision, author, *plans, token=''):
+    return Lists(
+        revision,
+        tuple(Plan(name, 'cellarwatch', name) for name in plans),
+        tuple(Allowance(name) for name in plans),
+        author,
+        token or f'{author}-{revision}',
+    )
+
+
+async def test_edit_is_read_back_and_polled_by_its_revision():
+    rows = ConfigurationRows(MemoryTable())
+    assert await rows.read_newer(0) is None
+    lists = make_lists(1, 'ada', 'notes')
+    await rows.edit(lists)
+    assert await rows.read_lists() == lists
+    assert await rows.read_newer(0) == lists
+    assert await rows.read_newer(1) is None
+
+
+async def test_loser_of_a_race_is_told_who_changed_what():
+    rows = ConfigurationRows(MemoryTable())
+    first = make_lists(1, 'ada', 'notes')
+    await rows.edit(first)
+    plan = Plan('notes', 'cellarwatch', 'notes', weighs=Weighing.staleness)
+    await rows.edit(Lists(2, (plan,), first.allowances, 'bob', 'bob-2'))
+    with pytest.raises(ConflictError) as caught:
+        await rows.edit(make_lists(2, 'cyd', 'notes', 'offers'))
+    message = caught.value.message
+    assert 'revision 2 by bob' in message
+    assert 'plan notes changed (weighs: idle -> staleness)' in message
+    assert 'ada' not in message
+
+
+@pytest.mark.parametrize(
+    'fault',
+    [TableFault.lost_answer, TableFault.lost_request, TableFault.late_request],
+)
+async def test_edit_whose_answer_is_lost_takes_effect_once(fault):
+    table = MemoryTable()
+    rows = ConfigurationRows(table)
+    table.faults = [TableFault.none, fault]
+    lists = make_lists(1, 'ada', 'notes')
+    await rows.edit(lists)
+    for late in table.late:
+        await table.commit(late)
+    assert await rows.read_lists() == lists
+
+
+async def test_unknown_edit_is_told_apart_from_a_failed_one():
+    table = MemoryTable()
+    rows = ConfigurationRows(table)
+    table.faults = [TableFault.none, TableFault.lost_answer]
+    table.default = TableFault.down
+    with pytest.raises(StoreOutcomeUnknownError) as caught:
+        await rows.edit(make_lists(1, 'ada', 'notes', token='edit-1'))
+    assert 'edit-1' in caught.value.remedy
+    table.default = TableFault.none
+    assert (await rows.read_lists()).token == 'edit-1'
+    # Applied once more, it is known to be in force.
+    await rows.edit(make_lists(1, 'ada', 'notes', token='edit-1'))
+
+
+async def test_old_changes_make_room():
+    rows = ConfigurationRows(MemoryTable())
+    for revision in range(1, 104):
+        await rows.edit(make_lists(revision, 'ada', f'plan-{revision}'))
+    changes = await rows.read_changes(0)
+    assert len(changes) == 100
+    assert changes[-1].revision == 103
+
+
+FAULTS = st.lists(
+    st.sampled_from(list(TableFault)),
+    max_size=8,
+)
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(FAULTS, st.lists(st.sampled_from(['ada', 'bob']), max_size=6))
+async def test_accepted_edits_are_never_lost_or_overwritten(faults, authors):
+    table = MemoryTable()
+    rows = ConfigurationRows(table)
+    table.faults = list(faults)
+    accepted = []
+    base = dict.fromkeys(('ada', 'bob'), 0)
+    for number, author in enumerate(authors):
+        lists = make_lists(base[author] + 1, author, token=f'edit-{number}')
+        try:
+            await rows.edit(lists)
+        except ConflictError:
+            base[author] += 1
+        except LadderError:
+            continue
+        else:
+            base[author] = lists.revision
+            accepted.append(lists)
+    table.faults.clear()
+    for late in table.late:
+        await table.commit(late)
+    revisions = [lists.revision for lists in accepted]
+    assert len(set(revisions)) == len(revisions)
+    changes = await rows.read_changes(0)
+    made = {(change.revision, change.author) for change in changes}
+    assert {(one.revision, one.author) for one in accepted} <= made
--- a/packages/core/ladder_core/settings/lists.py
+++ b/packages/core/ladder_core/settings/lists.py
@@ -32,8 +32,19 @@
 
 
 class PlansFile(CheckedModel):
-    """The plans file."""
+    """
+    The plans file.
+
+    Attributes
+    ----------
+    revision : int
+        Revision that the file was read at; zero for a first one.
+    plans : tuple of PlanModel
+        All plans.
+
+    """
 
+    revision: int = Field(default=0, ge=0)
     plans: tuple[PlanModel, ...]
 
 
@@ -48,8 +59,19 @@
 
 
 class AllowancesFile(CheckedModel):
-    """The allowances file."""
+    """
+    The allowances file.
+
+    Attributes
+    ----------
+    revision : int
+        Revision that the file was read at; zero for a first one.
+    allowances : tuple of AllowanceModel
+        All allowances.
+
+    """
 
+    revision: int = Field(default=0, ge=0)
     allowances: tuple[AllowanceModel, ...]
 
 
@@ -65,18 +87,24 @@
     Returns
     -------
     Lists
-        The lists with revision zero.
+        The lists with the revision that the files were read at.
 
     Raises
     ------
     SettingsError
-        A file is invalid, a name or secret stands twice, or an allowance
-        names an unknown plan.
+        A file is invalid, a name or secret stands twice, an allowance names
+        an unknown plan, or the files are of different revisions.
 
     """
     plans_file = load_yaml(plans_path, PlansFile)
     allowances_file = load_yaml(allowances_path, AllowancesFile)
+    if plans_file.revision != allowances_file.revision:
+        raise SettingsError(
+            f'{plans_path} and {allowances_path} are of different revisions',
+            remedy='show both lists anew and merge your change',
+        )
     lists = Lists(
+        revision=plans_file.revision,
         plans=tuple(_make_plan(model) for model in plans_file.plans),
         allowances=tuple(
             Allowance(**model.model_dump())
--- a/packages/node/ladder_node/configuration/keeper.py
+++ b/packages/node/ladder_node/configuration/keeper.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 
-import msgspec
 from loguru import logger
 
+from ladder_clients.configuration import ConfigurationRows
 from ladder_clients.table import TableClient
 from ladder_core.errors import NotReadyError, StoreUnavailableError
 from ladder_core.supervision import Service
@@ -14,10 +14,6 @@
 from ladder_node.configuration.metrics import REVISION
 from ladder_node.peers.source import ListsSource
 
-CONFIGURATION_TABLE = 'configuration'
-LISTS_KEY = 'lists'
-REVISION_KEY = 'revision'
-
 # An accepted change is in force everywhere within this time; a node that
 # heard nothing for so long may have missed one.
 FRESH_SECONDS = 5
@@ -48,7 +44,7 @@
         timers: TimerService,
         timeline: TimeLine,
     ) -> None:
-        self._table = table
+        self._rows = ConfigurationRows(table)
         self._timers = timers
         self._timeline = timeline
         self._lists: Lists | None = None
@@ -141,7 +137,7 @@
         REVISION.set(lists.revision)
         self._timeline.record(
             'configuration-in-force',
-            LISTS_KEY,
+            'lists',
             revision=lists.revision,
             author=lists.author,
         )
@@ -165,10 +161,7 @@
         self._confirmed_at = max(self._confirmed_at, begun_at)
 
     async def _read_store(self) -> None:
-        mark = await self._table.read(CONFIGURATION_TABLE, REVISION_KEY)
         known = self._lists.revision if self._lists else 0
-        if mark is None or int(mark.body) <= known:
-            return
-        row = await self._table.read(CONFIGURATION_TABLE, LISTS_KEY)
-        if row is not None:
-            self.offer(msgspec.json.decode(row.body, type=Lists))
+        lists = await self._rows.read_newer(known)
+        if lists is not None:
+            self.offer(lists)
--- a/packages/node/ladder_node/entry/app.py
+++ b/packages/node/ladder_node/entry/app.py
@@ -57,6 +57,7 @@
     return [
         Route('/v1/addresses', operations.list_addresses),
         Route('/v1/timeline', operations.read_timeline),
+        Route('/v1/nodes', operations.list_nodes),
         Route('/v1/status', operations.read_status),
         Route('/v1/drain', operations.begin_drain, methods=['POST']),
         Route('/healthz', operations.read_health),
--- a/packages/node/ladder_node/entry/operations.py
+++ b/packages/node/ladder_node/entry/operations.py
@@ -81,6 +81,23 @@
     peers: tuple[str, ...]
 
 
+class ListedNode(msgspec.Struct, frozen=True):
+    """
+    A node on the platform's host list.
+
+    Attributes
+    ----------
+    name : str
+        Name of the node.
+    address : str
+        ``ip:port`` of its HTTP server.
+
+    """
+
+    name: str
+    address: str
+
+
 class OperationRoutes:
     """
     Answer what operators and callers ask of the node itself.
@@ -121,6 +138,11 @@
             return _answer(Health(name, 'ready'))
         return _answer(Health(name, 'not-ready'), _UNAVAILABLE)
 
+    async def list_nodes(self, request: Request) -> Response:
+        """Answer ``GET /v1/nodes``: all listed nodes, also leaving ones."""
+        hosts = self._parts.targets.entry_hosts
+        return _answer([ListedNode(one.name, one.address) for one in hosts])
+
     async def read_status(self, request: Request) -> Response:
         """Answer ``GET /v1/status``."""
         return _answer(self._make_status())
