--- a/packages/node/ladder_node/app/tree.py
+++ b/packages/node/ladder_node/app/tree.py
@@ -2,11 +2,12 @@
 
 from dataclasses import dataclass
 
-from ladder_core.settings import NodeSettings
+from ladder_core.settings import NodeSettings, RoutingPolicy
 from ladder_core.supervision import Supervisor
 from ladder_core.timeline import HybridClock, TimeLine
 from ladder_core.timers import SystemTimerService, TimerService
 from ladder_node.app.clients import Clients, make_clients
+from ladder_node.app.duties import add_duties, make_leases
 from ladder_node.app.peers import make_peers
 from ladder_node.configuration import ConfigurationKeeper
 from ladder_node.dispatch import (
@@ -17,7 +18,6 @@
     KeyedDispatcher,
     PlainDispatcher,
 )
-from ladder_node.duties import WeightDuty
 from ladder_node.entry import (
     Drain,
     EntryMiddleware,
@@ -26,9 +26,13 @@
     make_entry_app,
 )
 from ladder_node.peers import LeavingTargets, PauseGuard
-from ladder_node.steps import StepRegistry
+from ladder_node.steps import StepCapacity, StepRegistry
 from ladder_node.targets import TargetTable, TargetWatcher
-from ladder_policy.routing import LeastLoadedChooser
+from ladder_policy.routing import (
+    LeastLoadedChooser,
+    RoundRobinChooser,
+    TargetChooser,
+)
 
 _ASK_SECONDS = 1
 
@@ -83,15 +87,8 @@
     root.add(watcher)
     root.add(parts.configuration)
     guard = _add_peers(root, parts, watcher)
-    root.add(
-        WeightDuty(
-            parts.targets,
-            clients.engines,
-            clients.weights,
-            parts.timers,
-            parts.timeline,
-        ),
-    )
+    add_duties(root, parts, clients)
+    root.add(parts.generations)
     root.add(parts.steps)
     app = EntryMiddleware(
         make_entry_app(parts),
@@ -135,7 +132,7 @@
     generations = GenerationDispatcher(
         targets,
         clients.engines,
-        LeastLoadedChooser(),
+        _make_chooser(settings.policies.routing),
         timers,
     )
     services = PlainDispatcher(targets, clients.services)
@@ -154,8 +151,21 @@
             IntentLog(clients.table, intents, timers),
             timeline,
         ),
-        steps=StepRegistry(generations, services, timers, timeline),
+        steps=StepRegistry(
+            generations,
+            services,
+            StepCapacity(targets),
+            timers,
+            timeline,
+        ),
         gossip=peers.gossip,
         nodes=peers.nodes,
         drain=peers.drain,
+        leases=make_leases(settings, clients, timers, timeline),
     )
+
+
+def _make_chooser(policy: RoutingPolicy) -> TargetChooser:
+    if policy is RoutingPolicy.round_robin:
+        return RoundRobinChooser()
+    return LeastLoadedChooser()
