Ask for each new revision at once, and measure the gossip

Ruled out: asking every peer that shows a higher revision (one copy each). Change: only a second request for the same revision waits. bench/peers.py runs gossip nodes of eleven data centres in one process at three sizes. Before: test_next_revision_does_not_wait_for_a_heartbeat is the pinned case.

--- /dev/null
+++ b/bench/peers.py
@@ -0,0 +1,172 @@
+"""Measure how the gossip between nodes spreads, at several sizes."""
+
+import asyncio
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import defopt
+
+from ladder_core.timers import SystemTimerService
+from ladder_core.values import Lists
+from ladder_node.peers import Fact, FactKind
+from ladder_node.peers.tests.fakes import FakeNode, make_members, run_nodes
+
+_CENTRES = 11
+_SIZES = (33, 110, 363)
+_SETTLE_SECONDS = 6
+_POLL_SECONDS = 0.02
+_LIMIT_SECONDS = 60
+_NODE_REFRESH_SECONDS = 10
+_PERCENT = 100
+_KILO = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Measurement:
+    """
+    Figures of one size.
+
+    Attributes
+    ----------
+    nodes : int
+        Number of nodes, all in this process.
+    messages : float
+        Messages that a node sends a second, on average.
+    most : float
+        Messages a second of the node that sends most.
+    kilobytes : float
+        Kilobytes that a node sends a second, on average.
+    core_percent : float
+        Processor time of a node as a share of a core, without the sockets.
+    fact_seconds : tuple of float
+        Times until all nodes knew a fact.
+    lists_seconds : tuple of float
+        Times until all nodes had new lists, with the store out.
+
+    """
+
+    nodes: int
+    messages: float
+    most: float
+    kilobytes: float
+    core_percent: float
+    fact_seconds: tuple[float, ...]
+    lists_seconds: tuple[float, ...]
+
+
+async def measure(per_centre: int, seconds: float, runs: int) -> Measurement:
+    """Run nodes of eleven data centres and measure."""
+    members = make_members(_CENTRES, per_centre)
+    async with run_nodes(SystemTimerService(), members) as (network, nodes):
+        await asyncio.sleep(_SETTLE_SECONDS)
+        refreshing = asyncio.create_task(_refresh(nodes))
+        network.frames.clear()
+        network.bytes.clear()
+        used = time.process_time()
+        await asyncio.sleep(seconds)
+        used = time.process_time() - used
+        frames = dict(network.frames)
+        total = sum(network.bytes.values())
+        facts = [await _spread_fact(nodes, number) for number in range(runs)]
+        lists = [await _spread_lists(nodes, number) for number in range(runs)]
+        refreshing.cancel()
+        await asyncio.gather(refreshing, return_exceptions=True)
+        count = len(nodes) * seconds
+        return Measurement(
+            len(nodes),
+            sum(frames.values()) / count,
+            max(frames.values()) / seconds,
+            total / count / _KILO,
+            used / count * _PERCENT,
+            tuple(facts),
+            tuple(lists),
+        )
+
+
+async def _refresh(nodes: dict[str, FakeNode]) -> None:
+    """Publish the facts on the nodes themselves, spread over their period."""
+    pause = _NODE_REFRESH_SECONDS / len(nodes)
+    while True:
+        for name, node in nodes.items():
+            fact = Fact(
+                FactKind.node,
+                name,
+                3 * _NODE_REFRESH_SECONDS,
+                bytes(50),
+                is_lasting=False,
+                is_fleet_wide=False,
+            )
+            node.gossip.publish(fact)
+            await asyncio.sleep(pause)
+
+
+async def _spread_fact(nodes: dict[str, FakeNode], number: int) -> float:
+    origin = list(nodes.values())[number * 7 % len(nodes)]
+    key = f'fact-{number}'
+    begun = time.monotonic()
+    origin.gossip.publish(Fact(FactKind.suspect, key, 600))
+    await _wait(
+        lambda: all(
+            any(
+                fact.key == key
+                for fact in node.gossip.list_facts(FactKind.suspect)
+            )
+            for node in nodes.values()
+        ),
+    )
+    return time.monotonic() - begun
+
+
+async def _spread_lists(nodes: dict[str, FakeNode], number: int) -> float:
+    origin = list(nodes.values())[number * 11 % len(nodes)]
+    revision = number + 2
+    begun = time.monotonic()
+    origin.source.offer(Lists(revision=revision))
+    await _wait(
+        lambda: all(
+            node.source.lists is not None
+            and node.source.lists.revision >= revision
+            for node in nodes.values()
+        ),
+    )
+    return time.monotonic() - begun
+
+
+async def _wait(is_over: Callable[[], bool]) -> None:
+    async with asyncio.timeout(_LIMIT_SECONDS):
+        while not is_over():
+            await asyncio.sleep(_POLL_SECONDS)
+
+
+def peers(*, seconds: float = 10, runs: int = 8) -> None:
+    """
+    Print a table of measurements at three sizes.
+
+    :param seconds: Time over which messages are counted.
+    :param runs: Number of facts and of lists that are timed.
+    """
+    sys.stdout.write(
+        '| nodes | messages/s | most | KB/s | core % | '
+        'fact s (least to most) | lists s (least to most) |\n'
+        '|---|---|---|---|---|---|---|\n',
+    )
+    for size in _SIZES:
+        measured = asyncio.run(measure(size // _CENTRES, seconds, runs))
+        sys.stdout.write(_format(measured))
+
+
+def _format(measured: Measurement) -> str:
+    facts, lists = measured.fact_seconds, measured.lists_seconds
+    return (
+        f'| {measured.nodes} | {measured.messages:.1f} | '
+        f'{measured.most:.1f} | {measured.kilobytes:.2f} | '
+        f'{measured.core_percent:.2f} | '
+        f'{min(facts):.2f} to {max(facts):.2f} | '
+        f'{min(lists):.2f} to {max(lists):.2f} |\n'
+    )
+
+
+if __name__ == '__main__':
+    defopt.run(peers)
--- a/packages/node/ladder_node/peers/exchange.py
+++ b/packages/node/ladder_node/peers/exchange.py
@@ -66,6 +66,7 @@
         self._spread = spread
         self._timers = timers
         self._answers = 0
+        self._requested = 0
         self._request_at = timers.now()
 
     @property
@@ -128,11 +129,18 @@
         lists = self._source.known_lists
         if lists is not None and lists.revision >= revision:
             self._source.confirm(link.peer, revision)
-        elif self._timers.now() >= self._request_at:
-            # One peer at a time is asked, so that one copy is sent.
-            self._request_at = self._timers.now() + _REQUEST_SECONDS
+        elif self._is_request_due(revision):
             link.send(ListsRequest(self._make_sender()))
 
+    def _is_request_due(self, revision: int) -> bool:
+        """Have one peer asked for a revision, so that one copy is sent."""
+        now = self._timers.now()
+        if revision <= self._requested and now < self._request_at:
+            return False
+        self._requested = revision
+        self._request_at = now + _REQUEST_SECONDS
+        return True
+
     def _answer_summary(self, link: PeerLink, summary: Summary) -> None:
         lacking = tuple(self._facts.list_lacking(summary.held))
         link.send(self.make_push(lacking, is_answer=not summary.is_answer))
--- a/packages/node/ladder_node/peers/tests/fakes.py
+++ b/packages/node/ladder_node/peers/tests/fakes.py
@@ -101,7 +101,7 @@
     def is_fresh(self):
         return True
 
-    def offer(self, lists):
+    def offer(self, lists: Lists) -> None:
         if self.lists is None or lists.revision > self.lists.revision:
             self.lists = lists
             self.announce()
@@ -128,7 +128,7 @@
         self.source.announce = self.gossip.announce
 
 
-def make_members(centres, per_centre):
+def make_members(centres: int, per_centre: int) -> list[Member]:
     """Return members spread evenly over data centres."""
     return [
         Member(
--- a/packages/node/ladder_node/peers/tests/test_gossip.py
+++ b/packages/node/ladder_node/peers/tests/test_gossip.py
@@ -107,6 +107,15 @@
         assert revisions == {2}
 
 
+async def test_next_revision_does_not_wait_for_a_heartbeat(timers):
+    async with run_nodes(timers, make_members(1, 2)) as (_, nodes):
+        await timers.advance(2)
+        for revision in (2, 3):
+            nodes['node-0-0'].source.offer(Lists(revision=revision))
+            await timers.advance(0.2)
+        assert nodes['node-0-1'].source.lists.revision == 3
+
+
 async def test_events_after_a_fact_are_stamped_after_it(timers):
     async with run_nodes(timers, make_members(1, 2)) as (_, nodes):
         first, second = nodes.values()
