--- a/packages/node/ladder_node/app/clients.py
+++ b/packages/node/ladder_node/app/clients.py
@@ -68,7 +68,7 @@
 
 def make_clients(settings: NodeSettings, timers: TimerService) -> Clients:
     """Return the clients that a node's settings call for."""
-    http = HttpClient()
+    http = HttpClient(f'{settings.region}/{settings.data_centre}')
     platform = settings.platform
     table = HttpTableClient(http, platform.table, _RENEWAL_SECONDS)
     gate = TableGate(timers)
