Bring new weights by the holder of the pool's lease, in waves

Change: PoolDuties seek the pool's lease; WeightRollout orders in waves (AllAtOncePlanner is kept as the plain way), with the epoch as fencing token and only while the order's limit fits into the lease; a new holder waits for that limit at engines that ignore tokens. A contradicted version takes the engine out on every node (gossip) and has it loaded again. The engine stand-in loads again when told the version that it only states: before, a lying engine could not be repaired by any order.

--- a/packages/core/ladder_core/settings/node.py
+++ b/packages/core/ladder_core/settings/node.py
@@ -23,6 +23,9 @@
     ----------
     table, objects, weights, hosts : str
         Table service, object store, weight store and host list.
+    weights_region : str
+        Region of the weight store; empty if bytes over links between
+        regions need no count.
 
     """
 
@@ -30,6 +33,7 @@
     objects: _Address
     weights: _Address
     hosts: _Address
+    weights_region: str = ''
 
 
 class NodeSettings(CheckedModel):
--- a/packages/node/ladder_node/app/duties.py
+++ b/packages/node/ladder_node/app/duties.py
@@ -6,8 +6,16 @@
 from ladder_core.timers import TimerService
 from ladder_node.app.clients import Clients
 from ladder_node.app.share import TableShare
-from ladder_node.duties import Holder, LeaseKeeper, WeightDuty
+from ladder_node.duties import (
+    DutySeeker,
+    Holder,
+    LeaseKeeper,
+    PoolDuties,
+    VersionDoubts,
+    WeightRollout,
+)
 from ladder_node.entry import EntryParts
+from ladder_policy.versions import WavePlanner
 
 
 def make_leases(
@@ -30,12 +38,25 @@
     clients.gate.report_to(parts.timeline)
     root.add(TableShare(clients.gate, parts.targets, parts.timers))
     root.add(parts.leases)
-    root.add(
-        WeightDuty(
-            parts.targets,
-            clients.engines,
-            clients.weights,
-            parts.timers,
-            parts.timeline,
-        ),
+    root.add(VersionDoubts(parts.targets, parts.gossip, parts.timers))
+    root.add(_make_pool_duties(parts, clients))
+
+
+def _make_pool_duties(parts: EntryParts, clients: Clients) -> PoolDuties:
+    targets, timers = parts.targets, parts.timers
+    rollout = WeightRollout(
+        targets,
+        clients.engines,
+        clients.weights,
+        WavePlanner(),
+        timers,
+        parts.timeline,
+        parts.settings.platform.weights_region,
+    )
+    seeker = DutySeeker(
+        parts.leases,
+        parts.settings.name,
+        lambda: (host.name for host in targets.entry_hosts),
+        timers,
     )
+    return PoolDuties(targets, seeker, rollout, timers)
--- a/packages/node/ladder_node/dispatch/generation.py
+++ b/packages/node/ladder_node/dispatch/generation.py
@@ -171,12 +171,14 @@
         request: GenerateRequest,
     ) -> AsyncIterator[Chunk]:
         address = target.entry.address
+        stated = 0 if target.state is None else target.state.version
         with self._dispatch(target, request) as dispatch:
             async with closing(
                 self._engines.generate(address, request),
             ) as chunks:
                 async for chunk in chunks:
                     dispatch.is_open = not chunk.end
+                    self._compare_version(target, chunk, stated)
                     yield chunk
             if dispatch.is_open:
                 raise TargetLostError(
@@ -184,6 +186,16 @@
                     remedy='go on elsewhere from what was received',
                 )
 
+    def _compare_version(
+        self,
+        target: Target,
+        chunk: Chunk,
+        stated: int,
+    ) -> None:
+        if chunk.tokens:
+            name = target.entry.name
+            self._targets.note_served_version(name, chunk.version, stated)
+
     @contextlib.contextmanager
     def _dispatch(
         self,
--- a/packages/node/ladder_node/duties/keeper.py
+++ b/packages/node/ladder_node/duties/keeper.py
@@ -128,6 +128,11 @@
         finally:
             self._acquiring.discard(name)
 
+    def find_held(self, name: str) -> Lease | None:
+        """Return this node's own lease of a name if it is valid now."""
+        held = self._held.get(name)
+        return held if held is not None and held.is_valid() else None
+
     async def find_holder(self, name: str) -> Holder | None:
         """
         Return the node that the table names as a lease's holder, or None.
--- a/packages/node/ladder_node/duties/lease.py
+++ b/packages/node/ladder_node/duties/lease.py
@@ -48,6 +48,7 @@
         self._timers = timers
         self._release = release
         self._valid_until = timers.now()
+        self._acquired_at = timers.now()
         self._is_ended = False
 
     @property
@@ -75,6 +76,10 @@
             return 0
         return max(self._valid_until - self._timers.now(), 0)
 
+    def age(self) -> float:
+        """Return the seconds since the lease was acquired."""
+        return self._timers.now() - self._acquired_at
+
     def extend(self, valid_until: float) -> None:
         """
         Take note of a renewal.
--- /dev/null
+++ b/packages/node/ladder_node/duties/tests/test_weights.py
@@ -0,0 +1,205 @@
+from typing import Any
+
+from ladder_clients.engines import EngineClient, EngineState, OrderOutcome
+from ladder_clients.platform import Weights, WeightStore
+from ladder_core.timeline import HybridClock, HybridTime, TimeLine
+from ladder_core.timers import ManualTimerService
+from ladder_core.values import HostEntry, HostKind
+from ladder_node.duties import Holder, Lease, LeaseKeeper, WeightRollout
+from ladder_node.targets import TargetTable
+from ladder_policy.versions import AllAtOncePlanner
+from ladder_standins.memory import MemoryTable
+from ladder_standins.rows import TableRows
+
+POOL = 'brewmind'
+
+
+class Engines(EngineClient):
+    """Engines in memory that load a version within one second."""
+
+    def __init__(self):
+        self.versions = {}
+        self.tokens = {}
+        self.ignoring = set()
+        self.failures = 0
+        self.orders = []
+
+    def generate(self, address, request):
+        raise NotImplementedError
+
+    async def cancel(self, address, request_id):
+        """Do nothing."""
+
+    async def read_state(self, address):
+        return EngineState(self.versions[address])
+
+    async def order(self, address, order):
+        self.orders.append((address, order.version, order.fencing_token))
+        highest = self.tokens.get(address, 0)
+        self.tokens[address] = max(highest, order.fencing_token)
+        if order.fencing_token < highest and address not in self.ignoring:
+            return OrderOutcome(accepted=False, reason='old')
+        if self.failures:
+            self.failures -= 1
+        else:
+            self.versions[address] = order.version
+        return OrderOutcome(accepted=True)
+
+
+class Store(WeightStore):
+    """The newest version of every model."""
+
+    def __init__(self):
+        self.version = 2
+
+    async def read_newest(self, model):
+        return Weights(model, self.version, 1000, 1000)
+
+
+class Node:
+    """A node that may care for the pool."""
+
+    def __init__(self, name, bench):
+        self.timeline = TimeLine(name, HybridClock(bench.timers))
+        self.targets = TargetTable(bench.timers, self.timeline)
+        self.targets.update_hosts(bench.entries)
+        self.keeper = LeaseKeeper(
+            MemoryTable(bench.rows, bench.timers),
+            Holder(name, f'{name}:1'),
+            bench.timers,
+            self.timeline,
+        )
+        self.rollout = WeightRollout(
+            self.targets,
+            bench.engines,
+            bench.store,
+            AllAtOncePlanner(),
+            bench.timers,
+            self.timeline,
+        )
+        self._engines = bench.engines
+        self.lease: Any = None
+
+    @property
+    def kinds(self):
+        return [event.kind for event in self.timeline.read(HybridTime(), 99)]
+
+    async def work(self):
+        for target in self.targets.list_all(HostKind.engine):
+            state = await self._engines.read_state(target.entry.address)
+            self.targets.update_state(target.entry.name, state)
+        self.lease = await self.keeper.acquire(f'pool/{POOL}') or self.lease
+        if self.lease is not None:
+            await self.rollout.reconcile(POOL, self.lease)
+
+
+class Bench:
+    """Two engines, one of which ignores fencing tokens."""
+
+    def __init__(self):
+        self.timers = ManualTimerService()
+        self.rows = TableRows(lambda kind, subject, **_: None)
+        self.engines = Engines()
+        self.store = Store()
+        self.engines.versions = {'checks': 1, 'ignores': 1}
+        self.engines.ignoring = {'ignores'}
+        self.entries = [
+            HostEntry(
+                name,
+                HostKind.engine,
+                name,
+                'leith',
+                'lowlands',
+                pool=POOL,
+                model='cask',
+                checks_fencing=name == 'checks',
+            )
+            for name in ('checks', 'ignores')
+        ]
+
+    async def run(self, node, seconds):
+        for _ in range(seconds):
+            await node.work()
+            await self.timers.advance(1)
+            await node.keeper.renew()
+
+
+async def test_order_waits_for_old_orders_at_a_target_that_ignores_fencing():
+    bench = Bench()
+    node = Node('a', bench)
+    await node.work()
+    assert bench.engines.orders == [('checks', 2, 1)]
+    await bench.run(node, 3)
+    assert bench.engines.versions == {'checks': 2, 'ignores': 2}
+
+
+async def test_no_order_is_sent_that_does_not_fit_into_the_lease():
+    bench = Bench()
+    node = Node('a', bench)
+    await bench.run(node, 4)
+    bench.store.version = 3
+    sent = len(bench.engines.orders)
+    await bench.timers.advance(13)
+    assert node.lease.is_valid()
+    await node.rollout.reconcile(POOL, node.lease)
+    await bench.timers.advance(20)
+    await node.rollout.reconcile(POOL, node.lease)
+    assert len(bench.engines.orders) == sent
+
+
+async def test_order_of_a_paused_holder_is_refused_or_corrected():
+    bench = Bench()
+    paused, successor = Node('a', bench), Node('b', bench)
+    await bench.run(paused, 4)
+    bench.store.version = 3
+    assert await successor.keeper.acquire(f'pool/{POOL}') is None
+    await bench.timers.advance(15)
+    await bench.run(successor, 4)
+    assert bench.engines.versions == {'checks': 3, 'ignores': 3}
+    # Orders that left the paused holder long ago arrive only now.
+    frozen = FrozenLease(
+        POOL,
+        1,
+        1,
+        bench.timers,
+        paused.keeper._release_one,
+    )
+    for target in paused.targets.list_all(HostKind.engine):
+        late = Weights('cask', 2)
+        await paused.rollout._order(target, late, frozen)
+    assert bench.engines.versions == {'checks': 3, 'ignores': 2}
+    await bench.run(successor, 6)
+    assert bench.engines.versions == {'checks': 3, 'ignores': 3}
+
+
+class FrozenLease(Lease):
+    """What the paused holder believed when it sent its order."""
+
+    def remaining(self):
+        return 9
+
+
+async def test_failed_swap_is_noted_and_repeated():
+    bench = Bench()
+    node = Node('a', bench)
+    bench.engines.failures = 2
+    await bench.run(node, 12)
+    assert bench.engines.versions == {'checks': 2, 'ignores': 2}
+    assert node.kinds.count('swap-failed') == 2
+
+
+async def test_target_that_serves_less_than_it_states_is_reloaded_once():
+    bench = Bench()
+    node = Node('a', bench)
+    await bench.run(node, 6)
+    sent = len(bench.engines.orders)
+    node.targets.note_served_version('checks', 1, 2)
+    node.targets.note_served_version('checks', 1, 2)
+    available = node.targets.list_available(HostKind.engine)
+    assert [target.entry.name for target in available] == ['ignores']
+    await bench.run(node, 10)
+    assert bench.engines.orders[sent:] == [('checks', 2, 1)]
+    assert node.kinds.count('version-contradicted') == 1
+    await bench.run(node, 12)
+    assert len(node.targets.list_available(HostKind.engine)) == 2
+    assert len(bench.engines.orders) == sent + 1
--- a/packages/node/ladder_node/duties/weights.py
+++ b/packages/node/ladder_node/duties/weights.py
@@ -1,25 +1,60 @@
-"""Bring the newest weights to the engines."""
+"""Bring the newest weights to the engines of a pool."""
 
 import asyncio
+from dataclasses import dataclass
 
 from loguru import logger
+from prometheus_client import Counter
 
 from ladder_clients.engines import EngineClient, Order, OrderKind
 from ladder_clients.platform import Weights, WeightStore
 from ladder_clients.transport import TransportError
 from ladder_core.errors import StoreUnavailableError
-from ladder_core.supervision import Service
 from ladder_core.timeline import TimeLine
-from ladder_core.timers import Subscription, TimerService
+from ladder_core.timers import TimerService
 from ladder_core.values import HostKind
+from ladder_node.duties.lease import Lease
 from ladder_node.targets import Target, TargetTable
-
-_PERIOD_SECONDS = 1
-
-
-class WeightDuty(Service):
+from ladder_policy.versions import Replica, RolloutPlanner, Supply
+
+# Not below the limit of one order in the engines' client.
+ORDER_SECONDS = 2
+# An engine's word is read once a second; an older word may precede an order.
+_JUDGE_SECONDS = 3
+
+_ordered_counter = Counter(
+    'ladder_weight_orders_total',
+    'Orders to load a version, by their outcome',
+    ('outcome',),
+)
+_failed_counter = Counter(
+    'ladder_weight_swaps_failed_total',
+    'Swaps that ended without the ordered version',
+)
+_link_counter = Counter(
+    'ladder_weights_link_bytes_total',
+    'Bytes of weights ordered over a link between regions',
+    ('model', 'version'),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class _Ordered:
+    version: int
+    at: float
+
+
+class WeightRollout:
     """
-    Order engines to load the newest version of their model.
+    Order engines of one pool to load the newest version of their model.
+
+    Explanation
+    -----------
+    An order is declarative and carries the lease's epoch. It is sent only
+    while its time limit fits into what is left of the lease. For engines
+    that ignore fencing tokens, a new holder waits for that limit before its
+    first order; afterwards it goes on to compare their word with the wanted
+    version, so a late order of an earlier holder is corrected.
 
     Parameters
     ----------
@@ -29,10 +64,14 @@
         Takes the orders to them.
     weights : WeightStore
         Tells the newest version.
+    planner : RolloutPlanner
+        Chooses the engines that swap next.
     timers : TimerService
         Source of time.
     timeline : TimeLine
-        Takes each order.
+        Takes each order and each failed swap.
+    weights_region : str, optional
+        Region of the weight store; empty if it is not known.
 
     """
 
@@ -41,68 +80,164 @@
         targets: TargetTable,
         engines: EngineClient,
         weights: WeightStore,
+        planner: RolloutPlanner,
         timers: TimerService,
         timeline: TimeLine,
+        weights_region: str = '',
     ) -> None:
         self._targets = targets
         self._engines = engines
         self._weights = weights
+        self._planner = planner
         self._timers = timers
         self._timeline = timeline
-        self._subscription: Subscription | None = None
-
-    async def start(self) -> None:
-        """Begin to look for new versions."""
-        self._subscription = self._timers.subscribe(
-            _PERIOD_SECONDS,
-            self._reconcile,
-        )
-
-    async def close(self) -> None:
-        """Stop looking."""
-        if self._subscription is not None:
-            await self._subscription.close()
-            self._subscription = None
-
-    async def _reconcile(self) -> None:
-        engines = self._targets.list_all(HostKind.engine)
+        self._weights_region = weights_region
+        self._ordered: dict[str, _Ordered] = {}
+        self._reloaded: dict[str, float] = {}
+
+    async def reconcile(self, pool: str, lease: Lease) -> None:
+        """
+        Order what is missing now.
+
+        Parameters
+        ----------
+        pool : str
+            The pool.
+        lease : Lease
+            The lease of the pool's duties.
+
+        """
+        engines = self._targets.list_all(HostKind.engine, pool)
         for model in sorted({target.entry.model for target in engines}):
             try:
                 newest = await self._weights.read_newest(model)
             except StoreUnavailableError as error:
                 logger.warning('weight store: {}', error)
                 return
-            await self._bring(newest, engines)
+            same = [one for one in engines if one.entry.model == model]
+            await self._advance(same, newest, lease)
 
-    async def _bring(self, newest: Weights, engines: list[Target]) -> None:
-        behind = [target for target in engines if _is_behind(target, newest)]
+    async def _advance(
+        self,
+        engines: list[Target],
+        newest: Weights,
+        lease: Lease,
+    ) -> None:
+        known = {
+            target.entry.name: target
+            for target in engines
+            if target.state is not None
+        }
+        self._judge(known)
+        replicas = [self._describe(target) for target in known.values()]
+        supply = Supply(
+            newest.version,
+            newest.size_bytes,
+            newest.bytes_per_second,
+        )
+        chosen = self._planner.choose(replicas, supply)
         await asyncio.gather(
-            *(self._order(target, newest) for target in behind),
+            *(
+                self._order(known[replica.name], newest, lease)
+                for replica in chosen
+                if _is_settled(known[replica.name], lease)
+            ),
+        )
+
+    def _judge(self, known: dict[str, Target]) -> None:
+        """Forget orders that were obeyed, and those whose swap failed."""
+        for name, target in known.items():
+            ordered = self._ordered.get(name)
+            state = target.state
+            if ordered is None or state is None or state.swapping:
+                continue
+            if self._timers.now() < ordered.at + _JUDGE_SECONDS:
+                continue
+            self._ordered.pop(name)
+            if state.version < ordered.version:
+                self._note_failure(name, ordered.version, state.version)
+
+    def _note_failure(self, name: str, version: int, stated: int) -> None:
+        _failed_counter.inc()
+        self._timeline.record(
+            'swap-failed',
+            name,
+            version=version,
+            stated=stated,
         )
 
-    async def _order(self, target: Target, newest: Weights) -> None:
+    def _describe(self, target: Target) -> Replica:
+        entry, state = target.entry, target.state
+        version = 0 if state is None else state.version
+        if self._is_doubted(target):
+            # Its word is not believed: it shall load the version once more.
+            version = 0
+        ordered = self._ordered.get(entry.name)
+        is_swapping = state is not None and state.swapping
+        return Replica(
+            entry.name,
+            version,
+            is_swapping or ordered is not None,
+            self._is_remote(target),
+        )
+
+    def _is_doubted(self, target: Target) -> bool:
+        reloaded = self._reloaded.get(target.entry.name)
+        is_new = reloaded != target.doubted_until
+        return is_new and target.doubted_until > self._timers.now()
+
+    def _is_remote(self, target: Target) -> bool:
+        return self._weights_region not in {'', target.entry.region}
+
+    async def _order(
+        self,
+        target: Target,
+        newest: Weights,
+        lease: Lease,
+    ) -> None:
+        name = target.entry.name
         order = Order(
             OrderKind.load_version,
-            fencing_token=0,
+            fencing_token=lease.epoch,
             model=newest.model,
             version=newest.version,
         )
-        name = target.entry.name
+        if lease.remaining() < ORDER_SECONDS:
+            return
+        self._reloaded[name] = target.doubted_until
+        self._ordered[name] = _Ordered(
+            newest.version,
+            self._timers.now(),
+        )
         try:
             outcome = await self._engines.order(target.entry.address, order)
         except TransportError as error:
+            _ordered_counter.labels('unknown').inc()
             logger.warning('order to {}: {}', name, error)
             return
+        self._note_order(target, newest, lease, outcome.accepted)
+
+    def _note_order(
+        self,
+        target: Target,
+        newest: Weights,
+        lease: Lease,
+        is_accepted: bool,
+    ) -> None:
+        _ordered_counter.labels('accepted' if is_accepted else 'refused').inc()
+        if is_accepted and self._is_remote(target):
+            _link_counter.labels(newest.model, newest.version).inc(
+                newest.size_bytes,
+            )
         self._timeline.record(
             'version-ordered',
-            name,
+            target.entry.name,
             version=newest.version,
-            accepted=outcome.accepted,
+            epoch=lease.epoch,
+            accepted=is_accepted,
         )
 
 
-def _is_behind(target: Target, newest: Weights) -> bool:
-    state = target.state
-    if target.entry.model != newest.model or state is None:
-        return False
-    return state.version < newest.version and not state.swapping
+def _is_settled(target: Target, lease: Lease) -> bool:
+    """Whether no order of an earlier holder can still be under way."""
+    return target.entry.checks_fencing or lease.age() >= ORDER_SECONDS
--- a/packages/node/ladder_node/targets/table.py
+++ b/packages/node/ladder_node/targets/table.py
@@ -10,6 +10,7 @@
 from ladder_core.values import HostEntry, HostKind, HostState
 
 _SUSPENSION_SECONDS = 2
+_DOUBT_SECONDS = 20
 
 
 @dataclass(slots=True)
@@ -30,6 +31,8 @@
     suspended_until : float
         Seconds on the timer service's clock before which the target gets no
         new requests because it failed.
+    doubted_until : float
+        The same, because its streams name an older version than its word.
 
     """
 
@@ -38,6 +41,7 @@
     sent: int = 0
     is_leaving: bool = False
     suspended_until: float = field(default=0)
+    doubted_until: float = 0
 
 
 class TargetTable:
@@ -136,6 +140,48 @@
         target.suspended_until = self._timers.now() + _SUSPENSION_SECONDS
         self._timeline.record('target-suspended', name, reason=reason)
 
+    def note_served_version(
+        self,
+        name: str,
+        served: int,
+        stated: int,
+    ) -> None:
+        """
+        Compare what a stream names with the target's word.
+
+        Parameters
+        ----------
+        name : str
+            Name of the target.
+        served : int
+            Version of a chunk.
+        stated : int
+            Version that the target stated before the request was sent.
+
+        Notes
+        -----
+        A target that serves an older version than it stated gets no new
+        requests for a while, in which it is ordered to load again.
+
+        """
+        target = self._targets.get(name)
+        now = self._timers.now()
+        if target is None or served >= stated or now < target.doubted_until:
+            return
+        self.doubt(name, target.entry.address)
+        self._timeline.record(
+            'version-contradicted',
+            name,
+            stated=stated,
+            served=served,
+        )
+
+    def doubt(self, name: str, address: str) -> None:
+        """Give a target whose word was contradicted no new requests."""
+        target = self._targets.get(name)
+        if target is not None and target.entry.address == address:
+            target.doubted_until = self._timers.now() + _DOUBT_SECONDS
+
     def list_all(self, kind: HostKind, pool: str = '') -> list[Target]:
         """Return the targets of a kind, of one pool if it is named."""
         return [
@@ -176,6 +222,7 @@
 
 
 def _is_available(target: Target, now: float) -> bool:
-    if target.is_leaving or now < target.suspended_until:
+    kept_off_until = max(target.suspended_until, target.doubted_until)
+    if target.is_leaving or now < kept_off_until:
         return False
     return target.state is None or target.state.role is Role.serving
--- a/standins/ladder_standins/engine/machine.py
+++ b/standins/ladder_standins/engine/machine.py
@@ -112,7 +112,7 @@
 
     def load(self, version: int) -> None:
         """Begin to load a version, in place of a load in progress."""
-        if version == self._stated_version:
+        if version == self._stated_version == self._served_version:
             return
         if self._swap is not None:
             self._swap.cancel()
