--- a/packages/node/ladder_node/dispatch/generation.py
+++ b/packages/node/ladder_node/dispatch/generation.py
@@ -190,6 +190,7 @@
     ) -> AsyncIterator[Chunk]:
         address = target.entry.address
         request = _make_request(generation, received)
+        stated = 0 if target.state is None else target.state.version
         with self._dispatch(target, request) as dispatch:
             async with closing(
                 self._engines.generate(address, request),
@@ -197,6 +198,7 @@
                 async for chunk in chunks:
                     received.add(chunk)
                     dispatch.is_open = not chunk.end
+                    self._compare_version(target, chunk, stated)
                     yield chunk
             if dispatch.is_open:
                 raise TargetLostError(
@@ -204,6 +206,16 @@
                     remedy='go on elsewhere from what was received',
                 )
 
+    def _compare_version(
+        self,
+        target: Target,
+        chunk: Chunk,
+        stated: int,
+    ) -> None:
+        if chunk.tokens:
+            name = target.entry.name
+            self._targets.note_served_version(name, chunk.version, stated)
+
     @contextmanager
     def _dispatch(
         self,
