Run a trainer's steps at one node, and go on at any other

Cause: a step lived in the memory of the node that opened it. A pull at another node was a 404, the loss of the node lost all finished groups, a closed number could be opened again elsewhere, and a trainer had to know where its step ran.

Change: a row a trainer in table 'steps' (open steps with digest and runs, the highest closed number), the step's contents and batches of finished groups in the object store (one object in 2 s a step at most), a lease a trainer that only keeps nodes from the same work. Another node answers 307 with the holder's address; it goes on with the step once the lease has run out, or at once for a trainer that names the holder in x-ladder-unreachable. With the store out a step runs without row and lease, and is entered later.

Ruled out: forwarding pulls, which would carry every sample through two nodes and still needs the redirect for a dead holder; a lease a step (43 times the acquisitions at 2,048-sample steps every few minutes for no gain); a guard of the row by the lease: the row only grows more closed, its revision suffices.

Found on the way: a keeper in a test hung at close because the fake table returned a refusal without its conflicts.

--- a/packages/node/ladder_node/app/tree.py
+++ b/packages/node/ladder_node/app/tree.py
@@ -26,7 +26,14 @@
     make_entry_app,
 )
 from ladder_node.peers import LeavingTargets, PauseGuard
-from ladder_node.steps import StepCapacity, StepRegistry
+from ladder_node.steps import (
+    RunnerFactory,
+    StepBook,
+    StepCapacity,
+    StepRegistry,
+    StepStore,
+    StepTenure,
+)
 from ladder_node.targets import TargetTable, TargetWatcher
 from ladder_policy.routing import (
     LeastLoadedChooser,
@@ -136,6 +143,8 @@
     )
     services = PlainDispatcher(targets, clients.services)
     configuration = ConfigurationKeeper(clients.table, timers, timeline)
+    leases = make_leases(settings, clients, timers, timeline)
+    tenure = StepTenure(leases, settings.entry_address)
     peers = make_peers(settings, configuration, targets, timers, timeline)
     return EntryParts(
         settings=settings,
@@ -151,16 +160,25 @@
             timeline,
         ),
         steps=StepRegistry(
-            generations,
-            services,
-            StepCapacity(targets),
+            RunnerFactory(
+                generations,
+                services,
+                StepCapacity(targets),
+                timers,
+                timeline,
+            ),
+            StepBook(
+                StepStore(clients.table, clients.objects),
+                tenure,
+                timeline,
+            ),
+            tenure,
             timers,
-            timeline,
         ),
         gossip=peers.gossip,
         nodes=peers.nodes,
         drain=peers.drain,
-        leases=make_leases(settings, clients, timers, timeline),
+        leases=leases,
     )
 
 
--- a/packages/node/ladder_node/entry/steps.py
+++ b/packages/node/ladder_node/entry/steps.py
@@ -23,9 +23,16 @@
     StepModel,
     StepStatus,
 )
-from ladder_node.steps import Handover, HeldGroups, Pull, StepSpec
+from ladder_node.steps import (
+    Handover,
+    HeldGroups,
+    Pull,
+    StepElsewhereError,
+    StepSpec,
+)
 
 _CREATED = 201
+_UNREACHABLE = 'x-ladder-unreachable'
 
 
 class StepRoutes:
@@ -51,7 +58,10 @@
         allowance = lists.find_allowance(plan.name)
         check_model(allowance, body.model)
         spec = _make_spec(plan, request, body)
-        await self._parts.steps.open(spec, allowance)
+        try:
+            await self._parts.steps.open(spec, allowance, _read_lost(request))
+        except StepElsewhereError as error:
+            return _redirect(request, error)
         status = StepStatus(spec.name, spec.digest, len(spec.prompts))
         return _answer(status, _CREATED)
 
@@ -63,7 +73,15 @@
         body = parse_body(await read_body(request, limit), PullModel)
         held = HeldGroups.parse(body.held)
         step = request.path_params['step']
-        runner = self._parts.steps.find(plan.trainer, step)
+        try:
+            runner = await self._parts.steps.find(
+                plan.trainer,
+                step,
+                lists.find_allowance(plan.name),
+                _read_lost(request),
+            )
+        except StepElsewhereError as error:
+            return _redirect(request, error)
         handover = await self._parts.drain.shorten(
             lambda seconds: runner.pull(
                 Pull(body.version, held, seconds),
@@ -78,7 +96,11 @@
         lists = self._parts.configuration.require_known()
         plan = _authorize(request, lists)
         step = request.path_params['step']
-        await self._parts.steps.finish(plan.trainer, step)
+        lost = _read_lost(request)
+        try:
+            await self._parts.steps.finish(plan.trainer, step, lost)
+        except StepElsewhereError as error:
+            return _redirect(request, error)
         return _answer(StepStatus(f'{plan.trainer}/{step}', '', 0))
 
     def _find_bound(self, plan: Plan) -> int:
@@ -88,6 +110,20 @@
         return current.staleness_versions
 
 
+def _read_lost(request: Request) -> str:
+    """Return the address that the trainer says it can't reach."""
+    return request.headers.get(_UNREACHABLE, '')
+
+
+def _redirect(request: Request, error: StepElsewhereError) -> Response:
+    return Response(
+        msgspec.json.encode(make_problem(error)),
+        error.status,
+        {'location': f'http://{error.address}{request.url.path}'},
+        'application/problem+json',
+    )
+
+
 def _authorize(request: Request, lists: Lists) -> Plan:
     plan = authenticate(request, lists)
     trainer = request.path_params['trainer']
--- /dev/null
+++ b/packages/node/ladder_node/steps/book.py
@@ -0,0 +1,236 @@
+"""Enter steps into the store, and find those that other nodes entered."""
+
+import uuid
+from collections import deque
+
+from loguru import logger
+
+from ladder_core.errors import StoreUnavailableError, UnknownNameError
+from ladder_core.timeline import TimeLine
+from ladder_core.values import Group
+from ladder_node.steps.metrics import STEPS_TAKEN_OVER, STEPS_UNRECORDED
+from ladder_node.steps.records import OpenStep, make_closed_error
+from ladder_node.steps.spec import StepSpec
+from ladder_node.steps.store import StepStore
+from ladder_node.steps.tenure import StepTenure
+
+_MAX_CLEANUPS = 256
+
+
+class StepBook:
+    """
+    Enter, find and close steps in the store.
+
+    Parameters
+    ----------
+    store : StepStore
+        Keeps rows and objects.
+    tenure : StepTenure
+        Tells which node runs a trainer's steps.
+    timeline : TimeLine
+        Takes what happens.
+
+    """
+
+    def __init__(
+        self,
+        store: StepStore,
+        tenure: StepTenure,
+        timeline: TimeLine,
+    ) -> None:
+        self._store = store
+        self._tenure = tenure
+        self._timeline = timeline
+        self._closings: dict[tuple[str, int], None] = {}
+        self._cleanups: deque[tuple[str, OpenStep]] = deque(
+            maxlen=_MAX_CLEANUPS,
+        )
+
+    @property
+    def store(self) -> StepStore:
+        """Keeps rows and objects."""
+        return self._store
+
+    async def enter(
+        self,
+        spec: StepSpec,
+        run: str,
+        unreachable: str = '',
+    ) -> tuple[Group, ...]:
+        """
+        Enter a step that this node is going to run.
+
+        Parameters
+        ----------
+        spec : StepSpec
+            The step.
+        run : str
+            Identifies this node's run of it.
+        unreachable : str, optional
+            Address of a node that the trainer could not reach.
+
+        Returns
+        -------
+        tuple of Group
+            Groups that earlier runs have finished.
+
+        Raises
+        ------
+        StepClosedError
+            The step's number is used up.
+        StepContentsError
+            The step was entered with other contents.
+        StepElsewhereError
+            Another node runs the trainer's steps.
+        StoreUnavailableError
+            The step is not entered, or it is not known to be.
+
+        """
+        record = await self._store.read_record(spec.trainer)
+        record.open(spec, run)
+        await self._tenure.settle(spec.trainer, spec.step, unreachable)
+        groups: tuple[Group, ...] = ()
+        opened = record.find(spec.step)
+        if opened is None:
+            await self._store.save_spec(spec)
+        else:
+            groups = await self._recover(spec, opened)
+        await self._store.change_record(
+            spec.trainer,
+            lambda current: current.open(spec, run),
+        )
+        return groups
+
+    async def look_up(
+        self,
+        trainer: str,
+        step: int,
+        unreachable: str = '',
+    ) -> StepSpec:
+        """
+        Return the contents of a step that this node may go on with.
+
+        Raises
+        ------
+        StepClosedError
+            The step is closed.
+        UnknownNameError
+            The step is not open, or the store can't tell.
+        StepElsewhereError
+            Another node runs the trainer's steps.
+
+        """
+        try:
+            return await self._look_up(trainer, step, unreachable)
+        except StoreUnavailableError as error:
+            raise UnknownNameError(
+                f'step {trainer}/{step} is not open here, and the store '
+                'can not tell where it is',
+                remedy='open it again with the same prompts',
+            ) from error
+
+    async def close(
+        self,
+        trainer: str,
+        step: int,
+        *,
+        is_running: bool,
+        unreachable: str = '',
+    ) -> None:
+        """
+        Use up a step's number, later if the store is out.
+
+        Parameters
+        ----------
+        trainer : str
+            Name of the trainer.
+        step : int
+            Number of the step.
+        is_running : bool
+            Whether it runs on this node.
+        unreachable : str, optional
+            Address of a node that the trainer could not reach.
+
+        Raises
+        ------
+        StepElsewhereError
+            Another node runs the trainer's steps.
+
+        """
+        try:
+            if not is_running:
+                await self._tenure.settle(trainer, step, unreachable)
+            await self._close(trainer, step)
+        except StoreUnavailableError as error:
+            logger.warning('closing {}/{}: {}', trainer, step, error)
+            self._closings[trainer, step] = None
+
+    async def catch_up(self) -> None:
+        """
+        Do what was put off, then remove the objects of closed steps.
+
+        Raises
+        ------
+        StoreUnavailableError
+            The rest stays to be done.
+
+        """
+        for trainer, step in tuple(self._closings):
+            await self._close(trainer, step)
+            self._closings.pop((trainer, step), None)
+        while self._cleanups:
+            await self._store.delete_objects(*self._cleanups[0])
+            self._cleanups.popleft()
+
+    def note_unrecorded(self, spec: StepSpec) -> None:
+        """Note that a step runs without an entry in the store."""
+        STEPS_UNRECORDED.inc()
+        self._timeline.record('step-unrecorded', spec.name)
+
+    async def _look_up(
+        self,
+        trainer: str,
+        step: int,
+        unreachable: str,
+    ) -> StepSpec:
+        record = await self._store.read_record(trainer)
+        if record.is_closed(step):
+            raise make_closed_error(f'{trainer}/{step}')
+        opened = record.find(step)
+        if opened is None:
+            raise UnknownNameError(
+                f'step {trainer}/{step} is not open',
+                remedy='open it with its prompts',
+            )
+        await self._tenure.settle(trainer, step, unreachable)
+        return await self._store.load_spec(trainer, opened)
+
+    async def _recover(
+        self,
+        spec: StepSpec,
+        opened: OpenStep,
+    ) -> tuple[Group, ...]:
+        groups = await self._store.load_groups(spec.trainer, opened)
+        STEPS_TAKEN_OVER.inc()
+        self._timeline.record(
+            'step-taken-over',
+            spec.name,
+            groups=len(groups),
+            runs=len(opened.runs),
+        )
+        return tuple(groups.values())
+
+    async def _close(self, trainer: str, step: int) -> None:
+        record = await self._store.read_record(trainer)
+        opened = record.find(step)
+        await self._store.change_record(
+            trainer,
+            lambda current: current.close(step),
+        )
+        if opened is not None:
+            self._cleanups.append((trainer, opened))
+
+
+def make_run() -> str:
+    """Return an identifier for a run of a step."""
+    return uuid.uuid4().hex
--- a/packages/node/ladder_node/steps/errors.py
+++ b/packages/node/ladder_node/steps/errors.py
@@ -32,3 +32,28 @@
     """A generation contains tokens that are older than the plan allows."""
 
     kind = 'stale-sample'
+
+
+class StepElsewhereError(LadderError):
+    """
+    Another node runs the trainer's steps.
+
+    Parameters
+    ----------
+    name : str
+        Name of the step.
+    address : str
+        ``ip:port`` of that node for callers.
+
+    """
+
+    kind = 'step-elsewhere'
+    status = 307
+    execution = Execution.not_run
+
+    def __init__(self, name: str, address: str) -> None:
+        super().__init__(
+            f'step {name} runs at {address}',
+            remedy='send the request there, with the secret again',
+        )
+        self.address = address
--- /dev/null
+++ b/packages/node/ladder_node/steps/factory.py
@@ -0,0 +1,75 @@
+"""Make the runners of steps."""
+
+from ladder_core.timeline import TimeLine
+from ladder_core.timers import TimerService
+from ladder_core.values import Allowance
+from ladder_node.dispatch import GenerationDispatcher, PlainDispatcher
+from ladder_node.steps.capacity import StepCapacity
+from ladder_node.steps.runner import StepRunner
+from ladder_node.steps.sampler import SampleMaker
+from ladder_node.steps.spec import StepSpec
+
+
+class RunnerFactory:
+    """
+    Make runners over the node's dispatchers.
+
+    Parameters
+    ----------
+    generations : GenerationDispatcher
+        Runs generations.
+    services : PlainDispatcher
+        Scores samples.
+    capacity : StepCapacity
+        Bounds the samples in flight.
+    timers : TimerService
+        Source of time.
+    timeline : TimeLine
+        Takes what happens to steps.
+
+    """
+
+    def __init__(
+        self,
+        generations: GenerationDispatcher,
+        services: PlainDispatcher,
+        capacity: StepCapacity,
+        timers: TimerService,
+        timeline: TimeLine,
+    ) -> None:
+        self._generations = generations
+        self._services = services
+        self._capacity = capacity
+        self._timers = timers
+        self._timeline = timeline
+
+    def make(self, spec: StepSpec, allowance: Allowance) -> StepRunner:
+        """
+        Return a runner that is not started.
+
+        Parameters
+        ----------
+        spec : StepSpec
+            What to produce.
+        allowance : Allowance
+            What the plan may use.
+
+        Returns
+        -------
+        StepRunner
+            The runner.
+
+        """
+        maker = SampleMaker(
+            spec,
+            allowance,
+            self._generations,
+            self._services,
+        )
+        return StepRunner(
+            spec,
+            maker,
+            lambda: self._capacity.count_samples(spec.model, allowance),
+            self._timers,
+            self._timeline,
+        )
--- a/packages/node/ladder_node/steps/metrics.py
+++ b/packages/node/ladder_node/steps/metrics.py
@@ -38,3 +38,19 @@
     ('trainer',),
     buckets=_STALENESS_BUCKETS,
 )
+GROUPS_SAVED = Counter(
+    'ladder_groups_saved_total',
+    'Groups saved to the object store against the loss of this node.',
+)
+STEPS_TAKEN_OVER = Counter(
+    'ladder_steps_taken_over_total',
+    'Steps that this node went on with after another node.',
+)
+STEPS_REDIRECTED = Counter(
+    'ladder_step_redirects_total',
+    'Requests answered with the address of the node that runs the step.',
+)
+STEPS_UNRECORDED = Counter(
+    'ladder_steps_unrecorded_total',
+    'Steps that run while the store does not answer.',
+)
--- a/packages/node/ladder_node/steps/production.py
+++ b/packages/node/ladder_node/steps/production.py
@@ -95,7 +95,14 @@
             if held.has(index):
                 self._release(index)
             elif index not in self._failures:
-                self._submit(index)
+                for place in self._board.list_missing(index):
+                    self._pool.submit(place)
+
+    def restore(self, groups: Iterable[Group]) -> None:
+        """Take over groups that an earlier run finished; call before start."""
+        for group in groups:
+            for sample in group.samples:
+                self._board.add(group.index, sample)
 
     def drop_stale(self) -> None:
         """Drop samples that are too old and begin to generate them again."""
@@ -115,10 +122,6 @@
             if index in self._failures
         )
 
-    def _submit(self, group: int) -> None:
-        for place in self._board.list_missing(group):
-            self._pool.submit(place)
-
     def _release(self, group: int) -> None:
         self._board.forget(group)
         for place in self._board.list_places(group):
--- a/packages/node/ladder_node/steps/registry.py
+++ b/packages/node/ladder_node/steps/registry.py
@@ -1,16 +1,55 @@
 """The steps that run on this node."""
 
-from ladder_core.errors import UnknownNameError
+import asyncio
+from dataclasses import dataclass
+
+from loguru import logger
+
+from ladder_core.errors import ConflictError, LadderError, StoreUnavailableError
 from ladder_core.supervision import Service
-from ladder_core.timeline import TimeLine
-from ladder_core.timers import TimerService
-from ladder_core.values import Allowance
-from ladder_node.dispatch import GenerationDispatcher, PlainDispatcher
-from ladder_node.steps.capacity import StepCapacity
-from ladder_node.steps.errors import StepClosedError, StepContentsError
+from ladder_core.timers import Subscription, TimerService
+from ladder_core.values import Allowance, Group
+from ladder_node.steps.book import StepBook, make_run
+from ladder_node.steps.errors import StepElsewhereError
+from ladder_node.steps.factory import RunnerFactory
+from ladder_node.steps.records import make_closed_error, make_contents_error
 from ladder_node.steps.runner import StepRunner
-from ladder_node.steps.sampler import SampleMaker
+from ladder_node.steps.saver import GroupSaver
 from ladder_node.steps.spec import StepSpec
+from ladder_node.steps.tenure import StepTenure
+
+_RECONCILE_SECONDS = 3
+_ABANDONED_SECONDS = 3600
+_ELSEWHERE_SECONDS = 20
+_MAX_CLOSED = 1024
+
+Key = tuple[str, int]
+
+
+@dataclass(slots=True)
+class RunningStep:
+    """
+    A step that runs here.
+
+    Attributes
+    ----------
+    runner : StepRunner
+        Runs it.
+    saver : GroupSaver
+        Saves its groups.
+    is_entered : bool
+        Whether the store knows of this run.
+
+    """
+
+    runner: StepRunner
+    saver: GroupSaver
+    is_entered: bool
+
+    async def close(self) -> None:
+        """Save what is finished and end the step here."""
+        await self.saver.close()
+        await self.runner.close()
 
 
 class StepRegistry(Service):
@@ -19,45 +58,56 @@
 
     Parameters
     ----------
-    generations : GenerationDispatcher
-        Runs generations.
-    services : PlainDispatcher
-        Scores samples.
-    capacity : StepCapacity
-        Bounds the samples in flight.
+    factory : RunnerFactory
+        Makes runners.
+    book : StepBook
+        Enters steps into the store.
+    tenure : StepTenure
+        Holds the trainers' leases.
     timers : TimerService
         Source of time.
-    timeline : TimeLine
-        Takes what happens to steps.
 
     """
 
     def __init__(
         self,
-        generations: GenerationDispatcher,
-        services: PlainDispatcher,
-        capacity: StepCapacity,
+        factory: RunnerFactory,
+        book: StepBook,
+        tenure: StepTenure,
         timers: TimerService,
-        timeline: TimeLine,
     ) -> None:
-        self._generations = generations
-        self._services = services
-        self._capacity = capacity
+        self._factory = factory
+        self._book = book
+        self._tenure = tenure
         self._timers = timers
-        self._timeline = timeline
-        self._runners: dict[tuple[str, int], StepRunner] = {}
-        self._closed: dict[str, int] = {}
+        self._steps: dict[Key, RunningStep] = {}
+        self._closed: dict[Key, None] = {}
+        self._subscription: Subscription | None = None
 
     async def start(self) -> None:
-        """Do nothing: steps are opened by trainers."""
+        """Begin to keep the store up to date."""
+        self._subscription = self._timers.subscribe(
+            _RECONCILE_SECONDS,
+            self.reconcile,
+        )
 
     async def close(self) -> None:
-        """Close all steps."""
-        while self._runners:
-            _, runner = self._runners.popitem()
-            await runner.close()
+        """Save what is finished, and leave the steps to other nodes."""
+        if self._subscription is not None:
+            await self._subscription.close()
+            self._subscription = None
+        steps = tuple(self._steps.values())
+        self._steps.clear()
+        await asyncio.gather(*(step.saver.save() for step in steps))
+        for step in steps:
+            await step.close()
 
-    async def open(self, spec: StepSpec, allowance: Allowance) -> StepRunner:
+    async def open(
+        self,
+        spec: StepSpec,
+        allowance: Allowance,
+        unreachable: str = '',
+    ) -> StepRunner:
         """
         Open a step, or find it open with the same contents.
 
@@ -67,6 +117,8 @@
             What to produce.
         allowance : Allowance
             What the plan may use.
+        unreachable : str, optional
+            Address of a node that the trainer could not reach.
 
         Returns
         -------
@@ -79,68 +131,177 @@
             The step is closed.
         StepContentsError
             The step is open with other contents.
+        StepElsewhereError
+            Another node runs the trainer's steps.
 
         """
-        self._check_open(spec.trainer, spec.step)
-        runner = self._runners.get((spec.trainer, spec.step))
+        runner = self._find_here(spec.trainer, spec.step)
         if runner is None:
-            return await self._begin(spec, allowance)
+            runner = await self._begin(spec, allowance, unreachable)
         if runner.spec.digest != spec.digest:
-            raise StepContentsError(
-                f'step {spec.name} is open with other prompts',
-                remedy='repeat the first prompts or open another step',
-            )
+            raise make_contents_error(spec.name)
         return runner
 
-    def find(self, trainer: str, step: int) -> StepRunner:
+    async def find(
+        self,
+        trainer: str,
+        step: int,
+        allowance: Allowance,
+        unreachable: str = '',
+    ) -> StepRunner:
         """
-        Return an open step.
+        Return an open step; one that lost its node is gone on with here.
+
+        Parameters
+        ----------
+        trainer : str
+            Name of the trainer.
+        step : int
+            Number of the step.
+        allowance : Allowance
+            What the plan may use.
+        unreachable : str, optional
+            Address of a node that the trainer could not reach.
+
+        Returns
+        -------
+        StepRunner
+            The running step.
 
         Raises
         ------
         StepClosedError
             The step is closed.
         UnknownNameError
-            This node does not run the step.
+            The step is not open, or the store can't tell.
+        StepElsewhereError
+            Another node runs the trainer's steps.
 
         """
-        runner = self._runners.get((trainer, step))
+        runner = self._find_here(trainer, step)
         if runner is not None:
             return runner
-        self._check_open(trainer, step)
-        raise UnknownNameError(
-            f'step {trainer}/{step} is not open here',
-            remedy='open it again with the same prompts',
+        spec = await self._book.look_up(trainer, step, unreachable)
+        return await self.open(spec, allowance, unreachable)
+
+    async def finish(
+        self,
+        trainer: str,
+        step: int,
+        unreachable: str = '',
+    ) -> None:
+        """
+        Close a step; one that is not open is no error.
+
+        Raises
+        ------
+        StepElsewhereError
+            Another node runs the trainer's steps.
+
+        """
+        running = self._steps.pop((trainer, step), None)
+        if running is not None:
+            self._note_closed(trainer, step)
+            await self._end(running, make_closed_error(f'{trainer}/{step}'))
+        await self._book.close(
+            trainer,
+            step,
+            is_running=running is not None,
+            unreachable=unreachable,
         )
+        self._note_closed(trainer, step)
+
+    async def reconcile(self) -> None:
+        """Bring the store and the running steps together."""
+        for key, running in tuple(self._steps.items()):
+            if running.runner.idle_seconds > _ABANDONED_SECONDS:
+                await self._drop(key)
+        try:
+            await self._reconcile()
+        except StoreUnavailableError as error:
+            logger.warning('steps not brought up to date: {}', error)
 
-    async def finish(self, trainer: str, step: int) -> None:
-        """Close a step; a step that is not open here is no error."""
-        self._closed[trainer] = max(self._closed.get(trainer, -1), step)
-        runner = self._runners.pop((trainer, step), None)
+    async def _reconcile(self) -> None:
+        await self._book.catch_up()
+        for running in tuple(self._steps.values()):
+            await self._reconcile_step(running)
+        busy = {trainer for trainer, _ in self._steps}
+        for trainer in self._tenure.trainers:
+            if trainer not in busy:
+                await self._tenure.release(trainer)
+
+    async def _reconcile_step(self, running: RunningStep) -> None:
+        spec = running.runner.spec
+        key = (spec.trainer, spec.step)
+        try:
+            await self._confirm(running)
+        except StepElsewhereError:
+            # A trainer that pulls here has its reason: it can't reach there.
+            if running.runner.idle_seconds > _ELSEWHERE_SECONDS:
+                await self._drop(key)
+        except ConflictError as error:
+            self._steps.pop(key, None)
+            await self._end(running, error)
+
+    async def _confirm(self, running: RunningStep) -> None:
+        spec = running.runner.spec
+        if running.is_entered:
+            await self._tenure.settle(spec.trainer, spec.step)
+            return
+        await self._book.enter(spec, running.saver.run)
+        running.is_entered = True
+        await running.saver.start()
+
+    def _find_here(self, trainer: str, step: int) -> StepRunner | None:
+        running = self._steps.get((trainer, step))
+        if running is not None:
+            return running.runner
+        if (trainer, step) in self._closed:
+            raise make_closed_error(f'{trainer}/{step}')
+        return None
+
+    async def _begin(
+        self,
+        spec: StepSpec,
+        allowance: Allowance,
+        unreachable: str,
+    ) -> StepRunner:
+        run = make_run()
+        groups: tuple[Group, ...] = ()
+        is_entered = True
+        try:
+            groups = await self._book.enter(spec, run, unreachable)
+        except StoreUnavailableError:
+            is_entered = False
+        # Another request may have begun or closed the step meanwhile.
+        runner = self._find_here(spec.trainer, spec.step)
         if runner is not None:
-            await runner.finish()
-
-    def _check_open(self, trainer: str, step: int) -> None:
-        if step <= self._closed.get(trainer, -1):
-            raise StepClosedError(
-                f'step {trainer}/{step} is closed',
-                remedy='open a step with a higher number',
-            )
-
-    async def _begin(self, spec: StepSpec, allowance: Allowance) -> StepRunner:
-        maker = SampleMaker(
-            spec,
-            allowance,
-            self._generations,
-            self._services,
-        )
-        runner = StepRunner(
-            spec,
-            maker,
-            lambda: self._capacity.count_samples(spec.model, allowance),
-            self._timers,
-            self._timeline,
-        )
-        self._runners[spec.trainer, spec.step] = runner
-        await runner.start()
+            return runner
+        runner = self._factory.make(spec, allowance)
+        runner.restore(groups)
+        saver = GroupSaver(runner, self._book.store, self._timers, run)
+        running = RunningStep(runner, saver, is_entered)
+        self._steps[spec.trainer, spec.step] = running
+        await self._start(running)
         return runner
+
+    async def _start(self, running: RunningStep) -> None:
+        await running.runner.start()
+        if running.is_entered:
+            await running.saver.start()
+        else:
+            self._book.note_unrecorded(running.runner.spec)
+
+    async def _drop(self, key: Key) -> None:
+        running = self._steps.pop(key, None)
+        if running is not None:
+            await running.close()
+
+    async def _end(self, running: RunningStep, reason: LadderError) -> None:
+        await running.saver.close()
+        await running.runner.end(reason)
+
+    def _note_closed(self, trainer: str, step: int) -> None:
+        self._closed[trainer, step] = None
+        while len(self._closed) > _MAX_CLOSED:
+            self._closed.pop(next(iter(self._closed)))
--- a/packages/node/ladder_node/steps/runner.py
+++ b/packages/node/ladder_node/steps/runner.py
@@ -1,12 +1,13 @@
 """Run one step and answer its trainer's pulls."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from ladder_core.errors import LadderError, NotReadyError
 from ladder_core.supervision import Service
 from ladder_core.timeline import TimeLine
 from ladder_core.timers import TimerService
-from ladder_node.steps.errors import PullSupersededError, StepClosedError
+from ladder_core.values import Group
+from ladder_node.steps.errors import PullSupersededError
 from ladder_node.steps.events import StepEvents
 from ladder_node.steps.handover import Handover, HeldGroups, Pull
 from ladder_node.steps.production import StepProduction
@@ -54,6 +55,7 @@
             self._events,
         )
         self._pulls = 0
+        self._pulled_at = timers.now()
         self._end: LadderError | None = None
 
     @property
@@ -61,6 +63,11 @@
         """What the step is to produce."""
         return self._spec
 
+    @property
+    def idle_seconds(self) -> float:
+        """Seconds since the last pull began."""
+        return self._timers.now() - self._pulled_at
+
     async def start(self) -> None:
         """Begin to produce all groups."""
         self._events.note_opened()
@@ -68,7 +75,7 @@
 
     async def close(self) -> None:
         """End the step here; pulls that wait are told to go elsewhere."""
-        await self._stop(
+        await self.end(
             NotReadyError(
                 f'step {self._spec.name} no longer runs on this node',
                 remedy='pull it at another entry host',
@@ -76,14 +83,30 @@
             ),
         )
 
-    async def finish(self) -> None:
-        """End the step because its trainer closed it."""
-        await self._stop(
-            StepClosedError(
-                f'step {self._spec.name} is closed',
-                remedy='open a step with a higher number',
-            ),
-        )
+    async def end(self, reason: LadderError) -> None:
+        """
+        End the step here.
+
+        Parameters
+        ----------
+        reason : LadderError
+            Raised by pulls that wait and by later ones.
+
+        """
+        if self._end is not None:
+            return
+        self._end = reason
+        self._events.note_ended(reason)
+        self._production.changes.notify()
+        await self._production.close()
+
+    def restore(self, groups: Iterable[Group]) -> None:
+        """Take over groups that an earlier run finished; call before start."""
+        self._production.restore(groups)
+
+    def read_finished(self) -> tuple[Group, ...]:
+        """Return the whole groups that the trainer is not known to hold."""
+        return self._production.read_groups(range(len(self._spec.prompts)))
 
     async def pull(self, pull: Pull, find_bound: Callable[[], int]) -> Handover:
         """
@@ -115,6 +138,7 @@
         """
         pull.held.check_groups(len(self._spec.prompts))
         self._pulls += 1
+        self._pulled_at = self._timers.now()
         number = self._pulls
         self._production.changes.notify()
         self._production.hold(pull.held)
@@ -128,14 +152,6 @@
                 return handover
             await self._production.changes.wait(left)
 
-    async def _stop(self, reason: LadderError) -> None:
-        if self._end is not None:
-            return
-        self._end = reason
-        self._events.note_ended(reason)
-        self._production.changes.notify()
-        await self._production.close()
-
     def _check_pull(self, number: int) -> None:
         if self._end is not None:
             raise self._end
--- /dev/null
+++ b/packages/node/ladder_node/steps/saver.py
@@ -0,0 +1,81 @@
+"""Save the finished groups of a step in batches."""
+
+from loguru import logger
+
+from ladder_core.errors import StoreUnavailableError
+from ladder_core.supervision import Service
+from ladder_core.timers import Subscription, TimerService
+from ladder_node.steps.metrics import GROUPS_SAVED
+from ladder_node.steps.runner import StepRunner
+from ladder_node.steps.store import StepStore, name_batch
+
+_PERIOD_SECONDS = 2
+
+
+class GroupSaver(Service):
+    """
+    Save what a step has finished, one object a period at most.
+
+    Parameters
+    ----------
+    runner : StepRunner
+        The step.
+    store : StepStore
+        Takes the batches.
+    timers : TimerService
+        Source of time.
+    run : str
+        Identifies the run under which the batches are kept.
+
+    """
+
+    def __init__(
+        self,
+        runner: StepRunner,
+        store: StepStore,
+        timers: TimerService,
+        run: str,
+    ) -> None:
+        self._runner = runner
+        self._store = store
+        self._timers = timers
+        self._run = run
+        self._batches = 0
+        self._saved: set[int] = set()
+        self._subscription: Subscription | None = None
+
+    @property
+    def run(self) -> str:
+        """Identifies the run under which the batches are kept."""
+        return self._run
+
+    async def start(self) -> None:
+        """Begin to save."""
+        if self._subscription is not None:
+            return
+        self._subscription = self._timers.subscribe(_PERIOD_SECONDS, self.save)
+
+    async def close(self) -> None:
+        """Stop saving."""
+        if self._subscription is not None:
+            await self._subscription.close()
+            self._subscription = None
+
+    async def save(self) -> None:
+        """Save the groups that became whole since the last time."""
+        groups = tuple(
+            group
+            for group in self._runner.read_finished()
+            if group.index not in self._saved
+        )
+        if not groups:
+            return
+        batch = name_batch(self._run, self._batches)
+        try:
+            await self._store.save_groups(self._runner.spec, batch, groups)
+        except StoreUnavailableError as error:
+            logger.warning('step {}: {}', self._runner.spec.name, error)
+            return
+        self._batches += 1
+        self._saved.update(group.index for group in groups)
+        GROUPS_SAVED.inc(len(groups))
--- /dev/null
+++ b/packages/node/ladder_node/steps/store.py
@@ -0,0 +1,208 @@
+"""What the platform keeps of steps: a row a trainer, objects a step."""
+
+import uuid
+from collections.abc import Callable
+
+import msgspec
+
+from ladder_clients.platform import ObjectStore
+from ladder_clients.table import (
+    Condition,
+    StoreOutcomeUnknownError,
+    TableClient,
+    Transaction,
+    Write,
+)
+from ladder_core.errors import StoreUnavailableError
+from ladder_core.values import Group
+from ladder_node.steps.records import STEPS_TABLE, OpenStep, TrainerRecord
+from ladder_node.steps.spec import StepSpec
+
+_MAX_RACES = 5
+_RETRY_SECONDS = 1
+
+Change = Callable[[TrainerRecord], TrainerRecord]
+
+
+class StepStore:
+    """
+    Read and write what is kept of steps.
+
+    Parameters
+    ----------
+    table : TableClient
+        Keeps a row for each trainer.
+    objects : ObjectStore
+        Keeps the contents and the finished groups of each open step.
+
+    """
+
+    def __init__(self, table: TableClient, objects: ObjectStore) -> None:
+        self._table = table
+        self._objects = objects
+
+    async def read_record(self, trainer: str) -> TrainerRecord:
+        """
+        Return the record of a trainer.
+
+        Raises
+        ------
+        StoreUnavailableError
+            The table service does not answer.
+
+        """
+        _, record = await self._read(trainer)
+        return record
+
+    async def change_record(self, trainer: str, change: Change) -> None:
+        """
+        Change the record of a trainer.
+
+        Parameters
+        ----------
+        trainer : str
+            Name of the trainer.
+        change : callable
+            Returns the changed record; called again if another node wrote
+            in between. Its errors end the change.
+
+        Raises
+        ------
+        StoreUnavailableError
+            The change is not confirmed; making it again is harmless.
+
+        """
+        for _ in range(_MAX_RACES):
+            revision, record = await self._read(trainer)
+            changed = change(record)
+            if changed == record:
+                return
+            if await self._write(trainer, revision, changed):
+                return
+        raise StoreUnavailableError(
+            f'the steps of {trainer} are changed by several nodes at once',
+            remedy='try again',
+            retry_after=_RETRY_SECONDS,
+        )
+
+    async def save_spec(self, spec: StepSpec) -> None:
+        """Keep the contents of a step."""
+        await self._objects.put(
+            _locate(spec.trainer, spec.step, 'spec'),
+            msgspec.json.encode(spec),
+        )
+
+    async def load_spec(self, trainer: str, opened: OpenStep) -> StepSpec:
+        """
+        Return the contents of an open step.
+
+        Raises
+        ------
+        StoreUnavailableError
+            The contents can't be had now.
+
+        """
+        body = await self._objects.get(_locate(trainer, opened.step, 'spec'))
+        if body is not None:
+            spec = msgspec.json.decode(body, type=StepSpec)
+            if spec.digest == opened.digest:
+                return spec
+        raise StoreUnavailableError(
+            f'the contents of step {trainer}/{opened.step} are not kept',
+            remedy='open the step again with the same prompts',
+            retry_after=_RETRY_SECONDS,
+        )
+
+    async def save_groups(
+        self,
+        spec: StepSpec,
+        batch: str,
+        groups: tuple[Group, ...],
+    ) -> None:
+        """
+        Keep a batch of finished groups.
+
+        Parameters
+        ----------
+        spec : StepSpec
+            The step.
+        batch : str
+            The run and the number of the batch within it.
+        groups : tuple of Group
+            The groups.
+
+        Raises
+        ------
+        StoreUnavailableError
+            The batch may or may not be kept; keeping it again is harmless.
+
+        """
+        name = _locate(spec.trainer, spec.step, batch)
+        await self._objects.put(name, msgspec.json.encode(groups))
+
+    async def load_groups(
+        self,
+        trainer: str,
+        opened: OpenStep,
+    ) -> dict[int, Group]:
+        """Return the groups that earlier runs of a step have kept."""
+        found: dict[int, Group] = {}
+        for run in opened.runs:
+            number = 0
+            while True:
+                batch = await self._objects.get(
+                    _locate(trainer, opened.step, name_batch(run, number)),
+                )
+                if batch is None:
+                    break
+                groups = msgspec.json.decode(batch, type=tuple[Group, ...])
+                found.update((group.index, group) for group in groups)
+                number += 1
+        return found
+
+    async def delete_objects(self, trainer: str, opened: OpenStep) -> None:
+        """Remove the contents and the groups of a step."""
+        for run in opened.runs:
+            number = 0
+            while True:
+                batch = name_batch(run, number)
+                name = _locate(trainer, opened.step, batch)
+                if await self._objects.get(name) is None:
+                    break
+                await self._objects.delete(name)
+                number += 1
+        await self._objects.delete(_locate(trainer, opened.step, 'spec'))
+
+    async def _read(self, trainer: str) -> tuple[int, TrainerRecord]:
+        row = await self._table.read(STEPS_TABLE, trainer)
+        if row is None:
+            return 0, TrainerRecord()
+        return row.revision, msgspec.json.decode(row.body, type=TrainerRecord)
+
+    async def _write(
+        self,
+        trainer: str,
+        revision: int,
+        record: TrainerRecord,
+    ) -> bool:
+        body = msgspec.json.encode(record).decode()
+        transaction = Transaction(
+            uuid.uuid4().hex,
+            (Condition(STEPS_TABLE, trainer, revision),),
+            (Write(STEPS_TABLE, trainer, body),),
+        )
+        try:
+            outcome = await self._table.commit(transaction)
+        except StoreOutcomeUnknownError:
+            # The next read shows whether it took effect.
+            return False
+        return outcome.committed
+
+
+def name_batch(run: str, number: int) -> str:
+    """Return the name of a batch of groups within its step."""
+    return f'{run}/{number}'
+
+
+def _locate(trainer: str, step: int, part: str) -> str:
+    return f'steps/{trainer}/{step}/{part}'
--- a/packages/node/ladder_node/steps/tests/fakes.py
+++ b/packages/node/ladder_node/steps/tests/fakes.py
@@ -7,18 +7,30 @@
 import msgspec
 
 from ladder_clients.engines import Chunk, EngineClient, EngineState
+from ladder_clients.platform import ObjectStore
 from ladder_clients.services import PlainAnswer, PlainServiceClient
-from ladder_core.errors import TargetLostError
+from ladder_clients.table import (
+    Outcome,
+    Row,
+    StoreOutcomeUnknownError,
+    TableClient,
+)
+from ladder_core.errors import StoreUnavailableError, TargetLostError
 from ladder_core.timeline import HybridClock, HybridTime, TimeLine
 from ladder_core.timers import ManualTimerService
 from ladder_core.values import Allowance, Group, HostEntry, HostKind
 from ladder_node.dispatch import GenerationDispatcher, PlainDispatcher
+from ladder_node.duties import Holder, LeaseKeeper
 from ladder_node.steps import (
     HeldGroups,
     Pull,
+    RunnerFactory,
+    StepBook,
     StepCapacity,
     StepRegistry,
     StepSpec,
+    StepStore,
+    StepTenure,
 )
 from ladder_node.targets import TargetTable
 from ladder_policy.routing import LeastLoadedChooser
@@ -96,46 +108,189 @@
         return PlainAnswer(200, body, 'application/json')
 
 
+class FakeTable(TableClient):
+    """Rows in memory; may be out, or lose the answers of commits."""
+
+    def __init__(self):
+        self.rows = {}
+        self.writes = 0
+        self.is_out = False
+        self.losing = 0
+
+    async def read(self, table, key):
+        self.check()
+        return self.rows.get((table, key))
+
+    async def scan(self, table, prefix=''):
+        self.check()
+        return [
+            row
+            for (name, key), row in sorted(self.rows.items())
+            if name == table and key.startswith(prefix)
+        ]
+
+    async def commit(self, transaction):
+        self.check()
+        conflicts = [
+            self.rows.get((one.table, one.key), Row(one.table, one.key, '', 0))
+            for one in transaction.conditions
+            if not self.holds(one)
+        ]
+        if conflicts:
+            return Outcome(committed=False, conflicts=tuple(conflicts))
+        for write in transaction.writes:
+            self.write(write)
+        if self.losing:
+            self.losing -= 1
+            raise StoreOutcomeUnknownError('lost', remedy='read it back')
+        return Outcome(committed=True)
+
+    async def read_outcome(self, token):
+        raise NotImplementedError
+
+    def check(self):
+        if self.is_out:
+            raise StoreUnavailableError('out', remedy='wait')
+
+    def holds(self, condition):
+        row = self.rows.get((condition.table, condition.key))
+        revision = row.revision if row else 0
+        return condition.revision == revision
+
+    def write(self, write):
+        self.writes += 1
+        position = (write.table, write.key)
+        row = self.rows.pop(position, None)
+        if write.body is not None:
+            revision = row.revision + 1 if row else 1
+            self.rows[position] = Row(*position, write.body, revision)
+
+
+class FakeObjects(ObjectStore):
+    """Objects in memory."""
+
+    def __init__(self):
+        self.bodies = {}
+        self.puts = []
+        self.is_out = False
+
+    async def put(self, name, body):
+        self.check()
+        self.puts.append(name)
+        self.bodies[name] = body
+
+    async def get(self, name):
+        self.check()
+        return self.bodies.get(name)
+
+    async def delete(self, name):
+        self.check()
+        self.bodies.pop(name, None)
+
+    def check(self):
+        if self.is_out:
+            raise StoreUnavailableError('out', remedy='wait')
+
+
+class FakeNode:
+    """One node's steps over shared fakes."""
+
+    def __init__(self, world, name):
+        self.address = f'{name}:1'
+        self.timeline = TimeLine(name, HybridClock(world.timers))
+        self.leases = LeaseKeeper(
+            world.table,
+            Holder(name, self.address),
+            world.timers,
+            self.timeline,
+        )
+        tenure = StepTenure(self.leases, self.address)
+        store = StepStore(world.table, world.objects)
+        self.registry = StepRegistry(
+            RunnerFactory(
+                world.generations,
+                PlainDispatcher(world.targets, world.services),
+                StepCapacity(world.targets),
+                world.timers,
+                self.timeline,
+            ),
+            StepBook(store, tenure, self.timeline),
+            tenure,
+            world.timers,
+        )
+
+    async def start(self):
+        await self.leases.start()
+        await self.registry.start()
+
+    async def close(self):
+        await self.registry.close()
+        await self.leases.close()
+
+    async def freeze(self):
+        """Do nothing periodic, as a node that is killed or paused does."""
+        for service in (self.leases, self.registry):
+            assert service._subscription is not None
+            await service._subscription.close()
+
+    async def thaw(self):
+        """Go on after a pause."""
+        await self.leases.start()
+        await self.registry.start()
+
+    async def open(self, spec, unreachable=''):
+        return await self.registry.open(spec, ALLOWANCE, unreachable)
+
+    async def find(self, step=0, unreachable=''):
+        return await self.registry.find(
+            'cask-notes',
+            step,
+            ALLOWANCE,
+            unreachable,
+        )
+
+    def list_kinds(self):
+        return [event.kind for event in self.timeline.read(HybridTime(), 999)]
+
+
 class World:
-    """A step registry over fakes."""
+    """Nodes over fakes of engines, scorer, table and object store."""
 
-    def __init__(self, engines=('e1', 'e2'), batch_limit=4):
+    def __init__(self, engines=('e1', 'e2'), batch_limit=4, nodes=1):
         self.timers = ManualTimerService()
-        self.timeline = TimeLine('n', HybridClock(self.timers))
-        self.targets = TargetTable(self.timers, self.timeline)
-        self.targets.update_hosts(
-            [
-                *(make_entry(name, HostKind.engine) for name in engines),
-                make_entry('scorer', HostKind.scorer),
-            ]
-        )
+        self.table = FakeTable()
+        self.objects = FakeObjects()
+        timeline = TimeLine('targets', HybridClock(self.timers))
+        self.targets = TargetTable(self.timers, timeline)
+        hosts = [make_entry(name, HostKind.engine) for name in engines]
+        hosts.append(make_entry('scorer', HostKind.scorer))
+        self.targets.update_hosts(hosts)
         state = EngineState(0, batch_limit=batch_limit)
         for name in engines:
             self.targets.update_state(name, state)
         self.engines = FakeEngines(self.timers, engines)
         self.services = FakeServices()
-        self.registry = self.make_registry()
-
-    def make_registry(self):
-        generations = GenerationDispatcher(
+        self.generations = GenerationDispatcher(
             self.targets,
             self.engines,
             LeastLoadedChooser(),
             self.timers,
         )
-        return StepRegistry(
-            generations,
-            PlainDispatcher(self.targets, self.services),
-            StepCapacity(self.targets),
-            self.timers,
-            self.timeline,
-        )
+        self.nodes = [FakeNode(self, f'n{index}') for index in range(nodes)]
+
+    @property
+    def registry(self):
+        return self.nodes[0].registry
+
+    def cut_store(self, *, is_out=True):
+        self.table.is_out = is_out
+        self.objects.is_out = is_out
 
     async def open(self, spec):
-        return await self.registry.open(spec, ALLOWANCE)
+        return await self.nodes[0].open(spec)
 
     def list_kinds(self):
-        return [event.kind for event in self.timeline.read(HybridTime(), 999)]
+        return self.nodes[0].list_kinds()
 
 
 def make_entry(name, kind):
@@ -180,7 +335,11 @@
 async def run_world(**options):
     """Yield a world whose steps are closed at the end."""
     world = World(**options)
+    for node in world.nodes:
+        await node.start()
     try:
         yield world
     finally:
-        await world.registry.close()
+        world.cut_store(is_out=False)
+        for ending in world.nodes:
+            await ending.close()
--- a/standins/ladder_standins/trainer.py
+++ b/standins/ladder_standins/trainer.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from urllib.parse import urlsplit
 
 import aiohttp
 import msgspec
@@ -13,6 +14,8 @@
 _WAIT_SECONDS = 3
 _OK_STATUSES = frozenset((200, 201))
 _NOT_FOUND = 404
+_REDIRECT = 307
+_UNREACHABLE = 'x-ladder-unreachable'
 
 
 class Span(msgspec.Struct, frozen=True):
@@ -38,11 +41,18 @@
     samples: tuple[PulledSample, ...]
 
 
+class PulledFailure(msgspec.Struct, frozen=True):
+    """A group that the service has given up on."""
+
+    index: int
+
+
 class Pulled(msgspec.Struct, frozen=True):
     """The answer to a pull."""
 
     groups: tuple[PulledGroup, ...]
     remaining: int
+    failures: tuple[PulledFailure, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +98,8 @@
         The groups it holds.
     arrivals : list of PulledGroup
         Every group that arrived, also those it held.
+    failed : set of int
+        Groups that the service has given up on.
     doubled : int
         Groups that arrived although it held them.
     too_old : int
@@ -100,6 +112,7 @@
     request: StepRequest
     groups: dict[int, PulledGroup] = field(default_factory=dict)
     arrivals: list[PulledGroup] = field(default_factory=list)
+    failed: set[int] = field(default_factory=set)
     doubled: int = 0
     too_old: int = 0
     seconds: float = 0
@@ -109,6 +122,12 @@
         """Whether every group arrived."""
         return len(self.groups) == len(self.request.prompts)
 
+    @property
+    def is_finished(self) -> bool:
+        """Whether no further group will arrive."""
+        done = len(self.groups) + len(self.failed)
+        return done == len(self.request.prompts)
+
     @property
     def held(self) -> str:
         """The bits of the groups it holds, hexadecimal."""
@@ -142,6 +161,8 @@
         Entry hosts to try in turn.
     bound : int
         Staleness bound of its plan, for its own check.
+    call_seconds : float, optional
+        Limit of one call, after which another entry host is tried.
 
     """
 
@@ -151,11 +172,14 @@
         secret: str,
         addresses: Sequence[str],
         bound: int,
+        call_seconds: float = _CALL_SECONDS,
     ) -> None:
         self._name = name
         self._headers = {'authorization': f'Bearer {secret}'}
         self._addresses = list(addresses)
         self._bound = bound
+        self._unreachable = ''
+        self._call_seconds = call_seconds
 
     async def run_step(self, request: StepRequest) -> StepReport:
         """
@@ -175,7 +199,7 @@
         report = StepReport(request)
         begin = time.monotonic()
         is_open = False
-        while not report.is_whole:
+        while not report.is_finished:
             try:
                 if not is_open:
                     await self._open(request)
@@ -183,7 +207,7 @@
                 is_open = await self._pull(report)
             except (aiohttp.ClientError, TimeoutError):
                 is_open = False
-                self._addresses.append(self._addresses.pop(0))
+                self._leave_address()
                 await asyncio.sleep(_RETRY_SECONDS)
         report.seconds = time.monotonic() - begin
         return report
@@ -228,8 +252,10 @@
             return False
         if status not in _OK_STATUSES:
             raise aiohttp.ClientError(f'pull answered {status}')
-        for group in msgspec.json.decode(answer, type=Pulled).groups:
+        pulled = msgspec.json.decode(answer, type=Pulled)
+        for group in pulled.groups:
             report.add(group, self._bound)
+        report.failed.update(failure.index for failure in pulled.failures)
         return True
 
     async def _send(
@@ -238,16 +264,41 @@
         path: str,
         message: object,
     ) -> tuple[int, bytes]:
+        """Send a request, and follow one redirection to another node."""
+        status, answer, location = await self._exchange(method, path, message)
+        if status == _REDIRECT:
+            self._prefer_address(urlsplit(location).netloc)
+            status, answer, _ = await self._exchange(method, path, message)
+        return status, answer
+
+    async def _exchange(
+        self,
+        method: str,
+        path: str,
+        message: object,
+    ) -> tuple[int, bytes, str]:
         address = self._addresses[0]
         url = f'http://{address}/v1/trainers/{self._name}/steps{path}'
-        timeout = aiohttp.ClientTimeout(_CALL_SECONDS)
+        timeout = aiohttp.ClientTimeout(self._call_seconds)
         async with (
             aiohttp.ClientSession(timeout=timeout) as session,
             session.request(
                 method,
                 url,
                 data=msgspec.json.encode(message),
-                headers=self._headers,
+                headers={**self._headers, _UNREACHABLE: self._unreachable},
+                allow_redirects=False,
             ) as reply,
         ):
-            return reply.status, await reply.read()
+            location = reply.headers.get('location', '')
+            return reply.status, await reply.read(), location
+
+    def _leave_address(self) -> None:
+        """Go to the next address, and say which one did not answer."""
+        self._unreachable = self._addresses.pop(0)
+        self._addresses.append(self._unreachable)
+
+    def _prefer_address(self, address: str) -> None:
+        if address in self._addresses:
+            self._addresses.remove(address)
+        self._addresses.insert(0, address)
--- /dev/null
+++ b/tests/test_steps.py
@@ -0,0 +1,123 @@
+"""Steps over the loss of nodes, of answers and of the store."""
+
+import asyncio
+import signal
+
+import aiohttp
+
+from ladder_standins.faults import Fault, FaultKind
+from ladder_standins.fleet import EngineLayout, Layout, NodeLayout
+from ladder_standins.trainer import StepRequest, Trainer
+
+SECRET = 'test-secret'
+HEADERS = {'authorization': f'Bearer {SECRET}'}
+STORES = ('table', 'objects')
+LAYOUT = Layout(
+    nodes=(
+        NodeLayout('node-1', 'leith', 'lowlands'),
+        NodeLayout('node-2', 'govan', 'lowlands'),
+    ),
+    engines=(EngineLayout('engine-1', 'leith', 'lowlands'),),
+    services=0,
+)
+LONG = tuple(f'night {index} [length=400]' for index in range(8))
+
+
+def make_trainer(fleet):
+    addresses = [fleet.processes.find_address(one.name) for one in LAYOUT.nodes]
+    return Trainer('cask-notes', SECRET, addresses, 1, call_seconds=5)
+
+
+def assert_whole(report):
+    assert report.is_whole
+    assert report.doubled == report.too_old == 0
+
+
+async def wait_executed(fleet):
+    """Wait until the engine runs something."""
+    record = fleet.find_record('engine-1')
+    while not record.exists() or 'generated' not in record.read_text():
+        await asyncio.sleep(0.05)
+
+
+async def test_step_becomes_whole_although_its_node_is_killed(start_fleet):
+    async with start_fleet(LAYOUT) as fleet:
+        request = StepRequest(0, 0, 'cask', LONG, 2, 400)
+        step = asyncio.create_task(make_trainer(fleet).run_step(request))
+        await wait_executed(fleet)
+        await fleet.processes.kill('node-1')
+        assert_whole(await asyncio.wait_for(step, 60))
+
+
+async def test_step_becomes_whole_although_its_node_is_frozen(start_fleet):
+    async with start_fleet(LAYOUT) as fleet:
+        request = StepRequest(0, 0, 'cask', LONG, 2, 400)
+        trainer = make_trainer(fleet)
+        step = asyncio.create_task(trainer.run_step(request))
+        await wait_executed(fleet)
+        fleet.processes.send_signal('node-1', signal.SIGSTOP)
+        report = await asyncio.wait_for(step, 60)
+        assert_whole(report)
+        fleet.processes.send_signal('node-1', signal.SIGCONT)
+        await trainer.close_step(0)
+
+
+async def test_step_becomes_whole_while_the_store_is_out(start_fleet):
+    async with start_fleet(LAYOUT) as fleet:
+        for store in STORES:
+            await fleet.controls.add_fault(store, Fault(FaultKind.refuse))
+        trainer = make_trainer(fleet)
+        request = StepRequest(0, 0, 'cask', ('a', 'b', 'c'), 2)
+        assert_whole(await asyncio.wait_for(trainer.run_step(request), 60))
+        await trainer.close_step(0)
+        for store in STORES:
+            await fleet.controls.add_fault(store, Fault(FaultKind.clear))
+        assert_whole(
+            await asyncio.wait_for(
+                trainer.run_step(StepRequest(1, 0, 'cask', ('d',), 2)),
+                60,
+            ),
+        )
+
+
+async def test_answer_lost_after_the_hand_over_is_given_at_another_host(
+    start_fleet,
+):
+    async with start_fleet(LAYOUT) as fleet, aiohttp.ClientSession() as session:
+        first, second = (
+            fleet.processes.find_address(one.name) for one in LAYOUT.nodes
+        )
+        path = '/v1/trainers/cask-notes/steps/0'
+        opening = {
+            'model': 'cask',
+            'prompts': ['a'],
+            'samples_per_group': 2,
+            'max_tokens': 32,
+        }
+        url = f'http://{first}{path}'
+        async with session.put(url, json=opening, headers=HEADERS) as reply:
+            assert reply.status == 201
+        pull = {'version': 0, 'held': '', 'wait_seconds': 20}
+        url = f'http://{first}{path}/pull'
+        async with session.post(url, json=pull, headers=HEADERS) as reply:
+            lost = await reply.json()
+        assert lost['remaining'] == 0
+        url = f'http://{second}{path}/pull'
+        async with session.post(
+            url,
+            json=pull,
+            headers=HEADERS,
+            allow_redirects=False,
+        ) as reply:
+            assert reply.status == 307
+            assert reply.headers['location'] == f'http://{first}{path}/pull'
+        async with session.post(
+            url,
+            json=pull,
+            headers={**HEADERS, 'x-ladder-unreachable': first},
+        ) as reply:
+            again = await reply.json()
+        assert [one['id'] for one in again['groups'][0]['samples']] == [
+            'cask-notes/0/0/0',
+            'cask-notes/0/0/1',
+        ]
