--- a/packages/node/ladder_node/entry/step_messages.py
+++ b/packages/node/ladder_node/entry/step_messages.py
@@ -9,6 +9,8 @@
 
 _MAX_WAIT_SECONDS = 30
 _MAX_TOKENS = 65_536
+_MAX_VERSION = 1_000_000_000
+_MAX_HELD_CHARACTERS = 16_384
 
 
 class StepModel(RequestModel):
@@ -49,8 +51,8 @@
 
     """
 
-    version: int = Field(ge=0)
-    held: str = ''
+    version: int = Field(ge=0, le=_MAX_VERSION)
+    held: str = Field(default='', max_length=_MAX_HELD_CHARACTERS)
     wait_seconds: float = Field(default=5, ge=0, le=_MAX_WAIT_SECONDS)
 
 
--- a/packages/node/ladder_node/entry/steps.py
+++ b/packages/node/ladder_node/entry/steps.py
@@ -4,7 +4,11 @@
 from starlette.requests import Request
 from starlette.responses import Response
 
-from ladder_core.errors import ForbiddenError, TooLargeError
+from ladder_core.errors import (
+    BadRequestError,
+    ForbiddenError,
+    TooLargeError,
+)
 from ladder_core.values import Group, Lists, Plan, Sample
 from ladder_node.entry.parts import EntryParts
 from ladder_node.entry.problems import make_problem
@@ -32,6 +36,7 @@
 )
 
 _CREATED = 201
+_MAX_STEP = 1_000_000_000
 _UNREACHABLE = 'x-ladder-unreachable'
 
 
@@ -72,7 +77,7 @@
         limit = self._parts.settings.body_limit_bytes
         body = parse_body(await read_body(request, limit), PullModel)
         held = HeldGroups.parse(body.held)
-        step = request.path_params['step']
+        step = _read_step(request)
         try:
             runner = await self._parts.steps.find(
                 plan.trainer,
@@ -95,7 +100,7 @@
         """Answer ``DELETE /v1/trainers/{trainer}/steps/{step}``."""
         lists = self._parts.configuration.require_known()
         plan = _authorize(request, lists)
-        step = request.path_params['step']
+        step = _read_step(request)
         lost = _read_lost(request)
         try:
             await self._parts.steps.finish(plan.trainer, step, lost)
@@ -110,6 +115,16 @@
         return current.staleness_versions
 
 
+def _read_step(request: Request) -> int:
+    step: int = request.path_params['step']
+    if step > _MAX_STEP:
+        raise BadRequestError(
+            f'a step number is at most {_MAX_STEP}',
+            remedy='number steps from zero',
+        )
+    return step
+
+
 def _read_lost(request: Request) -> str:
     """Return the address that the trainer says it can't reach."""
     return request.headers.get(_UNREACHABLE, '')
@@ -146,7 +161,7 @@
     return StepSpec(
         plan=plan.name,
         trainer=plan.trainer,
-        step=request.path_params['step'],
+        step=_read_step(request),
         model=body.model,
         prompts=tuple(body.prompts),
         samples_per_group=body.samples_per_group,
--- a/packages/node/ladder_node/steps/sampler.py
+++ b/packages/node/ladder_node/steps/sampler.py
@@ -11,6 +11,7 @@
     GenerationDispatcher,
     PlainDispatcher,
 )
+from ladder_node.dispatch.streams import closing
 from ladder_node.steps.errors import StaleSampleError, UnusableSampleError
 from ladder_node.steps.pool import SamplePlace
 from ladder_node.steps.spec import StepSpec
@@ -134,12 +135,11 @@
 
     async def _generate(self, draft: Draft, guard: StalenessGuard) -> None:
         generation = self._make_generation(draft)
-        async for chunk in self._generations.generate(generation):
-            draft.add(chunk)
-            _check_staleness(draft, guard)
-            if chunk.end:
-                _check_whole(draft, chunk)
-                draft.is_generated = True
+        stream = self._generations.generate(generation)
+        # A generation that is given up must not go on at its engine.
+        async with closing(stream) as chunks:
+            async for chunk in chunks:
+                _add_chunk(draft, chunk, guard)
 
     def _make_generation(self, draft: Draft) -> Generation:
         place = draft.place
@@ -156,6 +156,14 @@
         )
 
 
+def _add_chunk(draft: Draft, chunk: Chunk, guard: StalenessGuard) -> None:
+    draft.add(chunk)
+    _check_staleness(draft, guard)
+    if chunk.end:
+        _check_whole(draft, chunk)
+        draft.is_generated = True
+
+
 def _check_staleness(draft: Draft, guard: StalenessGuard) -> None:
     if not guard.is_stale(draft.spans):
         return
