--- a/tests/test_step_input.py
+++ b/tests/test_step_input.py
@@ -1,5 +1,7 @@
 """Bad input of trainers: typed errors, nothing run, nothing lost."""
 
+from typing import Any
+
 import aiohttp
 import msgspec
 
@@ -23,7 +25,7 @@
 STEP = '/cask-notes/steps/7'
 
 # Method, path, body, headers, then the expected status and kind.
-OPENINGS = (
+OPENINGS: tuple[Any, ...] = (
     (STEP, b'{"model":', HEADERS, 400, 'bad-request'),
     (STEP, {**BODY, 'prompts': 'a'}, HEADERS, 400, 'bad-request'),
     (STEP, {**BODY, 'prompts': []}, HEADERS, 400, 'bad-request'),
@@ -44,7 +46,7 @@
     ('/nobody/steps/7', BODY, HEADERS, 403, 'forbidden'),
     (f'/cask-notes/steps/{1 << 70}', BODY, HEADERS, 400, 'bad-request'),
 )
-PULLS = (
+PULLS: tuple[Any, ...] = (
     (b'[', HEADERS, 400, 'bad-request'),
     ({'version': -1}, HEADERS, 400, 'bad-request'),
     ({'version': 1 << 70}, HEADERS, 400, 'bad-request'),
