--- a/packages/node/ladder_node/app/tree.py
+++ b/packages/node/ladder_node/app/tree.py
@@ -19,7 +19,14 @@
     make_entry_app,
 )
 from ladder_node.peers import LeavingTargets, PauseGuard
-from ladder_node.steps import StepCapacity, StepRegistry
+from ladder_node.steps import (
+    RunnerFactory,
+    StepBook,
+    StepCapacity,
+    StepRegistry,
+    StepStore,
+    StepTenure,
+)
 from ladder_node.targets import TargetTable, TargetWatcher
 
 _ASK_SECONDS = 1
@@ -114,6 +121,8 @@
     timeline = TimeLine(settings.name, HybridClock(timers))
     targets = TargetTable(timers, timeline)
     configuration = ConfigurationKeeper(clients.table, timers, timeline)
+    leases = make_leases(settings, clients, timers, timeline)
+    tenure = StepTenure(leases, settings.entry_address)
     peers = make_peers(settings, configuration, targets, timers, timeline)
     dispatchers = make_dispatchers(
         Surroundings(
@@ -136,14 +145,23 @@
         keyed=dispatchers.keyed,
         request_services=dispatchers.children,
         steps=StepRegistry(
-            dispatchers.generations,
-            dispatchers.services,
-            StepCapacity(targets),
+            RunnerFactory(
+                dispatchers.generations,
+                dispatchers.services,
+                StepCapacity(targets),
+                timers,
+                timeline,
+            ),
+            StepBook(
+                StepStore(clients.table, clients.objects),
+                tenure,
+                timeline,
+            ),
+            tenure,
             timers,
-            timeline,
         ),
         gossip=peers.gossip,
         nodes=peers.nodes,
         drain=peers.drain,
-        leases=make_leases(settings, clients, timers, timeline),
+        leases=leases,
     )
--- a/packages/node/ladder_node/entry/steps.py
+++ b/packages/node/ladder_node/entry/steps.py
@@ -4,7 +4,11 @@
 from starlette.requests import Request
 from starlette.responses import Response
 
-from ladder_core.errors import ForbiddenError, TooLargeError
+from ladder_core.errors import (
+    BadRequestError,
+    ForbiddenError,
+    TooLargeError,
+)
 from ladder_core.values import Group, Lists, Plan, Sample
 from ladder_node.entry.parts import EntryParts
 from ladder_node.entry.problems import make_problem
@@ -23,9 +27,17 @@
     StepModel,
     StepStatus,
 )
-from ladder_node.steps import Handover, HeldGroups, Pull, StepSpec
+from ladder_node.steps import (
+    Handover,
+    HeldGroups,
+    Pull,
+    StepElsewhereError,
+    StepSpec,
+)
 
 _CREATED = 201
+_MAX_STEP = 1_000_000_000
+_UNREACHABLE = 'x-ladder-unreachable'
 
 
 class StepRoutes:
@@ -51,7 +63,10 @@
         allowance = lists.find_allowance(plan.name)
         check_model(allowance, body.model)
         spec = _make_spec(plan, request, body)
-        await self._parts.steps.open(spec, allowance)
+        try:
+            await self._parts.steps.open(spec, allowance, _read_lost(request))
+        except StepElsewhereError as error:
+            return _redirect(request, error)
         status = StepStatus(spec.name, spec.digest, len(spec.prompts))
         return _answer(status, _CREATED)
 
@@ -62,8 +77,16 @@
         limit = self._parts.settings.body_limit_bytes
         body = parse_body(await read_body(request, limit), PullModel)
         held = HeldGroups.parse(body.held)
-        step = request.path_params['step']
-        runner = self._parts.steps.find(plan.trainer, step)
+        step = _read_step(request)
+        try:
+            runner = await self._parts.steps.find(
+                plan.trainer,
+                step,
+                lists.find_allowance(plan.name),
+                _read_lost(request),
+            )
+        except StepElsewhereError as error:
+            return _redirect(request, error)
         handover = await self._parts.drain.shorten(
             lambda seconds: runner.pull(
                 Pull(body.version, held, seconds),
@@ -77,8 +100,12 @@
         """Answer ``DELETE /v1/trainers/{trainer}/steps/{step}``."""
         lists = self._parts.configuration.require_known()
         plan = _authorize(request, lists)
-        step = request.path_params['step']
-        await self._parts.steps.finish(plan.trainer, step)
+        step = _read_step(request)
+        lost = _read_lost(request)
+        try:
+            await self._parts.steps.finish(plan.trainer, step, lost)
+        except StepElsewhereError as error:
+            return _redirect(request, error)
         return _answer(StepStatus(f'{plan.trainer}/{step}', '', 0))
 
     def _find_bound(self, plan: Plan) -> int:
@@ -88,6 +115,30 @@
         return current.staleness_versions
 
 
+def _read_step(request: Request) -> int:
+    step: int = request.path_params['step']
+    if step > _MAX_STEP:
+        raise BadRequestError(
+            f'a step number is at most {_MAX_STEP}',
+            remedy='number steps from zero',
+        )
+    return step
+
+
+def _read_lost(request: Request) -> str:
+    """Return the address that the trainer says it can't reach."""
+    return request.headers.get(_UNREACHABLE, '')
+
+
+def _redirect(request: Request, error: StepElsewhereError) -> Response:
+    return Response(
+        msgspec.json.encode(make_problem(error)),
+        error.status,
+        {'location': f'http://{error.address}{request.url.path}'},
+        'application/problem+json',
+    )
+
+
 def _authorize(request: Request, lists: Lists) -> Plan:
     plan = authenticate(request, lists)
     trainer = request.path_params['trainer']
@@ -110,7 +161,7 @@
     return StepSpec(
         plan=plan.name,
         trainer=plan.trainer,
-        step=request.path_params['step'],
+        step=_read_step(request),
         model=body.model,
         prompts=tuple(body.prompts),
         samples_per_group=body.samples_per_group,
