--- a/packages/node/ladder_node/app/tree.py
+++ b/packages/node/ladder_node/app/tree.py
@@ -19,7 +19,7 @@
     make_entry_app,
 )
 from ladder_node.peers import LeavingTargets, PauseGuard
-from ladder_node.steps import StepRegistry
+from ladder_node.steps import StepCapacity, StepRegistry
 from ladder_node.targets import TargetTable, TargetWatcher
 
 _ASK_SECONDS = 1
@@ -138,6 +138,7 @@
         steps=StepRegistry(
             dispatchers.generations,
             dispatchers.services,
+            StepCapacity(targets),
             timers,
             timeline,
         ),
