--- a/packages/clients/ladder_clients/services/__init__.py
+++ b/packages/clients/ladder_clients/services/__init__.py
@@ -1,6 +1,7 @@
 """Plain services and scorers."""
 
 from ladder_clients.services.plain import (
+    DEFAULT_SECONDS,
     PlainAnswer,
     PlainRequest,
     PlainServiceClient,
@@ -8,6 +9,7 @@
 from ladder_clients.services.scorer import ScorerClient
 
 __all__ = (
+    'DEFAULT_SECONDS',
     'PlainAnswer',
     'PlainRequest',
     'PlainServiceClient',
--- a/packages/clients/ladder_clients/services/plain.py
+++ b/packages/clients/ladder_clients/services/plain.py
@@ -10,7 +10,7 @@
 from ladder_core.errors import TargetLostError
 
 _REQUEST_ID = 'x-request-id'
-_DEFAULT_SECONDS = 10
+DEFAULT_SECONDS = 10
 _IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'PUT', 'DELETE'))
 
 
@@ -41,7 +41,7 @@
     path: str
     body: bytes = b''
     content_type: str = 'application/json'
-    seconds: float = _DEFAULT_SECONDS
+    seconds: float = DEFAULT_SECONDS
 
     @property
     def is_idempotent(self) -> bool:
--- a/packages/core/ladder_core/errors/__init__.py
+++ b/packages/core/ladder_core/errors/__init__.py
@@ -17,6 +17,7 @@
 from ladder_core.errors.runs import (
     AnswerCorruptError,
     AnswerNotKeptError,
+    DeadlineError,
     InProgressError,
     MayHaveRunError,
     PoisonousRequestError,
@@ -31,6 +32,7 @@
     'AnswerNotKeptError',
     'BadRequestError',
     'ConflictError',
+    'DeadlineError',
     'Execution',
     'ForbiddenError',
     'InProgressError',
--- a/packages/core/ladder_core/errors/runs.py
+++ b/packages/core/ladder_core/errors/runs.py
@@ -60,6 +60,13 @@
     execution = Execution.ran
 
 
+class DeadlineError(MayHaveRunError):
+    """The caller's time limit passed during the request."""
+
+    kind = 'deadline'
+    status = 504
+
+
 class PoisonousRequestError(LadderError):
     """The request ran and crashed each target that executed it."""
 
--- a/packages/node/ladder_node/app/requests.py
+++ b/packages/node/ladder_node/app/requests.py
@@ -9,6 +9,7 @@
 from ladder_core.timers import TimerService
 from ladder_node.app.clients import Clients
 from ladder_node.dispatch import (
+    BudgetedRetries,
     CrashGuard,
     GenerationDispatcher,
     IntentCleaner,
@@ -86,28 +87,40 @@
     clients, timers = around.clients, around.timers
     board = SharedSuspectBoard(clients.table, around.gossip, timers)
     guard = CrashGuard(board, TcpProbe(timers), timers, around.timeline)
+    retries = BudgetedRetries(timers)
     generations = GenerationDispatcher(
         around.targets,
         clients.engines,
         _make_chooser(around.settings.policies.routing),
         timers,
         guard,
+        retries,
+    )
+    services = PlainDispatcher(
+        around.targets,
+        clients.services,
+        guard,
+        retries,
     )
-    services = PlainDispatcher(around.targets, clients.services, guard)
-    writer = IntentWriter(clients.table, timers)
     children = Supervisor('requests', timers)
     children.add(board)
-    children.add(writer)
-    children.add(IntentCleaner(clients.table, timers, around.settings.name))
     children.add(generations)
     keyed = KeyedDispatcher(
         services,
-        IntentLog(clients.table, writer, timers),
+        _make_log(around, children),
         around.timeline,
     )
     return Dispatchers(generations, services, keyed, children)
 
 
+def _make_log(around: Surroundings, children: Supervisor) -> IntentLog:
+    table, timers = around.clients.table, around.timers
+    writer = IntentWriter(table, timers)
+    children.add(writer)
+    children.add(IntentCleaner(table, timers, around.settings.name))
+    return IntentLog(table, writer, timers)
+
+
 def _make_chooser(policy: RoutingPolicy) -> TargetChooser:
     if policy is RoutingPolicy.round_robin:
         return RoundRobinChooser()
--- a/packages/node/ladder_node/dispatch/__init__.py
+++ b/packages/node/ladder_node/dispatch/__init__.py
@@ -12,6 +12,11 @@
 from ladder_node.dispatch.intent_writer import IntentWriter
 from ladder_node.dispatch.keyed import KeyedDispatcher
 from ladder_node.dispatch.plain import PlainDispatcher
+from ladder_node.dispatch.retries import (
+    BudgetedRetries,
+    RetryPolicy,
+    UnlimitedRetries,
+)
 from ladder_node.dispatch.shared_suspects import SharedSuspectBoard
 from ladder_node.dispatch.suspects import (
     MemorySuspectBoard,
@@ -20,6 +25,7 @@
 )
 
 __all__ = (
+    'BudgetedRetries',
     'CrashGuard',
     'Generation',
     'GenerationDispatcher',
@@ -31,8 +37,10 @@
     'MemorySuspectBoard',
     'PlainDispatcher',
     'RequestGuard',
+    'RetryPolicy',
     'SharedSuspectBoard',
     'Standing',
     'SuspectBoard',
     'UnguardedRequests',
+    'UnlimitedRetries',
 )
--- a/packages/node/ladder_node/dispatch/failures.py
+++ b/packages/node/ladder_node/dispatch/failures.py
@@ -2,11 +2,14 @@
 
 from ladder_core.errors import (
     AnswerCorruptError,
+    DeadlineError,
     LadderError,
     MayHaveRunError,
     NotRunError,
 )
 
+_FINAL = (AnswerCorruptError, DeadlineError)
+
 FAILED_ATTEMPT = (NotRunError, MayHaveRunError)
 
 
@@ -36,6 +39,11 @@
         self._lost: MayHaveRunError | None = None
         self._refusal: LadderError | None = None
 
+    @property
+    def has_failed(self) -> bool:
+        """Whether any attempt has failed."""
+        return bool(self._lost or self._refusal)
+
     @property
     def is_final(self) -> bool:
         """Whether no further attempt may be made."""
@@ -58,8 +66,9 @@
     def add(self, error: LadderError) -> None:
         """Note a failed attempt."""
         self._left -= 1
-        if isinstance(error, AnswerCorruptError):
-            # Nothing can be appended to an answer that lacks a part.
+        if isinstance(error, _FINAL):
+            # Nothing can be appended to an answer that lacks a part, and
+            # nobody waits beyond a deadline.
             self._left = 0
         if isinstance(error, MayHaveRunError):
             self._lost = error
--- a/packages/node/ladder_node/dispatch/generation.py
+++ b/packages/node/ladder_node/dispatch/generation.py
@@ -5,11 +5,13 @@
 from contextlib import AbstractAsyncContextManager, contextmanager
 from dataclasses import dataclass
 from functools import partial
+from math import inf
 
 from loguru import logger
 
 from ladder_clients.engines import Chunk, EngineClient, GenerateRequest
 from ladder_core.errors import (
+    DeadlineError,
     LadderError,
     NotRunError,
     TargetLostError,
@@ -20,6 +22,7 @@
 from ladder_core.values import HostKind
 from ladder_node.dispatch.crashes import RequestGuard, UnguardedRequests
 from ladder_node.dispatch.failures import FAILED_ATTEMPT, Failures
+from ladder_node.dispatch.retries import RetryPolicy, UnlimitedRetries
 from ladder_node.dispatch.streams import Cancellations, closing
 from ladder_node.dispatch.suspects import make_request_digest
 from ladder_node.targets import Target, TargetTable
@@ -50,6 +53,8 @@
         Seed of the sampling.
     priority : int
         Lower values run first.
+    deadline : float
+        Seconds on the timer service's clock after which nobody waits.
 
     """
 
@@ -60,6 +65,7 @@
     max_tokens: int
     seed: int = 0
     priority: int = 0
+    deadline: float = inf
 
 
 @dataclass(slots=True)
@@ -100,6 +106,8 @@
         Source of time.
     guard : RequestGuard, optional
         Finds requests that crash engines; by default none is looked for.
+    retries : RetryPolicy, optional
+        Decides about further attempts; by default all are allowed.
 
     """
 
@@ -110,12 +118,14 @@
         chooser: TargetChooser,
         timers: TimerService,
         guard: RequestGuard | None = None,
+        retries: RetryPolicy | None = None,
     ) -> None:
         self._targets = targets
         self._engines = engines
         self._chooser = chooser
         self._timers = timers
         self._guard = guard or UnguardedRequests()
+        self._retries = retries or UnlimitedRetries()
         self._cancellations = Cancellations(engines)
 
     async def start(self) -> None:
@@ -144,7 +154,8 @@
         """
         received = _Received()
         failures = Failures(_MAX_ATTEMPTS, is_repeatable=True)
-        while not failures.is_final:
+        self._retries.note_request()
+        while await self._may_try(failures):
             async with closing(
                 self._attempt(generation, received, failures),
             ) as chunks:
@@ -154,6 +165,11 @@
                 return
         raise failures.error
 
+    async def _may_try(self, failures: Failures) -> bool:
+        if not failures.has_failed:
+            return True
+        return not failures.is_final and await self._retries.take_retry()
+
     async def _attempt(
         self,
         generation: Generation,
@@ -168,10 +184,18 @@
             ):
                 async for chunk in chunks:
                     failures.note_progress()
+                    self._check_deadline(generation)
                     yield chunk
         except FAILED_ATTEMPT as error:
             failures.add(error)
 
+    def _check_deadline(self, generation: Generation) -> None:
+        if self._timers.now() > generation.deadline:
+            raise DeadlineError(
+                "the request's time limit has passed",
+                remedy='allow more time or fewer tokens',
+            )
+
     def _place(
         self,
         generation: Generation,
--- a/packages/node/ladder_node/dispatch/plain.py
+++ b/packages/node/ladder_node/dispatch/plain.py
@@ -20,6 +20,7 @@
 from ladder_node.dispatch.crashes import RequestGuard, UnguardedRequests
 from ladder_node.dispatch.failures import FAILED_ATTEMPT, Failures
 from ladder_node.dispatch.intent import make_fingerprint
+from ladder_node.dispatch.retries import RetryPolicy, UnlimitedRetries
 from ladder_node.dispatch.suspects import make_request_digest
 from ladder_node.targets import Target, TargetTable
 
@@ -51,6 +52,8 @@
         Makes calls.
     guard : RequestGuard, optional
         Finds calls that crash services; by default none is looked for.
+    retries : RetryPolicy, optional
+        Decides about further attempts; by default all are allowed.
 
     """
 
@@ -59,9 +62,11 @@
         targets: TargetTable,
         services: PlainServiceClient,
         guard: RequestGuard | None = None,
+        retries: RetryPolicy | None = None,
     ) -> None:
         self._targets = targets
         self._guard = guard or UnguardedRequests()
+        self._retries = retries or UnlimitedRetries()
         self._services = services
         self._scorer = ScorerClient(services)
 
@@ -155,13 +160,19 @@
             _MAX_ATTEMPTS,
             is_repeatable=wanted.is_repeatable,
         )
-        while not failures.is_final:
+        self._retries.note_request()
+        while await self._may_try(failures):
             try:
                 return await self._try_target(wanted, send)
             except FAILED_ATTEMPT as error:
                 failures.add(error)
         raise failures.error
 
+    async def _may_try(self, failures: Failures) -> bool:
+        if not failures.has_failed:
+            return True
+        return not failures.is_final and await self._retries.take_retry()
+
     async def _try_target(
         self,
         wanted: _Wanted,
--- a/packages/node/ladder_node/entry/completions.py
+++ b/packages/node/ladder_node/entry/completions.py
@@ -2,6 +2,7 @@
 
 import uuid
 from collections.abc import AsyncIterator
+from math import inf
 
 import msgspec
 from starlette.requests import Request
@@ -22,6 +23,7 @@
     check_model,
     parse_body,
     read_body,
+    read_timeout,
 )
 
 
@@ -54,6 +56,7 @@
             prompt=body.prompt,
             max_tokens=body.max_tokens,
             seed=body.seed,
+            deadline=self._parts.timers.now() + read_timeout(request, inf),
         )
         chunks = self._parts.generations.generate(generation)
         if body.stream:
--- a/packages/node/ladder_node/entry/requests.py
+++ b/packages/node/ladder_node/entry/requests.py
@@ -17,6 +17,8 @@
 _BEARER = 'bearer '
 _KEY_HEADER = 'idempotency-key'
 _MAX_KEY_CHARACTERS = 255
+_TIMEOUT_HEADER = 'x-timeout-seconds'
+_MAX_TIMEOUT_SECONDS = 3600
 
 Model = TypeVar('Model', bound=BaseModel)
 
@@ -171,6 +173,39 @@
     return key
 
 
+def read_timeout(request: Request, default: float) -> float:
+    """
+    Return the caller's time limit in seconds.
+
+    Parameters
+    ----------
+    request : Request
+        The request, perhaps with an ``X-Timeout-Seconds`` header.
+    default : float
+        Seconds if the request names no limit.
+
+    Raises
+    ------
+    BadRequestError
+        The limit is no number of seconds above zero.
+
+    """
+    header = request.headers.get(_TIMEOUT_HEADER)
+    if header is None:
+        return default
+    try:
+        seconds = float(header)
+    except ValueError:
+        seconds = 0
+    if not 0 < seconds <= _MAX_TIMEOUT_SECONDS:
+        raise BadRequestError(
+            'the time limit is invalid',
+            remedy='send X-Timeout-Seconds above 0 and '
+            f'at most {_MAX_TIMEOUT_SECONDS}',
+        )
+    return seconds
+
+
 def check_model(allowance: Allowance, model: str) -> None:
     """
     Check that a plan may use a model.
--- a/packages/node/ladder_node/entry/services.py
+++ b/packages/node/ladder_node/entry/services.py
@@ -5,7 +5,11 @@
 from starlette.requests import Request
 from starlette.responses import Response
 
-from ladder_clients.services import PlainAnswer, PlainRequest
+from ladder_clients.services import (
+    DEFAULT_SECONDS,
+    PlainAnswer,
+    PlainRequest,
+)
 from ladder_core.values import Plan
 from ladder_node.dispatch import IntentKey
 from ladder_node.entry.parts import EntryParts
@@ -14,6 +18,7 @@
     check_pool,
     read_body,
     read_idempotency_key,
+    read_timeout,
 )
 
 
@@ -45,6 +50,7 @@
             path=_read_path(request),
             body=body,
             content_type=request.headers.get('content-type', ''),
+            seconds=read_timeout(request, DEFAULT_SECONDS),
         )
         answer = await self._call(plan, pool, request, plain)
         return Response(
--- a/packages/node/ladder_node/targets/table.py
+++ b/packages/node/ladder_node/targets/table.py
@@ -4,12 +4,19 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
+from prometheus_client import Counter
+
 from ladder_clients.engines import EngineState, Role
 from ladder_core.timeline import TimeLine
 from ladder_core.timers import TimerService
 from ladder_core.values import HostEntry, HostKind, HostState
+from ladder_policy.routing import Circuit
 
-_SUSPENSION_SECONDS = 2
+_CIRCUITS = Counter(
+    'ladder_target_circuit_openings',
+    'Failures that opened the circuit of a target',
+    ['reason'],
+)
 
 
 @dataclass(slots=True)
@@ -29,9 +36,8 @@
         Whether the target itself or a peer said that it leaves.
     is_reserved : bool
         Whether the target is kept for one request.
-    suspended_until : float
-        Seconds on the timer service's clock before which the target gets no
-        new requests because it failed.
+    circuit : Circuit
+        Keeps new requests from the target when it fails.
 
     """
 
@@ -40,7 +46,7 @@
     sent: int = 0
     is_leaving: bool = False
     is_reserved: bool = False
-    suspended_until: float = field(default=0)
+    circuit: Circuit = field(default_factory=Circuit)
 
 
 class TargetTable:
@@ -111,6 +117,7 @@
         if target is None:
             return
         target.state = state
+        target.circuit.half_open(self._timers.now())
         if state.leaving:
             self.mark_leaving(name)
 
@@ -136,8 +143,11 @@
         target = self._targets.get(name)
         if target is None:
             return
-        target.suspended_until = self._timers.now() + _SUSPENSION_SECONDS
-        self._timeline.record('target-suspended', name, reason=reason)
+        now = self._timers.now()
+        if target.circuit.allows(now, in_flight=0):
+            _CIRCUITS.labels(reason).inc()
+            self._timeline.record('target-suspended', name, reason=reason)
+        target.circuit.fail(now)
 
     def list_all(self, kind: HostKind, pool: str = '') -> list[Target]:
         """Return the targets of a kind, of one pool if it is named."""
@@ -160,12 +170,19 @@
 
     @contextlib.contextmanager
     def count_request(self, target: Target) -> Iterator[None]:
-        """Count a request in flight at a target."""
+        """Count a request in flight at a target, and how it ends."""
         target.sent += 1
         try:
             yield
         finally:
             target.sent -= 1
+        self._note_success(target)
+
+    def _note_success(self, target: Target) -> None:
+        was_closed = target.circuit.is_closed
+        target.circuit.succeed()
+        if target.circuit.is_closed and not was_closed:
+            self._timeline.record('target-returned', target.entry.name)
 
     def _update_entry(self, entry: HostEntry) -> None:
         target = self._targets.get(entry.name)
@@ -181,6 +198,6 @@
 def _is_available(target: Target, now: float) -> bool:
     if target.is_leaving or target.is_reserved:
         return False
-    if now < target.suspended_until:
+    if not target.circuit.allows(now, target.sent):
         return False
     return target.state is None or target.state.role is Role.serving
--- /dev/null
+++ b/packages/policy/ladder_policy/routing/circuit.py
@@ -0,0 +1,95 @@
+"""
+The circuit breaker of one target, with a slow return.
+
+References
+----------
+M. Nygard, "Release It!", 2nd edition, 2018, section "Circuit Breaker".
+
+"""
+
+_FIRST_OPEN_SECONDS = 2
+_MAX_OPEN_SECONDS = 16
+_FIRST_LIMIT = 1
+_FULL_LIMIT = 64
+
+
+class Circuit:
+    """
+    Keep requests from a target that fails, and return to it slowly.
+
+    Explanation
+    -----------
+    A failure opens the circuit, for twice as long after each further one.
+    When that time is over, or the target itself answers again, the circuit
+    is half open: it lets one request through, and twice as many after each
+    success, until it is closed. Failures while it is open come from requests
+    that were sent before, and count once.
+
+    Examples
+    --------
+    >>> circuit = Circuit()
+    >>> circuit.fail(now=0)
+    >>> circuit.allows(now=1, in_flight=0)
+    False
+    >>> circuit.allows(now=2, in_flight=0), circuit.allows(now=2, in_flight=1)
+    (True, False)
+    >>> circuit.succeed()
+    >>> circuit.allows(now=2, in_flight=1)
+    True
+
+    """
+
+    def __init__(self) -> None:
+        self._open_until: float = 0
+        self._open_seconds: float = _FIRST_OPEN_SECONDS
+        self._limit: int | None = None
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether requests are let through without a limit."""
+        return self._limit is None
+
+    def fail(self, now: float) -> None:
+        """
+        Note a failed request.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+
+        """
+        if now < self._open_until:
+            return
+        self._open_until = now + self._open_seconds
+        self._open_seconds = min(2 * self._open_seconds, _MAX_OPEN_SECONDS)
+        self._limit = _FIRST_LIMIT
+
+    def succeed(self) -> None:
+        """Note a request that was answered."""
+        if self._limit is None:
+            return
+        self._limit *= 2
+        if self._limit >= _FULL_LIMIT:
+            self._limit = None
+            self._open_seconds = _FIRST_OPEN_SECONDS
+
+    def half_open(self, now: float) -> None:
+        """Let single requests through, since the target itself answers."""
+        self._open_until = min(self._open_until, now)
+
+    def allows(self, now: float, in_flight: int) -> bool:
+        """
+        Return whether a new request may be sent.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        in_flight : int
+            Requests of this node at the target.
+
+        """
+        if now < self._open_until:
+            return False
+        return self._limit is None or in_flight < self._limit
