Count what a fleet asks of the table service, and keyed calls' writes

The ledger took the calls of one node alone times 360. A node alone holds every duty, and so renews every lease, which 360 nodes do not each do: the reads and writes of one to four real nodes are counted now and the slope extended. Keyed calls write to the table, which the budget of several hundred writes a second has to carry, so they have a row of their own at three rates.

Ruled out: counting at the client, which would miss what it repeats.

--- a/bench/slopes/load_roles.py
+++ b/bench/slopes/load_roles.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import contextlib
+import uuid
+
+import aiohttp
 
 from bench.deployments import MODEL
 from bench.experiment import InteractiveModel
 from bench.interactive import InteractiveLoad
-from bench.plans import make_secret
-from bench.slopes.probe import TRAINER, NodeProbe
+from bench.plans import APP_PLAN, make_secret
+from bench.slopes.probe import SERVICE_POOL, TRAINER, NodeProbe
 from bench.slopes.role import Role, Scale
 from bench.slopes.usage import Usage
 from ladder_standins.trainer import StepRequest, Trainer
@@ -54,6 +57,40 @@
         return await self._measure_load(self._rate, int(size / self._rate))
 
 
+class KeyedRole(Role):
+    """Calls of a plain service that run at most once."""
+
+    title = 'keyed calls'
+    scale = Scale('keyed calls/s', (3, 8, 15), 14.7)
+    is_control = False
+
+    async def measure(self, size: float) -> Usage:
+        """Send keyed calls at a rate and measure."""
+        task = asyncio.create_task(self._send_calls(1 / size))
+        try:
+            return await self._probe.measure(_WINDOW_SECONDS)
+        finally:
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+
+    async def _send_calls(self, period: float) -> None:
+        async with asyncio.TaskGroup() as calls, aiohttp.ClientSession() as out:
+            while True:
+                calls.create_task(self._call(out))
+                await asyncio.sleep(period)
+
+    async def _call(self, session: aiohttp.ClientSession) -> None:
+        url = f'http://{self._probe.address}/v1/services/{SERVICE_POOL}/claims'
+        headers = {
+            'authorization': f'Bearer {make_secret(APP_PLAN)}',
+            'idempotency-key': uuid.uuid4().hex,
+        }
+        async with session.post(url, data=b'{}', headers=headers) as reply:
+            await reply.read()
+            reply.raise_for_status()
+
+
 class StepRole(Role):
     """Samples of a step."""
 
--- a/bench/slopes/probe.py
+++ b/bench/slopes/probe.py
@@ -19,6 +19,7 @@
 
 NODE = 'node-1'
 TRAINER = 'notes'
+SERVICE_POOL = 'taproom'
 
 _DATA_CENTRE = 'leith'
 _REGION = 'lowlands'
@@ -213,7 +214,8 @@
     return Layout(
         nodes=(NodeLayout(NODE, _DATA_CENTRE, _REGION),),
         engines=(*fast, quiet),
-        services=0,
+        services=1,
+        service_pool=SERVICE_POOL,
     )
 
 
--- a/bench/slopes/state_roles.py
+++ b/bench/slopes/state_roles.py
@@ -48,12 +48,7 @@
 
     async def measure(self, size: float) -> Usage:
         """Start nodes up to a size and measure the first."""
-        running = self._probe.fleet.processes.names
-        for number in range(int(size)):
-            name = f'peer-{number}'
-            if name not in running:
-                await self._probe.start_peer(name)
-        usage = await self._probe.measure(_GOSSIP_SECONDS)
+        usage = await self._measure_nodes(size)
         # The other nodes use the same platform.
         return replace(
             usage,
@@ -62,6 +57,27 @@
             control_bytes=usage.peer_bytes,
         )
 
+    async def _measure_nodes(self, size: float) -> Usage:
+        running = self._probe.fleet.processes.names
+        for number in range(int(size)):
+            name = f'peer-{number}'
+            if name not in running:
+                await self._probe.start_peer(name)
+        return await self._probe.measure(_GOSSIP_SECONDS)
+
+
+class FleetRole(GossipRole):
+    """Calls of the table service by a whole fleet."""
+
+    title = 'fleet'
+    scale = Scale('nodes beside the first', (1, 2, 3), 359)
+    is_control = False
+
+    async def measure(self, size: float) -> Usage:
+        """Start nodes up to a size and count all calls of the table."""
+        usage = await self._measure_nodes(size)
+        return Usage(reads=usage.reads, writes=usage.writes)
+
 
 class PoolRole(Role):
     """Replicas in the node's tables, and their states."""
--- a/bench/slopes/study.py
+++ b/bench/slopes/study.py
@@ -6,12 +6,18 @@
 from pathlib import Path
 
 from bench.slopes.fit import Line, Point, fit
-from bench.slopes.load_roles import EntryRole, RouterRole, StepRole
+from bench.slopes.load_roles import (
+    EntryRole,
+    KeyedRole,
+    RouterRole,
+    StepRole,
+)
 from bench.slopes.local_roles import PeerChoiceRole, TimelineRole
 from bench.slopes.probe import NodeProbe
 from bench.slopes.role import Role, Scale
 from bench.slopes.state_roles import (
     ConfigurationRole,
+    FleetRole,
     GossipRole,
     MembershipRole,
     PoolRole,
@@ -20,11 +26,13 @@
 ROLES: tuple[type[Role], ...] = (
     EntryRole,
     RouterRole,
+    KeyedRole,
     StepRole,
     PoolRole,
     ConfigurationRole,
     MembershipRole,
     GossipRole,
+    FleetRole,
     PeerChoiceRole,
     TimelineRole,
 )
--- a/bench/slopes/tables.py
+++ b/bench/slopes/tables.py
@@ -110,7 +110,8 @@
 
 def _format_budget(costs: Sequence[RoleCost]) -> str:
     control = [cost for cost in costs if cost.is_control]
-    idle = _find_idle(control)
+    # Its base is a node alone with the fewest targets.
+    idle = _find(control, 'membership')
     cpu = idle.cpu.base + sum(_find_growth(one, one.cpu) for one in control)
     memory = sum(_find_growth(one, one.memory) for one in control)
     sent = idle.control_bytes.base + sum(
@@ -126,16 +127,17 @@
 
 
 def _format_ledger(costs: Sequence[RoleCost]) -> str:
-    control = [cost for cost in costs if cost.is_control]
-    idle = _find_idle(control)
+    fleet = _find(costs, 'fleet')
     rows = [
         [
             'every node, idle',
-            f'{idle.reads.base * _NODES:.0f}',
-            f'{max(0, idle.writes.base) * _NODES:.0f}',
+            f'{fleet.reads.extend(fleet.scale.target):.0f}',
+            f'{fleet.writes.extend(fleet.scale.target):.0f}',
         ],
     ]
     for cost in costs:
+        if cost is fleet:
+            continue
         reads = _find_growth(cost, cost.reads) * _NODES
         writes = _find_growth(cost, cost.writes) * _NODES
         rows.append([cost.title, f'{reads:.0f}', f'{writes:.0f}'])
@@ -144,9 +146,8 @@
     return f'Ledger of the table service.\n\n{_format_table(titles, rows)}'
 
 
-def _find_idle(costs: Sequence[RoleCost]) -> RoleCost:
-    """Return the role whose base is a node with the fewest targets."""
-    return next(cost for cost in costs if cost.title == 'membership')
+def _find(costs: Sequence[RoleCost], title: str) -> RoleCost:
+    return next(cost for cost in costs if cost.title == title)
 
 
 def _find_growth(cost: RoleCost, line: Line) -> float:
--- a/bench/slopes/tests/test_tables.py
+++ b/bench/slopes/tests/test_tables.py
@@ -30,6 +30,7 @@
             Line(2.5, -0.001, -0.002, 0.001),
             reads=Line(1, 0, 0, 0),
         ),
+        make_cost('fleet', _FLAT, is_control=False, reads=Line(1, 1, 1, 1)),
     ]
     assert format_tables(costs) == snapshot
 
