Choose ports that no outgoing connection takes

The ports came from the system's own range for outgoing connections (32768 to 60999), so a connection of any process could take one in the second between its choice and the server's bind; on a busy machine that happens, and any test of whole processes can fail by it.

Ruled out: holding the socket open and passing it on, since a stand-in takes a port number. Change: ports come from 10000 to 32000, the search begins at a place given by the process id, and a process that has ended is reported with its log instead of waited for. Test: test_ports_are_none_that_outgoing_connections_take, red with the old choice (it drew ports above 32768).

--- a/standins/ladder_standins/fleet/ports.py
+++ b/standins/ladder_standins/fleet/ports.py
@@ -1,11 +1,21 @@
 """Free ports of loopback."""
 
+import itertools
+import os
 import socket
 
+# Below the range from which Linux takes ports of outgoing connections: such a
+# connection could take a port between its choice here and its use by a server.
+_FIRST_PORT = 10_000
+_LAST_PORT = 32_000
+_PORTS_OF_A_PROCESS = 64
+
+_turn = itertools.count()
+
 
 def find_free_ports(count: int) -> list[int]:
     """
-    Ask the system for free TCP ports.
+    Find free TCP ports that no outgoing connection takes.
 
     Parameters
     ----------
@@ -15,14 +25,27 @@
     Returns
     -------
     list of int
-        Distinct ports that nothing listened on.
+        Distinct ports that nothing listened on. Processes with neighbouring
+        ids begin their search at different ports.
 
     """
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for opened in sockets:
-            opened.bind(('127.0.0.1', 0))
-        return [bound.getsockname()[1] for bound in sockets]
-    finally:
-        for opened in sockets:
-            opened.close()
+    ports: list[int] = []
+    while len(ports) < count:
+        port = _find_next()
+        if _is_free(port):
+            ports.append(port)
+    return ports
+
+
+def _find_next() -> int:
+    offset = os.getpid() * _PORTS_OF_A_PROCESS + next(_turn)
+    return _FIRST_PORT + offset % (_LAST_PORT - _FIRST_PORT)
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+        return True
--- a/standins/ladder_standins/fleet/processes.py
+++ b/standins/ladder_standins/fleet/processes.py
@@ -102,12 +102,27 @@
         self._processes[name].send_signal(number)
 
     async def wait_listening(self, name: str) -> None:
-        """Wait until a process accepts connections at its address."""
+        """
+        Wait until a process accepts connections at its address.
+
+        Raises
+        ------
+        RuntimeError
+            The process has ended.
+
+        """
         host, _, port = self.find_address(name).rpartition(':')
         async with asyncio.timeout(_START_SECONDS):
             while not await _is_listening(host, int(port)):
+                self._check_running(name)
                 await asyncio.sleep(_POLL_SECONDS)
 
+    def _check_running(self, name: str) -> None:
+        status = self._processes[name].returncode
+        if status is not None:
+            log = self._folder / f'{name}.log'
+            raise RuntimeError(f'{name} ended with status {status}: see {log}')
+
 
 async def _is_listening(host: str, port: int) -> bool:
     try:
--- /dev/null
+++ b/standins/ladder_standins/fleet/tests/test_ports.py
@@ -0,0 +1,38 @@
+import socket
+
+import pytest
+
+from ladder_standins.fleet.ports import find_free_ports
+from ladder_standins.fleet.processes import ProcessGroup
+
+# Lowest port of outgoing connections on Linux by default.
+EPHEMERAL = 32_768
+
+
+def test_ports_are_none_that_outgoing_connections_take():
+    # Regression: a run of bench ended because an outgoing connection had
+    # taken a stand-in's port between its choice and its use.
+    ports = find_free_ports(40)
+    assert len(set(ports)) == 40
+    assert max(ports) < EPHEMERAL
+
+
+def test_port_in_use_is_passed_over(monkeypatch):
+    monkeypatch.setattr('os.getpid', lambda: 7)
+    with socket.socket() as taken:
+        taken.bind(('127.0.0.1', find_free_ports(1)[0]))
+        taken.listen()
+        used = taken.getsockname()[1]
+        monkeypatch.setattr(
+            'ladder_standins.fleet.ports._turn',
+            iter(range(used - 10_000 - 7 * 64, 30_000)),
+        )
+        assert find_free_ports(1)[0] > used
+
+
+async def test_process_that_ended_is_not_waited_for(tmp_path):
+    group = ProcessGroup(tmp_path)
+    group.give_address('broken')
+    await group.spawn('broken', 'ladder-standin', 'nothing')
+    with pytest.raises(RuntimeError, match=r'broken ended with status 2'):
+        await group.wait_listening('broken')
