--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,7 +2,7 @@
 
 import defopt
 
-from bench.commands import run, slopes
+from bench.commands import run, slopes, summarize
 
 if __name__ == '__main__':
-    defopt.run([run, slopes])
+    defopt.run([run, slopes, summarize])
--- a/bench/commands.py
+++ b/bench/commands.py
@@ -10,7 +10,7 @@
 from bench.experiment import Experiment, load_experiment
 from bench.outcome import Outcome
 from bench.plots import draw_plots
-from bench.report import format_table, write_lines
+from bench.report import format_summary, format_table, read_lines, write_lines
 from bench.session import Session
 from bench.slopes.study import study_roles
 from bench.slopes.tables import format_tables, write_tables
@@ -55,6 +55,21 @@
     print(f'written to {folder}')
 
 
+def summarize(*experiments: str, results: Path = RESULTS) -> None:
+    """
+    Print one table over the results of several experiments.
+
+    :param experiments: Names of experiments that were run.
+    :param results: Folder of the results.
+    """
+    outcomes = [
+        outcome
+        for name in experiments
+        for outcome in read_lines(results / name / 'outcomes.jsonl')
+    ]
+    print(format_summary(outcomes))
+
+
 def slopes(
     *,
     repeats: int = 3,
--- a/bench/report.py
+++ b/bench/report.py
@@ -63,6 +63,25 @@
 )
 
 
+_MAIN = frozenset(
+    (
+        'idle share',
+        'unavoidable',
+        'stale versions max',
+        'stale s p95',
+        'step s p50',
+        'step s p95',
+        'call p50 s',
+        'call p99 s',
+        'refused',
+        'failed',
+        'lost',
+        'doubled',
+        'too old',
+    ),
+)
+
+
 def format_table(outcomes: Sequence[Outcome]) -> str:
     """
     Return a Markdown table: measures down, variants across.
@@ -93,6 +112,40 @@
     return '\n'.join(lines)
 
 
+def format_summary(outcomes: Sequence[Outcome]) -> str:
+    """
+    Return a Markdown table: runs down, the main measures across.
+
+    Parameters
+    ----------
+    outcomes : sequence of Outcome
+        Runs; those that differ in their seed alone share a row.
+
+    Returns
+    -------
+    str
+        The table.
+
+    """
+    columns = [column for column in COLUMNS if column.title in _MAIN]
+    titles = ['experiment', 'deployment', 'variant', 'seeds']
+    titles.extend(column.title for column in columns)
+    groups: dict[tuple[str, str, str], list[Outcome]] = {}
+    for run in outcomes:
+        name = (run.experiment, run.deployment, run.variant)
+        groups.setdefault(name, []).append(run)
+    lines = [_join(titles), _join(['---' for _ in titles])]
+    for names, runs in groups.items():
+        cells = [_format_cell(column, runs) for column in columns]
+        lines.append(_join([*names, str(len(runs)), *cells]))
+    return '\n'.join(lines)
+
+
+def read_lines(path: Path) -> list[Outcome]:
+    """Read outcomes from JSON lines."""
+    return msgspec.json.Decoder(Outcome).decode_lines(path.read_bytes())
+
+
 def write_lines(path: Path, outcomes: Sequence[Outcome]) -> None:
     """Write the outcomes as JSON lines."""
     encoded = [msgspec.json.encode(outcome).decode() for outcome in outcomes]
--- a/bench/tests/test_report.py
+++ b/bench/tests/test_report.py
@@ -1,7 +1,7 @@
 import msgspec
 
 from bench.outcome import Outcome, Quantiles
-from bench.report import format_table, write_lines
+from bench.report import format_summary, format_table, read_lines, write_lines
 
 _OUTCOME = Outcome(
     experiment='calm',
@@ -33,7 +33,13 @@
     assert format_table([_OUTCOME, second, other]) == snapshot
 
 
+def test_summary_has_a_row_for_each_variant(snapshot):
+    second = msgspec.structs.replace(_OUTCOME, seed=2, call_p99=0.6)
+    other = msgspec.structs.replace(_OUTCOME, experiment='burst')
+    assert format_summary([_OUTCOME, second, other]) == snapshot
+
+
 def test_lines_read_back(tmp_path):
     path = tmp_path / 'outcomes.jsonl'
     write_lines(path, [_OUTCOME])
-    assert msgspec.json.decode(path.read_bytes(), type=Outcome) == _OUTCOME
+    assert read_lines(path) == [_OUTCOME]
