Let a trainer of the bench outlive an outage of the weight store

Ruled out: waiting for the store, which would count as training. A trainer now goes on at the version it published last, as its samples can only come from that one.

--- /dev/null
+++ b/bench/tests/test_versions.py
@@ -0,0 +1,27 @@
+import aiohttp
+
+from bench.versions import Versions
+
+
+class _Controls:
+    def __init__(self):
+        self.is_out = False
+        self.published = []
+
+    async def publish(self, model, version):
+        if self.is_out:
+            raise aiohttp.ClientError('503')
+        self.published.append(version)
+
+
+async def test_version_refused_by_the_store_is_published_later():
+    # Regression: store-out, seed 1, ended at the first publication.
+    controls = _Controls()
+    versions = Versions(controls)
+    controls.is_out = True
+    await versions.publish()
+    assert versions.newest == 0
+    controls.is_out = False
+    await versions.publish()
+    assert versions.newest == 1
+    assert controls.published == [1]
--- a/bench/versions.py
+++ b/bench/versions.py
@@ -2,6 +2,8 @@
 
 import time
 
+import aiohttp
+
 from bench.deployments import MODEL
 from ladder_standins.fleet import Controls
 
@@ -27,9 +29,13 @@
         return len(self._times) - 1
 
     async def publish(self) -> None:
-        """Publish the next version."""
+        """Publish the next version, unless the weight store is out."""
+        try:
+            await self._controls.publish(MODEL, self.newest + 1)
+        except aiohttp.ClientError:
+            # The trainer goes on at the version that it published last.
+            return
         self._times.append(time.monotonic())
-        await self._controls.publish(MODEL, self.newest)
 
     def find_age(self, version: int, trainer_version: int) -> float:
         """Return the seconds between the publications of two versions."""
