Type the fake controls of the versions test

mypy checks the argument of Versions and refused the fake that stood apart from the class. Ruled out: an ignore.

--- a/bench/tests/test_versions.py
+++ b/bench/tests/test_versions.py
@@ -1,10 +1,12 @@
 import aiohttp
 
 from bench.versions import Versions
+from ladder_standins.fleet import Controls
 
 
-class _Controls:
+class _Controls(Controls):
     def __init__(self):
+        super().__init__(None)
         self.is_out = False
         self.published = []
 
