--- a/bench/tests/test_versions.py
+++ b/bench/tests/test_versions.py
@@ -1,12 +1,12 @@
 import aiohttp
 
 from bench.versions import Versions
-from ladder_standins.fleet import Controls
+from ladder_standins.fleet import Controls, ProcessGroup
 
 
 class _Controls(Controls):
-    def __init__(self):
-        super().__init__(None)
+    def __init__(self, folder):
+        super().__init__(ProcessGroup(folder))
         self.is_out = False
         self.published = []
 
@@ -16,9 +16,9 @@
         self.published.append(version)
 
 
-async def test_version_refused_by_the_store_is_published_later():
+async def test_version_refused_by_the_store_is_published_later(tmp_path):
     # Regression: store-out, seed 1, ended at the first publication.
-    controls = _Controls()
+    controls = _Controls(tmp_path)
     versions = Versions(controls)
     controls.is_out = True
     await versions.publish()
