--- a/proof/main.py
+++ b/proof/main.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import collections
+import shutil
 import sys
-import tempfile
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -48,6 +48,8 @@
     'configuration',
 )
 
+_FOLDER = Path('run', 'proof')
+
 
 @dataclass(slots=True)
 class Tally:
@@ -85,6 +87,8 @@
     """
     Sweep drawn schedules of faults and check every history.
 
+    The logs, records and time lines of a run that is not good are kept.
+
     :param seeds: Number of schedules.
     :param first_seed: Seed of the first schedule.
     :param seconds: Length of the load of each run.
@@ -106,13 +110,14 @@
 def _run_seed(tally: Tally, seed: int, seconds: float, faults: int) -> None:
     schedule = draw_schedule(seed, seconds, faults)
     kinds = [fault.kind.value for fault in schedule.faults]
-    with tempfile.TemporaryDirectory() as folder:
-        try:
-            history = asyncio.run(run_history(schedule, Path(folder)))
-        except (ExceptionGroup, OSError) as error:
-            _say(f'seed {seed}: {kinds}: did not end: {error!r}')
-            tally.failed_runs.append(seed)
-            return
+    folder = _FOLDER / str(seed)
+    shutil.rmtree(folder, ignore_errors=True)
+    try:
+        history = asyncio.run(run_history(schedule, folder))
+    except (ExceptionGroup, OSError) as error:
+        _say(f'seed {seed}: {kinds}: did not end: {error!r}: see {folder}')
+        tally.failed_runs.append(seed)
+        return
     tally.runs += 1
     tally.faults.update(kinds)
     findings = check_all(history, CHECKERS)
@@ -122,6 +127,8 @@
     )
     for finding in findings:
         _note(tally, finding, seed)
+    if not findings:
+        shutil.rmtree(folder)
 
 
 def _note(tally: Tally, finding: Finding, seed: int) -> None:
--- a/proof/run.py
+++ b/proof/run.py
@@ -20,6 +20,7 @@
     RevisionObserver,
 )
 from proof.load.addresses import Node
+from proof.timelines import save_timelines
 
 _SECRET = 'proof'
 _BOUND = 1
@@ -63,13 +64,19 @@
     try:
         await _run(fleet, relays, schedule, history, folder)
     finally:
-        await fleet.close()
-        for relay in relays:
-            await relay.close()
+        await _close(fleet, relays, folder)
     read_truth(history, _list_records(folder))
     return history
 
 
+async def _close(fleet: Fleet, relays: list[Relay], folder: Path) -> None:
+    names = [node.name for node in _LAYOUT.nodes]
+    await save_timelines(fleet, names, folder)
+    await fleet.close()
+    for relay in relays:
+        await relay.close()
+
+
 def _list_records(folder: Path) -> list[Path]:
     paths = sorted(folder.glob('*.records'))
     return [path for path in paths if path.stem != 'table']
