Reserve the ports of a fleet until it is closed

Two fleets that start at the same time could choose one port, since it is free until the server binds it a second later. Ruled out: wider distances between the processes' ranges, which a long run walks through.

Change: a fleet holds each port by a socket that is bound and does not listen. Servers set SO_REUSEADDR and bind beside it; the search does not and passes it over. Test: test_reserved_port_is_left_to_its_server, red when the search sets SO_REUSEADDR too.

--- a/standins/ladder_standins/fleet/ports.py
+++ b/standins/ladder_standins/fleet/ports.py
@@ -37,6 +37,24 @@
     return ports
 
 
+def reserve_port() -> socket.socket:
+    """
+    Keep a free TCP port from being chosen by others.
+
+    Returns
+    -------
+    socket
+        Bound and not listening: a server may bind the port beside it, as
+        servers set SO_REUSEADDR, while `find_free_ports` passes it over.
+        The caller closes it.
+
+    """
+    reservation = socket.socket()
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reservation.bind(('127.0.0.1', find_free_ports(1)[0]))
+    return reservation
+
+
 def _find_next() -> int:
     offset = os.getpid() * _PORTS_OF_A_PROCESS + next(_turn)
     return _FIRST_PORT + offset % (_LAST_PORT - _FIRST_PORT)
--- a/standins/ladder_standins/fleet/processes.py
+++ b/standins/ladder_standins/fleet/processes.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import signal
+import socket
 import sys
 from pathlib import Path
 
-from ladder_standins.fleet.ports import find_free_ports
+from ladder_standins.fleet.ports import reserve_port
 
 _START_SECONDS = 20
 _STOP_SECONDS = 30
@@ -29,6 +30,7 @@
         self._processes: dict[str, asyncio.subprocess.Process] = {}
         self._commands: dict[str, tuple[str, ...]] = {}
         self._addresses: dict[str, str] = {}
+        self._reservations: list[socket.socket] = []
 
     @property
     def names(self) -> tuple[str, ...]:
@@ -41,10 +43,17 @@
 
     def give_address(self, name: str) -> str:
         """Choose a free address for a process, and keep it for its life."""
-        port = find_free_ports(1)[0]
+        reservation = reserve_port()
+        self._reservations.append(reservation)
+        port = reservation.getsockname()[1]
         self._addresses[name] = f'127.0.0.1:{port}'
         return self._addresses[name]
 
+    def release_addresses(self) -> None:
+        """Let others choose the addresses given; the processes are stopped."""
+        while self._reservations:
+            self._reservations.pop().close()
+
     async def spawn(self, name: str, program: str, *flags: str) -> None:
         """
         Start a process.
--- a/standins/ladder_standins/fleet/system.py
+++ b/standins/ladder_standins/fleet/system.py
@@ -61,6 +61,7 @@
         for names in (nodes, set(self._processes.names) - nodes):
             running = names.intersection(self._processes.names)
             await asyncio.gather(*map(self._processes.stop, running))
+        self._processes.release_addresses()
 
     def find_record(self, name: str) -> Path:
         """Return the file of a stand-in's ground truth."""
--- a/standins/ladder_standins/fleet/tests/test_ports.py
+++ b/standins/ladder_standins/fleet/tests/test_ports.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ladder_standins.fleet.ports import find_free_ports
+from ladder_standins.fleet.ports import find_free_ports, reserve_port
 from ladder_standins.fleet.processes import ProcessGroup
 
 # Lowest port of outgoing connections on Linux by default.
@@ -30,9 +30,24 @@
         assert find_free_ports(1)[0] > used
 
 
+def test_reserved_port_is_left_to_its_server(monkeypatch):
+    # Regression: two fleets that started at the same time chose one port.
+    with reserve_port() as reservation:
+        port = reservation.getsockname()[1]
+        monkeypatch.setattr('os.getpid', lambda: 7)
+        monkeypatch.setattr(
+            'ladder_standins.fleet.ports._turn',
+            iter(range(port - 10_000 - 7 * 64, 60_000)),
+        )
+        assert find_free_ports(1)[0] != port
+        with socket.create_server(('127.0.0.1', port)) as server:
+            assert server.getsockname()[1] == port
+
+
 async def test_process_that_ended_is_not_waited_for(tmp_path):
     group = ProcessGroup(tmp_path)
     group.give_address('broken')
     await group.spawn('broken', 'ladder-standin', 'nothing')
     with pytest.raises(RuntimeError, match=r'broken ended with status 2'):
         await group.wait_listening('broken')
+    group.release_addresses()
