--- a/packages/node/ladder_node/app/tree.py
+++ b/packages/node/ladder_node/app/tree.py
@@ -58,8 +58,8 @@
         The node.
 
     """
-    clients = make_clients(settings)
     timers = SystemTimerService()
+    clients = make_clients(settings, timers)
     parts = _make_parts(settings, clients, timers)
     root = Supervisor('root', parts.timers)
     root.add(clients.http)
