Route by prompt prefix and region, and correct the lagging load report

Cause: a prompt's beginning was cached by whichever engine got it; the report counted only if it was above what this node has in flight; the other region's engines were taken as readily as the own ones. Change: PrefixAffinityChooser ranks engines by rendezvous hashing of the first 256 characters and passes over those a quarter above the average load. Candidate.load adds what was sent since the report. NearestRegion leaves the region only when no place in a batch is free there. Text exchanged is counted by the engine's region. The plain ways stay behind the same classes; the default chooser stays least-loaded until an experiment supports the change. Ruled out: a hash ring, which would have to be shared or rebuilt by each node. Conclusion: prompts stay where they are cached, within the load's bound.

--- a/packages/core/ladder_core/settings/policies.py
+++ b/packages/core/ladder_core/settings/policies.py
@@ -9,6 +9,7 @@
     """How a node chooses a target for a request."""
 
     least_loaded = 'least-loaded'
+    prefix_affinity = 'prefix-affinity'
     round_robin = 'round-robin'
 
 
--- a/packages/node/ladder_node/app/requests.py
+++ b/packages/node/ladder_node/app/requests.py
@@ -21,8 +21,10 @@
 )
 from ladder_node.peers import Gossip
 from ladder_node.targets import TargetTable
+from ladder_policy.regions import NearestRegion
 from ladder_policy.routing import (
     LeastLoadedChooser,
+    PrefixAffinityChooser,
     RoundRobinChooser,
     TargetChooser,
 )
@@ -95,6 +97,7 @@
         timers,
         guard,
         retries,
+        NearestRegion(around.settings.region),
     )
     services = PlainDispatcher(
         around.targets,
@@ -124,4 +127,6 @@
 def _make_chooser(policy: RoutingPolicy) -> TargetChooser:
     if policy is RoutingPolicy.round_robin:
         return RoundRobinChooser()
+    if policy is RoutingPolicy.prefix_affinity:
+        return PrefixAffinityChooser()
     return LeastLoadedChooser()
--- a/packages/node/ladder_node/dispatch/__init__.py
+++ b/packages/node/ladder_node/dispatch/__init__.py
@@ -5,7 +5,8 @@
     RequestGuard,
     UnguardedRequests,
 )
-from ladder_node.dispatch.generation import Generation, GenerationDispatcher
+from ladder_node.dispatch.engine_choice import Generation
+from ladder_node.dispatch.generation import GenerationDispatcher
 from ladder_node.dispatch.intent import IntentKey
 from ladder_node.dispatch.intent_cleaner import IntentCleaner
 from ladder_node.dispatch.intent_log import IntentLog
--- /dev/null
+++ b/packages/node/ladder_node/dispatch/engine_choice.py
@@ -0,0 +1,129 @@
+"""What is to be generated, and on which engine."""
+
+from dataclasses import dataclass
+from math import inf
+
+from ladder_core.errors import TargetUnavailableError
+from ladder_core.values import HostKind
+from ladder_node.targets import Target, TargetTable
+from ladder_policy.regions import RegionPolicy
+from ladder_policy.routing import Candidate, TargetChooser
+
+_RETRY_SECONDS = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Generation:
+    """
+    What a caller or a step wants generated.
+
+    Attributes
+    ----------
+    model : str
+        Model to run.
+    pools : tuple of str
+        Pools whose engines may be used.
+    data_centres : tuple of str
+        Data centres that may be used; empty for all.
+    prompt : str
+        The prompt.
+    max_tokens : int
+        Largest number of tokens.
+    seed : int
+        Seed of the sampling.
+    priority : int
+        Lower values run first.
+    deadline : float
+        Seconds on the timer service's clock after which nobody waits.
+
+    """
+
+    model: str
+    pools: tuple[str, ...]
+    data_centres: tuple[str, ...]
+    prompt: str
+    max_tokens: int
+    seed: int = 0
+    priority: int = 0
+    deadline: float = inf
+
+
+class EngineChoice:
+    """
+    Choose an engine for each attempt of a generation.
+
+    Parameters
+    ----------
+    targets : TargetTable
+        What is known of the engines.
+    chooser : TargetChooser
+        Chooses among the engines.
+    regions : RegionPolicy
+        Narrows them by region before.
+
+    """
+
+    def __init__(
+        self,
+        targets: TargetTable,
+        chooser: TargetChooser,
+        regions: RegionPolicy,
+    ) -> None:
+        self._targets = targets
+        self._chooser = chooser
+        self._regions = regions
+
+    def list_usable(self, generation: Generation) -> list[Target]:
+        """Return the engines that may run a generation now."""
+        return [
+            target
+            for target in self._targets.list_available(HostKind.engine)
+            if _is_usable(target, generation)
+        ]
+
+    def choose(self, generation: Generation) -> Target:
+        """
+        Return the engine for a generation.
+
+        Raises
+        ------
+        TargetUnavailableError
+            No engine may run it now.
+
+        """
+        usable = {
+            target.entry.name: target for target in self.list_usable(generation)
+        }
+        if not usable:
+            raise TargetUnavailableError(
+                f'no engine of model {generation.model} is available',
+                remedy='come back later',
+                retry_after=_RETRY_SECONDS,
+            )
+        candidates = [_make_candidate(target) for target in usable.values()]
+        near = self._regions.narrow(candidates)
+        chosen = self._chooser.choose(generation.prompt, near)
+        return usable[chosen.name]
+
+
+def _is_usable(target: Target, generation: Generation) -> bool:
+    entry = target.entry
+    if entry.model != generation.model or entry.pool not in generation.pools:
+        return False
+    centres = generation.data_centres
+    return not centres or entry.data_centre in centres
+
+
+def _make_candidate(target: Target) -> Candidate:
+    entry, state = target.entry, target.state
+    if state is None:
+        return Candidate(entry.name, sent=target.sent, region=entry.region)
+    return Candidate(
+        entry.name,
+        reported_load=state.running + state.queued,
+        sent=target.sent,
+        batch_limit=state.batch_limit,
+        version=state.version,
+        sent_before=target.sent_before,
+        region=entry.region,
+    )
--- a/packages/node/ladder_node/dispatch/generation.py
+++ b/packages/node/ladder_node/dispatch/generation.py
@@ -5,9 +5,9 @@
 from contextlib import AbstractAsyncContextManager, contextmanager
 from dataclasses import dataclass
 from functools import partial
-from math import inf
 
 from loguru import logger
+from prometheus_client import Counter
 
 from ladder_clients.engines import Chunk, EngineClient, GenerateRequest
 from ladder_core.errors import (
@@ -15,57 +15,26 @@
     LadderError,
     NotRunError,
     TargetLostError,
-    TargetUnavailableError,
 )
 from ladder_core.supervision import Service
 from ladder_core.timers import TimerService
-from ladder_core.values import HostKind
 from ladder_node.dispatch.crashes import RequestGuard, UnguardedRequests
+from ladder_node.dispatch.engine_choice import EngineChoice, Generation
 from ladder_node.dispatch.failures import FAILED_ATTEMPT, Failures
 from ladder_node.dispatch.retries import RetryPolicy, UnlimitedRetries
 from ladder_node.dispatch.streams import Cancellations, closing
 from ladder_node.dispatch.suspects import make_request_digest
 from ladder_node.targets import Target, TargetTable
-from ladder_policy.routing import Candidate, TargetChooser
+from ladder_policy.regions import AnyRegion, RegionPolicy
+from ladder_policy.routing import TargetChooser
 
 _MAX_ATTEMPTS = 4
-_RETRY_SECONDS = 1
 
-
-@dataclass(frozen=True, slots=True)
-class Generation:
-    """
-    What a caller or a step wants generated.
-
-    Attributes
-    ----------
-    model : str
-        Model to run.
-    pools : tuple of str
-        Pools whose engines may be used.
-    data_centres : tuple of str
-        Data centres that may be used; empty for all.
-    prompt : str
-        The prompt.
-    max_tokens : int
-        Largest number of tokens.
-    seed : int
-        Seed of the sampling.
-    priority : int
-        Lower values run first.
-    deadline : float
-        Seconds on the timer service's clock after which nobody waits.
-
-    """
-
-    model: str
-    pools: tuple[str, ...]
-    data_centres: tuple[str, ...]
-    prompt: str
-    max_tokens: int
-    seed: int = 0
-    priority: int = 0
-    deadline: float = inf
+_TEXT = Counter(
+    'ladder_generation_text_characters',
+    'Characters of prompts and texts exchanged with engines, by their region',
+    ['region'],
+)
 
 
 @dataclass(slots=True)
@@ -108,6 +77,8 @@
         Finds requests that crash engines; by default none is looked for.
     retries : RetryPolicy, optional
         Decides about further attempts; by default all are allowed.
+    regions : RegionPolicy, optional
+        Narrows the engines by region; by default all are alike.
 
     """
 
@@ -119,13 +90,18 @@
         timers: TimerService,
         guard: RequestGuard | None = None,
         retries: RetryPolicy | None = None,
+        regions: RegionPolicy | None = None,
     ) -> None:
         self._targets = targets
         self._engines = engines
-        self._chooser = chooser
         self._timers = timers
         self._guard = guard or UnguardedRequests()
         self._retries = retries or UnlimitedRetries()
+        self._choice = EngineChoice(
+            targets,
+            chooser,
+            regions or AnyRegion(),
+        )
         self._cancellations = Cancellations(engines)
 
     async def start(self) -> None:
@@ -202,8 +178,8 @@
     ) -> AbstractAsyncContextManager[Target]:
         return self._guard.place(
             make_request_digest(generation.model, generation.prompt),
-            partial(self._choose, generation),
-            partial(self._list_usable, generation),
+            partial(self._choice.choose, generation),
+            partial(self._choice.list_usable, generation),
         )
 
     async def _run(
@@ -214,12 +190,15 @@
     ) -> AsyncIterator[Chunk]:
         address = target.entry.address
         request = _make_request(generation, received)
+        traffic = _TEXT.labels(target.entry.region)
+        traffic.inc(len(request.prompt) + len(request.prefix))
         with self._dispatch(target, request) as dispatch:
             async with closing(
                 self._engines.generate(address, request),
             ) as chunks:
                 async for chunk in chunks:
                     received.add(chunk)
+                    traffic.inc(len(chunk.text))
                     dispatch.is_open = not chunk.end
                     yield chunk
             if dispatch.is_open:
@@ -249,54 +228,11 @@
                 address = target.entry.address
                 self._cancellations.send(address, request.request_id)
 
-    def _list_usable(self, generation: Generation) -> list[Target]:
-        return [
-            target
-            for target in self._targets.list_available(HostKind.engine)
-            if _is_usable(target, generation)
-        ]
-
-    def _choose(self, generation: Generation) -> Target:
-        usable = {
-            target.entry.name: target
-            for target in self._list_usable(generation)
-        }
-        if not usable:
-            raise TargetUnavailableError(
-                f'no engine of model {generation.model} is available',
-                remedy='come back later',
-                retry_after=_RETRY_SECONDS,
-            )
-        candidates = [_make_candidate(target) for target in usable.values()]
-        chosen = self._chooser.choose(generation.prompt, candidates)
-        return usable[chosen.name]
-
     def _note_failure(self, target: Target, error: LadderError) -> None:
         logger.warning('engine {} failed: {}', target.entry.name, error)
         self._targets.suspend(target.entry.name, error.kind)
 
 
-def _is_usable(target: Target, generation: Generation) -> bool:
-    entry = target.entry
-    if entry.model != generation.model or entry.pool not in generation.pools:
-        return False
-    centres = generation.data_centres
-    return not centres or entry.data_centre in centres
-
-
-def _make_candidate(target: Target) -> Candidate:
-    state = target.state
-    if state is None:
-        return Candidate(target.entry.name, sent=target.sent)
-    return Candidate(
-        target.entry.name,
-        reported_load=state.running + state.queued,
-        sent=target.sent,
-        batch_limit=state.batch_limit,
-        version=state.version,
-    )
-
-
 def _make_request(
     generation: Generation,
     received: _Received,
--- a/packages/node/ladder_node/targets/table.py
+++ b/packages/node/ladder_node/targets/table.py
@@ -32,6 +32,8 @@
         An engine's own last word.
     sent : int
         Requests of this node in flight there.
+    sent_before : int
+        Requests of this node in flight there at its last word.
     is_leaving : bool
         Whether the target itself or a peer said that it leaves.
     is_reserved : bool
@@ -44,6 +46,7 @@
     entry: HostEntry
     state: EngineState | None = None
     sent: int = 0
+    sent_before: int = 0
     is_leaving: bool = False
     is_reserved: bool = False
     circuit: Circuit = field(default_factory=Circuit)
@@ -117,6 +120,7 @@
         if target is None:
             return
         target.state = state
+        target.sent_before = target.sent
         target.circuit.half_open(self._timers.now())
         if state.leaving:
             self.mark_leaving(name)
--- /dev/null
+++ b/packages/policy/ladder_policy/regions/__init__.py
@@ -0,0 +1,9 @@
+"""Which region serves a request."""
+
+from ladder_policy.regions.nearest import (
+    AnyRegion,
+    NearestRegion,
+    RegionPolicy,
+)
+
+__all__ = ('AnyRegion', 'NearestRegion', 'RegionPolicy')
--- a/packages/policy/ladder_policy/routing/base.py
+++ b/packages/policy/ladder_policy/routing/base.py
@@ -22,6 +22,10 @@
         Largest batch.
     version : int
         Weight version by the target's last word.
+    sent_before : int
+        Requests of this node in flight there at the last word.
+    region : str
+        Region of the target.
 
     """
 
@@ -30,6 +34,19 @@
     sent: int = 0
     batch_limit: int = 1
     version: int = 0
+    sent_before: int = 0
+    region: str = ''
+
+    @property
+    def load(self) -> int:
+        """The reported load, corrected by what was sent since."""
+        corrected = self.reported_load + self.sent - self.sent_before
+        return max(self.sent, corrected)
+
+    @property
+    def has_room(self) -> bool:
+        """Whether a place in the batch is free."""
+        return self.load < self.batch_limit
 
 
 class TargetChooser(ABC):
--- a/packages/policy/ladder_policy/routing/least_loaded.py
+++ b/packages/policy/ladder_policy/routing/least_loaded.py
@@ -11,8 +11,8 @@
 
     Notes
     -----
-    The report lags, so the requests that this node has in flight there count
-    when they are more than the report shows.
+    The report lags, so what this node sent since, less what ended since, is
+    added to it.
 
     Examples
     --------
@@ -33,5 +33,4 @@
 
 
 def _read_share(candidate: Candidate) -> tuple[float, str]:
-    load = max(candidate.reported_load, candidate.sent)
-    return (load / candidate.batch_limit, candidate.name)
+    return (candidate.load / candidate.batch_limit, candidate.name)
--- /dev/null
+++ b/packages/policy/ladder_policy/routing/prefix.py
@@ -0,0 +1,76 @@
+"""
+Send prompts with one beginning to one target, as far as its load allows.
+
+References
+----------
+D. Thaler, C. Ravishankar, "Using name-based mappings to increase hit rates",
+IEEE/ACM Transactions on Networking 6(1), 1998 (rendezvous hashing).
+V. Mirrokni, M. Thorup, M. Zadimoghaddam, "Consistent hashing with bounded
+loads", SODA 2018.
+
+"""
+
+import hashlib
+from collections.abc import Sequence
+
+from ladder_policy.routing.base import Candidate, TargetChooser
+
+_PREFIX_CHARACTERS = 256
+_BOUND_RATIO = 1.25
+_FREE_RATIO = 0.25
+_RANK_BYTES = 8
+
+
+class PrefixAffinityChooser(TargetChooser):
+    """
+    Take the first target in the prompt's order that is not overloaded.
+
+    Explanation
+    -----------
+    The beginning of a prompt gives each target a rank, the same at every
+    node, so that the same few targets keep it in their prefix cache. A
+    target is passed over while it is loaded beyond the average by a quarter
+    and uses more than a quarter of its batch; the prompt then goes to the next
+    in its order, not to any other.
+
+    Examples
+    --------
+    >>> chooser = PrefixAffinityChooser()
+    >>> idle = [Candidate(name, batch_limit=8) for name in 'abcd']
+    >>> first = chooser.choose('night log', idle)
+    >>> chooser.choose('night log', idle[::-1]) == first
+    True
+
+    """
+
+    def _choose(
+        self,
+        prompt: str,
+        candidates: Sequence[Candidate],
+    ) -> Candidate:
+        bound = _compute_bound(candidates)
+        prefix = prompt[:_PREFIX_CHARACTERS].encode()
+        allowed = [
+            candidate
+            for candidate in candidates
+            if candidate.load < bound * candidate.batch_limit
+        ]
+        # Rounding may leave none, when all are loaded alike.
+        return max(
+            allowed or candidates,
+            key=lambda candidate: _rank(prefix, candidate),
+        )
+
+
+def _compute_bound(candidates: Sequence[Candidate]) -> float:
+    """Return the largest share of a batch that may be in use."""
+    places = sum(candidate.batch_limit for candidate in candidates)
+    load = sum(candidate.load for candidate in candidates) + 1
+    return max(_FREE_RATIO, _BOUND_RATIO * load / places)
+
+
+def _rank(prefix: bytes, candidate: Candidate) -> bytes:
+    digest = hashlib.blake2b(prefix, digest_size=_RANK_BYTES)
+    digest.update(b'\0')
+    digest.update(candidate.name.encode())
+    return digest.digest()
