Have a restarted node wait for the newest lists of its peers

Cause: with the store out, a restarted node put the lists of the first peer in force that answered; a peer may be behind by its own bound, so the node could show a lower revision than before its restart. Ruled out: waiting for the store, which would keep the node out for as long as the outage lasts. Change: without lists of its own the keeper collects what peers offer for 2 s and takes the newest. Before, with the wait off: test_restarted_node_takes_the_newest_of_its_peers fails with `assert not 1` (the older revision is shown). After: green.

--- a/packages/node/ladder_node/configuration/keeper.py
+++ b/packages/node/ladder_node/configuration/keeper.py
@@ -19,6 +19,7 @@
 FRESH_SECONDS = 5
 
 _READ_SECONDS = 1
+_GATHER_SECONDS = 2
 
 Listener = Callable[[], None]
 
@@ -48,6 +49,8 @@
         self._timers = timers
         self._timeline = timeline
         self._lists: Lists | None = None
+        self._candidate: Lists | None = None
+        self._settle_at = timers.now()
         self._confirmed_at = timers.now()
         self._listeners: list[Listener] = []
         self._subscription: Subscription | None = None
@@ -123,7 +126,12 @@
 
     def offer(self, lists: Lists) -> None:
         """
-        Put a revision in force if it is newer than the present one.
+        Take committed lists of a peer over if they are newer.
+
+        Explanation
+        -----------
+        A node without lists, as one just restarted, may have had newer ones
+        than the first peer that answers. It waits for others' a while.
 
         Parameters
         ----------
@@ -131,18 +139,14 @@
             A committed revision.
 
         """
-        if self._lists is not None and lists.revision <= self._lists.revision:
+        if self._lists is not None:
+            self._put_in_force(lists)
             return
-        self._lists = lists
-        REVISION.set(lists.revision)
-        self._timeline.record(
-            'configuration-in-force',
-            'lists',
-            revision=lists.revision,
-            author=lists.author,
-        )
-        for listener in self._listeners:
-            listener()
+        if self._candidate is None:
+            self._candidate = lists
+            self._settle_at = self._timers.now() + _GATHER_SECONDS
+        elif lists.revision > self._candidate.revision:
+            self._candidate = lists
 
     def confirm(self, peer: str, revision: int) -> None:
         """Take note that a fresh peer has no newer revision than this node."""
@@ -156,6 +160,7 @@
             await self._read_store()
         except StoreUnavailableError as error:
             logger.warning('configuration: {}', error)
+            self._settle()
             return
         # What was committed after the call began may be missing.
         self._confirmed_at = max(self._confirmed_at, begun_at)
@@ -164,4 +169,26 @@
         known = self._lists.revision if self._lists else 0
         lists = await self._rows.read_newer(known)
         if lists is not None:
-            self.offer(lists)
+            self._put_in_force(lists)
+
+    def _settle(self) -> None:
+        """Without the store, take the newest lists that peers offered."""
+        candidate = self._candidate
+        if candidate is None or self._timers.now() < self._settle_at:
+            return
+        self._candidate = None
+        self._put_in_force(candidate)
+
+    def _put_in_force(self, lists: Lists) -> None:
+        if self._lists is not None and lists.revision <= self._lists.revision:
+            return
+        self._lists = lists
+        REVISION.set(lists.revision)
+        self._timeline.record(
+            'configuration-in-force',
+            'lists',
+            revision=lists.revision,
+            author=lists.author,
+        )
+        for listener in self._listeners:
+            listener()
--- a/packages/node/ladder_node/configuration/tests/test_keeper.py
+++ b/packages/node/ladder_node/configuration/tests/test_keeper.py
@@ -109,6 +109,21 @@
     await bench.keeper.close()
 
 
+async def test_restarted_node_takes_the_newest_of_its_peers():
+    bench = Bench()
+    bench.table.is_out = True
+    await bench.keeper.start()
+    bench.keeper.offer(Lists(revision=1))
+    await bench.timers.advance(1)
+    assert not bench.shown
+    bench.keeper.offer(Lists(revision=2))
+    await bench.timers.advance(3)
+    assert bench.shown == 2
+    bench.keeper.confirm('peer', 2)
+    assert bench.keeper.require_lists().revision == 2
+    await bench.keeper.close()
+
+
 async def _act(bench, action):
     match action:
         case 'commit':
