Let dispatch wait after a pause instead of refusing

Cause: after a pause of the process the table offers no target until it was read anew; a request already under way then met "no target is available", though one is within a second. Ruled out: dropping the check in `list_available`; it stands without an await between it and the choice, and keeps a woken node from using old knowledge. Change: `TargetTable.wait_fresh` is awaited before a target is chosen. Before: TargetUnavailableError, "no service of pool any is available"; with the check off as well: the leaving target got the call. After: green.

--- a/packages/node/ladder_node/app/tree.py
+++ b/packages/node/ladder_node/app/tree.py
@@ -113,7 +113,7 @@
         parts.timers,
         parts.timeline,
     )
-    parts.targets.guard(lambda: guard.is_stale)
+    parts.targets.guard(lambda: guard.is_stale, guard.ensure_fresh)
     root.add(parts.gossip)
     root.add(parts.nodes)
     root.add(LeavingTargets(parts.targets, parts.gossip, parts.timers))
--- a/packages/node/ladder_node/dispatch/generation.py
+++ b/packages/node/ladder_node/dispatch/generation.py
@@ -154,6 +154,7 @@
         failures: Failures,
     ) -> AsyncIterator[Chunk]:
         """Run a generation on one engine, from where the last one ended."""
+        await self._targets.wait_fresh()
         try:
             target = self._choose(generation)
             request = _make_request(generation, received)
--- a/packages/node/ladder_node/dispatch/plain.py
+++ b/packages/node/ladder_node/dispatch/plain.py
@@ -148,6 +148,7 @@
         wanted: _Wanted,
         send: Callable[[Target], Awaitable[Result]],
     ) -> Result:
+        await self._targets.wait_fresh()
         target = self._choose(wanted.kind, wanted.pool)
         try:
             with self._targets.count_request(target):
--- /dev/null
+++ b/packages/node/ladder_node/dispatch/tests/test_pause.py
@@ -0,0 +1,37 @@
+from ladder_clients.services import PlainAnswer, PlainRequest
+from ladder_core.timeline import HybridClock, TimeLine
+from ladder_core.timers import ManualTimerService
+from ladder_core.values import HostEntry, HostKind
+from ladder_node.dispatch import PlainDispatcher
+from ladder_node.targets import TargetTable
+
+
+class RecordingService:
+    def __init__(self):
+        self.addresses = []
+
+    async def call(self, address, request):
+        self.addresses.append(address)
+        return PlainAnswer(200, b'', '')
+
+
+async def test_call_after_a_pause_waits_until_the_table_is_read_anew():
+    timers = ManualTimerService()
+    targets = TargetTable(timers, TimeLine('node', HybridClock(timers)))
+    targets.update_hosts(
+        HostEntry(name, HostKind.service, f'{name}:1', 'dc', 'r')
+        for name in ('one', 'two')
+    )
+    stale = {'node'}
+
+    async def read_anew():
+        targets.mark_leaving('one')
+        stale.clear()
+
+    targets.guard(lambda: bool(stale), read_anew)
+    service = RecordingService()
+    dispatcher = PlainDispatcher(targets, service)
+    for _ in range(3):
+        answer = await dispatcher.call('', PlainRequest('r', 'POST', '/'))
+        assert answer.status == 200
+    assert service.addresses == ['two:1', 'two:1', 'two:1']
--- a/packages/node/ladder_node/peers/tests/test_leaving.py
+++ b/packages/node/ladder_node/peers/tests/test_leaving.py
@@ -1,3 +1,4 @@
+import asyncio
 import dataclasses
 
 import pytest
@@ -96,7 +97,7 @@
             node.timeline,
         )
         table = tables['node-0-0']
-        table.guard(lambda: guard.is_stale)
+        table.guard(lambda: guard.is_stale, guard.ensure_fresh)
         await guard.start()
         await timers.advance(1)
         assert table.list_available(HostKind.engine)
@@ -104,7 +105,9 @@
         # The news waits in the paused node's connections.
         timers.pause(60)
         assert not table.list_available(HostKind.engine)
+        waiting = asyncio.create_task(table.wait_fresh())
         await timers.advance(3)
+        assert waiting.done()
         assert not guard.is_stale
         assert not table.list_available(HostKind.engine)
         events = node.timeline.read(HybridTime(), 100)
--- a/packages/node/ladder_node/targets/table.py
+++ b/packages/node/ladder_node/targets/table.py
@@ -1,7 +1,7 @@
 """The table of targets of one node."""
 
 import contextlib
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
 from ladder_clients.engines import EngineState, Role
@@ -59,15 +59,26 @@
         self._targets: dict[str, Target] = {}
         self._entry_hosts: tuple[HostEntry, ...] = ()
         self._is_stale: Callable[[], bool] = bool
+        self._ensure_fresh: Callable[[], Awaitable[None]] = _do_nothing
 
     @property
     def entry_hosts(self) -> tuple[HostEntry, ...]:
         """The live entry hosts, by the platform's list."""
         return self._entry_hosts
 
-    def guard(self, is_stale: Callable[[], bool]) -> None:
+    def guard(
+        self,
+        is_stale: Callable[[], bool],
+        ensure_fresh: Callable[[], Awaitable[None]],
+    ) -> None:
         """Offer no target while a check says that the table is stale."""
         self._is_stale = is_stale
+        self._ensure_fresh = ensure_fresh
+
+    async def wait_fresh(self) -> None:
+        """Return at once, or after a pause when the table was read anew."""
+        if self._is_stale():
+            await self._ensure_fresh()
 
     def update_hosts(self, entries: Iterable[HostEntry]) -> None:
         """
@@ -179,3 +190,7 @@
     if target.is_leaving or now < target.suspended_until:
         return False
     return target.state is None or target.state.role is Role.serving
+
+
+async def _do_nothing() -> None:
+    """Stand in for a guard that was not given."""
