--- a/packages/node/ladder_node/dispatch/tests/test_pause.py
+++ b/packages/node/ladder_node/dispatch/tests/test_pause.py
@@ -8,13 +8,17 @@
 
 class RecordingService:
     def __init__(self):
-        self.addresses = []
+        self.addresses: list[str] = []
 
     async def call(self, address, request):
         self.addresses.append(address)
         return PlainAnswer(200, b'', '')
 
 
+def make_dispatcher(targets, service):
+    return PlainDispatcher(targets, service)
+
+
 async def test_call_after_a_pause_waits_until_the_table_is_read_anew():
     timers = ManualTimerService()
     targets = TargetTable(timers, TimeLine('node', HybridClock(timers)))
@@ -30,7 +34,7 @@
 
     targets.guard(lambda: bool(stale), read_anew)
     service = RecordingService()
-    dispatcher = PlainDispatcher(targets, service)
+    dispatcher = make_dispatcher(targets, service)
     for _ in range(3):
         answer = await dispatcher.call('', PlainRequest('r', 'POST', '/'))
         assert answer.status == 200
