--- a/packages/node/ladder_node/dispatch/generation.py
+++ b/packages/node/ladder_node/dispatch/generation.py
@@ -153,6 +153,7 @@
         failures: Failures,
     ) -> AsyncIterator[Chunk]:
         """Run a generation on one engine, from where the last one ended."""
+        await self._targets.wait_fresh()
         try:
             async with (
                 self._place(generation) as target,
--- a/packages/node/ladder_node/dispatch/plain.py
+++ b/packages/node/ladder_node/dispatch/plain.py
@@ -178,6 +178,7 @@
         wanted: _Wanted,
         send: Callable[[Target], Awaitable[Result]],
     ) -> Result:
+        await self._targets.wait_fresh()
         async with self._guard.place(
             wanted.digest,
             partial(self._choose, wanted),
