Hedge stragglers on idle engines, from where they are

Cause: the last samples of a step decide when it is whole; one that sits on a slow or crowded engine was waited for.

Change: ladder_policy/stragglers, an abstract base class with the plain way (wait) and a hedge: once nothing waits, samples that run for more than twice the median get a second run on an engine that was not tried, as far as places are idle. The second run goes on from the text and spans so far; the first to finish is taken and the other cancelled, so one sample never has two results. The last quarter of a group's members is sent one priority higher. Generation takes a prefix, engines to avoid, and notes those that it visited.

Ruled out: a run from the start, which can not overtake a long sample.

Run: packages/node/ladder_node/steps and packages/policy, 60 passed in 6.36 s. Not measured yet.

--- a/packages/node/ladder_node/dispatch/generation.py
+++ b/packages/node/ladder_node/dispatch/generation.py
@@ -3,7 +3,7 @@
 import contextlib
 import uuid
 from collections.abc import AsyncIterator, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from loguru import logger
 
@@ -47,6 +47,14 @@
         Seed of the sampling.
     priority : int
         Lower values run first.
+    prefix : str
+        Text that an earlier run produced; generation goes on after it.
+    prefix_tokens : int
+        Number of tokens in `prefix`.
+    avoided : tuple of str
+        Names of engines that are not used.
+    visited : list of str
+        Takes the names of the engines that run the generation.
 
     """
 
@@ -57,6 +65,10 @@
     max_tokens: int
     seed: int = 0
     priority: int = 0
+    prefix: str = ''
+    prefix_tokens: int = 0
+    avoided: tuple[str, ...] = ()
+    visited: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -135,7 +147,7 @@
             Engines failed on it one after another.
 
         """
-        received = _Received()
+        received = _Received(generation.prefix, generation.prefix_tokens)
         failures = Failures(_MAX_ATTEMPTS, is_repeatable=True)
         while not failures.is_final:
             async with closing(
@@ -219,6 +231,7 @@
             )
         candidates = [_make_candidate(target) for target in usable.values()]
         chosen = self._chooser.choose(generation.prompt, candidates)
+        generation.visited.append(chosen.name)
         return usable[chosen.name]
 
     def _note_failure(self, target: Target, error: LadderError) -> None:
@@ -230,6 +243,8 @@
     entry = target.entry
     if entry.model != generation.model or entry.pool not in generation.pools:
         return False
+    if entry.name in generation.avoided:
+        return False
     centres = generation.data_centres
     return not centres or entry.data_centre in centres
 
--- a/packages/node/ladder_node/steps/capacity.py
+++ b/packages/node/ladder_node/steps/capacity.py
@@ -1,11 +1,33 @@
 """How many samples of a step the engines can take at once."""
 
+from dataclasses import dataclass
+
 from ladder_core.values import Allowance, HostKind
 from ladder_node.targets import Target, TargetTable
 
 _OVERCOMMIT_RATIO = 1.5
 
 
+@dataclass(frozen=True, slots=True)
+class Places:
+    """
+    Places in the batches of the engines that a step may use.
+
+    Attributes
+    ----------
+    engines : int
+        Places of all engines together.
+
+    """
+
+    engines: int
+
+    @property
+    def limit(self) -> int:
+        """Number of samples to have in flight, at least one."""
+        return max(1, int(self.engines * _OVERCOMMIT_RATIO))
+
+
 class StepCapacity:
     """
     Count the places in the batches of engines.
@@ -25,9 +47,9 @@
     def __init__(self, targets: TargetTable) -> None:
         self._targets = targets
 
-    def count_samples(self, model: str, allowance: Allowance) -> int:
+    def count_places(self, model: str, allowance: Allowance) -> Places:
         """
-        Return the number of samples to have in flight.
+        Return the places that a step may use.
 
         Parameters
         ----------
@@ -38,16 +60,16 @@
 
         Returns
         -------
-        int
-            At least one.
+        Places
+            The places of the engines that are available now.
 
         """
-        places = sum(
+        engines = sum(
             1 if target.state is None else target.state.batch_limit
             for target in self._targets.list_available(HostKind.engine)
             if _is_allowed(target, model, allowance)
         )
-        return max(1, int(places * _OVERCOMMIT_RATIO))
+        return Places(engines)
 
 
 def _is_allowed(target: Target, model: str, allowance: Allowance) -> bool:
--- a/packages/node/ladder_node/steps/events.py
+++ b/packages/node/ladder_node/steps/events.py
@@ -7,8 +7,10 @@
 from ladder_core.values import Group
 from ladder_node.steps.metrics import (
     GROUPS_HANDED_OVER,
+    HEDGES_WON,
     SAMPLES_FAILED,
     SAMPLES_FINISHED,
+    SAMPLES_HEDGED,
     SAMPLES_TOO_OLD,
     STALENESS,
     STEPS_OPEN,
@@ -59,6 +61,16 @@
             trainer=guard.version,
         )
 
+    def note_hedged(self, place: SamplePlace) -> None:
+        """Note a second run of a straggler."""
+        SAMPLES_HEDGED.labels(self._spec.trainer).inc()
+        self._timeline.record('sample-hedged', self._name(place))
+
+    def note_hedge_won(self, place: SamplePlace) -> None:
+        """Note a second run that finished before the first."""
+        HEDGES_WON.labels(self._spec.trainer).inc()
+        self._timeline.record('hedge-won', self._name(place))
+
     def note_failure(self, place: SamplePlace, error: Exception) -> None:
         """Note a failed attempt at a sample."""
         name = self._name(place)
--- a/packages/node/ladder_node/steps/factory.py
+++ b/packages/node/ladder_node/steps/factory.py
@@ -8,6 +8,7 @@
 from ladder_node.steps.runner import StepRunner
 from ladder_node.steps.sampler import SampleMaker
 from ladder_node.steps.spec import StepSpec
+from ladder_policy.stragglers import HedgePolicy, StragglerPolicy
 
 
 class RunnerFactory:
@@ -26,6 +27,8 @@
         Source of time.
     timeline : TimeLine
         Takes what happens to steps.
+    policy : StragglerPolicy, optional
+        Decides on second runs of samples.
 
     """
 
@@ -36,12 +39,14 @@
         capacity: StepCapacity,
         timers: TimerService,
         timeline: TimeLine,
+        policy: StragglerPolicy | None = None,
     ) -> None:
         self._generations = generations
         self._services = services
         self._capacity = capacity
         self._timers = timers
         self._timeline = timeline
+        self._policy = policy or HedgePolicy()
 
     def make(self, spec: StepSpec, allowance: Allowance) -> StepRunner:
         """
@@ -65,11 +70,13 @@
             allowance,
             self._generations,
             self._services,
+            self._policy,
         )
         return StepRunner(
             spec,
             maker,
-            lambda: self._capacity.count_samples(spec.model, allowance),
+            lambda: self._capacity.count_places(spec.model, allowance),
+            self._policy,
             self._timers,
             self._timeline,
         )
--- a/packages/node/ladder_node/steps/metrics.py
+++ b/packages/node/ladder_node/steps/metrics.py
@@ -27,6 +27,16 @@
     'Failed attempts at a sample, by kind of error.',
     ('trainer', 'kind'),
 )
+SAMPLES_HEDGED = Counter(
+    'ladder_samples_hedged_total',
+    'Second runs of stragglers.',
+    ('trainer',),
+)
+HEDGES_WON = Counter(
+    'ladder_hedges_won_total',
+    'Second runs that finished before the first.',
+    ('trainer',),
+)
 GROUPS_HANDED_OVER = Counter(
     'ladder_groups_handed_over_total',
     'Groups in answers to pulls, repeated answers included.',
--- a/packages/node/ladder_node/steps/pool.py
+++ b/packages/node/ladder_node/steps/pool.py
@@ -66,6 +66,11 @@
         """Number of samples that run."""
         return len(self._tasks)
 
+    @property
+    def waiting(self) -> int:
+        """Number of samples that wait."""
+        return len(self._queue)
+
     async def start(self) -> None:
         """Begin to run what was submitted, as engines come and go."""
         self._subscription = self._timers.subscribe(_FILL_SECONDS, self._refill)
--- a/packages/node/ladder_node/steps/production.py
+++ b/packages/node/ladder_node/steps/production.py
@@ -11,14 +11,17 @@
 from ladder_core.timers import TimerService
 from ladder_core.values import Group, Sample
 from ladder_node.steps.board import SampleBoard
+from ladder_node.steps.capacity import Places
 from ladder_node.steps.errors import StaleSampleError
 from ladder_node.steps.events import StepEvents
 from ladder_node.steps.handover import GroupFailure, HeldGroups
 from ladder_node.steps.pool import SamplePlace, SamplePool
+from ladder_node.steps.races import SampleRace
 from ladder_node.steps.sampler import Draft, SampleMaker
 from ladder_node.steps.signal import Signal
 from ladder_node.steps.spec import StepSpec
 from ladder_node.steps.staleness import StalenessGuard
+from ladder_node.steps.watch import StragglerWatch
 
 _RETRY_SECONDS = 0.5
 _MAX_DOUBLINGS = 3
@@ -35,8 +38,10 @@
         What to produce.
     maker : SampleMaker
         Generates and scores.
-    count_limit : callable
-        Returns the number of samples that may be in flight.
+    watch : StragglerWatch
+        Hedges stragglers; started and closed with the production.
+    count_places : callable
+        Returns the places of the engines.
     timers : TimerService
         Source of time.
     events : StepEvents
@@ -48,7 +53,8 @@
         self,
         spec: StepSpec,
         maker: SampleMaker,
-        count_limit: Callable[[], int],
+        watch: StragglerWatch,
+        count_places: Callable[[], Places],
         timers: TimerService,
         events: StepEvents,
     ) -> None:
@@ -57,7 +63,13 @@
         self._events = events
         self._guard = StalenessGuard()
         self._board = SampleBoard(len(spec.prompts), spec.samples_per_group)
-        self._pool = SamplePool(self._run_place, count_limit, timers)
+        self._watch = watch
+        self._pool = SamplePool(
+            self._run_place,
+            lambda: count_places().limit,
+            timers,
+        )
+        watch.observe(self._pool)
         self._attempts: dict[SamplePlace, int] = {}
         self._failures: dict[int, LadderError] = {}
         self._changes = Signal(timers)
@@ -76,9 +88,11 @@
         """Begin to produce all groups."""
         self.hold(HeldGroups())
         await self._pool.start()
+        await self._watch.start()
 
     async def close(self) -> None:
         """Cancel what runs."""
+        await self._watch.close()
         await self._pool.close()
 
     def hold(self, held: HeldGroups) -> None:
@@ -131,7 +145,10 @@
         try:
             sample = await self._produce(place)
         except _FINAL_ERRORS as error:
-            self._give_up(place.group, error)
+            self._failures[place.group] = error
+            self._release(place.group)
+            self._events.note_given_up(place.group, error)
+            self._changes.notify()
             return
         self._events.note_finished()
         if self._board.add(place.group, sample):
@@ -142,7 +159,7 @@
         failures = 0
         while True:
             try:
-                return await self._maker.make(draft, self._guard)
+                return await self._race(draft)
             except _FINAL_ERRORS:
                 raise
             except Exception as error:
@@ -151,6 +168,15 @@
             failures += 1
             await self._timers.sleep(_compute_delay(failures))
 
+    async def _race(self, draft: Draft) -> Sample:
+        draft.missing = len(self._board.list_missing(draft.place.group))
+        race = SampleRace(
+            lambda run: self._maker.make(run, self._guard),
+            draft,
+        )
+        with self._watch.follow(draft.place, race):
+            return await race.run()
+
     def _note_failure(self, draft: Draft, error: Exception) -> None:
         if isinstance(error, StaleSampleError):
             self._note_stale(draft.place)
@@ -162,12 +188,6 @@
         self._attempts[place] = self._attempts.get(place, 0) + 1
         self._events.note_stale(place, self._guard)
 
-    def _give_up(self, group: int, error: LadderError) -> None:
-        self._failures[group] = error
-        self._release(group)
-        self._events.note_given_up(group, error)
-        self._changes.notify()
-
 
 def _compute_delay(failures: int) -> float:
     doublings = min(failures - 1, _MAX_DOUBLINGS)
--- a/packages/node/ladder_node/steps/runner.py
+++ b/packages/node/ladder_node/steps/runner.py
@@ -7,12 +7,15 @@
 from ladder_core.timeline import TimeLine
 from ladder_core.timers import TimerService
 from ladder_core.values import Group
+from ladder_node.steps.capacity import Places
 from ladder_node.steps.errors import PullSupersededError
 from ladder_node.steps.events import StepEvents
 from ladder_node.steps.handover import Handover, HeldGroups, Pull
 from ladder_node.steps.production import StepProduction
 from ladder_node.steps.sampler import SampleMaker
 from ladder_node.steps.spec import StepSpec
+from ladder_node.steps.watch import StragglerWatch
+from ladder_policy.stragglers import StragglerPolicy
 
 _RETRY_SECONDS = 0.5
 
@@ -27,8 +30,10 @@
         What to produce.
     maker : SampleMaker
         Generates and scores.
-    count_limit : callable
-        Returns the number of samples that may be in flight.
+    count_places : callable
+        Returns the places of the engines.
+    policy : StragglerPolicy
+        Decides on second runs of samples.
     timers : TimerService
         Source of time.
     timeline : TimeLine
@@ -40,7 +45,8 @@
         self,
         spec: StepSpec,
         maker: SampleMaker,
-        count_limit: Callable[[], int],
+        count_places: Callable[[], Places],
+        policy: StragglerPolicy,
         timers: TimerService,
         timeline: TimeLine,
     ) -> None:
@@ -50,7 +56,8 @@
         self._production = StepProduction(
             spec,
             maker,
-            count_limit,
+            StragglerWatch(policy, count_places, timers, self._events),
+            count_places,
             timers,
             self._events,
         )
--- a/packages/node/ladder_node/steps/sampler.py
+++ b/packages/node/ladder_node/steps/sampler.py
@@ -16,6 +16,7 @@
 from ladder_node.steps.pool import SamplePlace
 from ladder_node.steps.spec import StepSpec
 from ladder_node.steps.staleness import StalenessGuard
+from ladder_policy.stragglers import StragglerPolicy
 
 _STEP_PRIORITY = 10
 _SEED_BITS = 31
@@ -38,6 +39,12 @@
         Versions that produced it, in order.
     is_generated : bool
         Whether the engine's end marker was received.
+    is_resumed : bool
+        Whether the text so far is another run's, to be gone on from.
+    missing : int
+        Samples that the group lacks.
+    visited, avoided : list of str
+        Engines that ran this draft, and those that must not.
 
     """
 
@@ -46,6 +53,10 @@
     text: str = ''
     spans: list[VersionSpan] = field(default_factory=list)
     is_generated: bool = False
+    is_resumed: bool = False
+    missing: int = 0
+    visited: list[str] = field(default_factory=list)
+    avoided: list[str] = field(default_factory=list)
 
     @property
     def tokens(self) -> int:
@@ -62,6 +73,18 @@
             tokens += self.spans.pop().tokens
         self.spans.append(VersionSpan(chunk.version, tokens))
 
+    def resume(self) -> 'Draft':
+        """Return a draft that goes on from here on another engine."""
+        return Draft(
+            self.place,
+            self.attempt,
+            self.text,
+            list(self.spans),
+            is_resumed=True,
+            missing=self.missing,
+            avoided=[*self.avoided, *self.visited],
+        )
+
     def clear(self) -> None:
         """Drop what was received."""
         self.text = ''
@@ -83,6 +106,8 @@
         Runs generations.
     services : PlainDispatcher
         Scores samples.
+    policy : StragglerPolicy
+        Adjusts priorities.
 
     """
 
@@ -92,7 +117,9 @@
         allowance: Allowance,
         generations: GenerationDispatcher,
         services: PlainDispatcher,
+        policy: StragglerPolicy,
     ) -> None:
+        self._policy = policy
         self._spec = spec
         self._allowance = allowance
         self._generations = generations
@@ -125,7 +152,8 @@
 
         """
         if not draft.is_generated:
-            draft.clear()
+            if not draft.is_resumed:
+                draft.clear()
             await self._generate(draft, guard)
         prompt = self._spec.prompts[draft.place.group]
         score = await self._services.score('', prompt, draft.text)
@@ -145,6 +173,10 @@
         place = draft.place
         identity = str(self._spec.identify(place.group, place.index))
         digest = xxhash.xxh3_64_intdigest(identity.encode())
+        adjustment = self._policy.adjust_priority(
+            draft.missing,
+            self._spec.samples_per_group,
+        )
         return Generation(
             model=self._spec.model,
             pools=self._allowance.pools,
@@ -152,7 +184,11 @@
             prompt=self._spec.prompts[place.group],
             max_tokens=self._spec.max_tokens,
             seed=digest % (1 << _SEED_BITS) + draft.attempt,
-            priority=_STEP_PRIORITY,
+            priority=_STEP_PRIORITY + adjustment,
+            prefix=draft.text,
+            prefix_tokens=draft.tokens,
+            avoided=tuple(draft.avoided),
+            visited=draft.visited,
         )
 
 
--- a/packages/node/ladder_node/steps/tests/fakes.py
+++ b/packages/node/ladder_node/steps/tests/fakes.py
@@ -51,6 +51,7 @@
         self.peak = 0
         self.started = []
         self.losing = set()
+        self.slow = {}
         self.failing = {}
         self.cutting = 0
 
@@ -79,7 +80,8 @@
             raise error
         total = CHUNKS * CHUNK_TOKENS
         for position in range(request.prefix_tokens, total, CHUNK_TOKENS):
-            await self.timers.sleep(CHUNK_SECONDS)
+            seconds = CHUNK_SECONDS * self.slow.get(address, 1)
+            await self.timers.sleep(seconds)
             if address in self.losing:
                 raise TargetLostError('lost', remedy='go on elsewhere')
             yield Chunk(
--- a/packages/node/ladder_node/steps/tests/test_handover.py
+++ b/packages/node/ladder_node/steps/tests/test_handover.py
@@ -92,6 +92,7 @@
             runner.pull(make_pull(5, wait_seconds=30), bound(2)),
         )
         await world.timers.settle()
+        assert older.done()
         with pytest.raises(PullSupersededError):
             await older
         newer.cancel()
@@ -140,6 +141,8 @@
         )
         await world.timers.settle()
         await world.registry.finish('cask-notes', 0)
+        await world.timers.settle()
+        assert pull.done()
         with pytest.raises(StepClosedError):
             await pull
 
@@ -153,6 +156,8 @@
         await world.timers.settle()
         await runner.close()
         await runner.close()
+        await world.timers.settle()
+        assert pull.done()
         with pytest.raises(NotReadyError, match='another entry host'):
             await pull
         assert world.list_kinds().count('step-ended') == 1
--- a/packages/node/ladder_node/steps/tests/test_interleavings.py
+++ b/packages/node/ladder_node/steps/tests/test_interleavings.py
@@ -88,7 +88,12 @@
     world.engines.losing.add('e1')
 
 
+async def slow_engine(world, trainer):
+    world.engines.slow['e2'] = 9
+
+
 async def mend_engines(world, trainer):
+    world.engines.slow.clear()
     world.engines.losing.clear()
     world.engines.failing.clear()
 
@@ -120,6 +125,7 @@
     switch,
     lose_answer,
     lose_engine,
+    slow_engine,
     mend_engines,
     cut_store,
     mend_store,
--- a/packages/node/ladder_node/steps/tests/test_takeover.py
+++ b/packages/node/ladder_node/steps/tests/test_takeover.py
@@ -1,8 +1,10 @@
 import asyncio
 
+import msgspec
 import pytest
 
 from ladder_core.errors import UnknownNameError
+from ladder_core.values import Group
 from ladder_node.steps.errors import (
     StepClosedError,
     StepContentsError,
@@ -182,6 +184,7 @@
         await world.timers.advance(1)
         world.table.is_out = False
         await world.timers.advance(9)
+        assert pull.done()
         with pytest.raises(StepContentsError):
             await pull
 
@@ -209,3 +212,12 @@
         await world.timers.advance(20)
         batches = [name for name in world.objects.puts if 'spec' not in name]
         assert 1 < len(batches) <= 10
+        saved = [
+            group.index
+            for name in batches
+            for group in msgspec.json.decode(
+                world.objects.bodies[name],
+                type=tuple[Group, ...],
+            )
+        ]
+        assert sorted(saved) == list(range(12))
