--- /dev/null
+++ b/bench/local_targets.py
@@ -0,0 +1,96 @@
+"""Engines and a scorer that run in this process, in real time."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import msgspec
+import numpy as np
+
+from ladder_clients.engines import (
+    Chunk,
+    EngineClient,
+    EngineState,
+    GenerateRequest,
+    Order,
+    OrderOutcome,
+)
+from ladder_clients.services import (
+    PlainAnswer,
+    PlainRequest,
+    PlainServiceClient,
+)
+from ladder_standins.engine.machine import EngineMachine
+from ladder_standins.engine.settings import EngineSettings
+from ladder_standins.records import Records
+
+_BATCH_LIMIT = 8
+_TOKENS = 24
+_LONG_RATIO = 20
+_LONG_SHARE = 0.1
+
+
+class LocalEngines(EngineClient):
+    """
+    Engines of this process.
+
+    Parameters
+    ----------
+    speeds : dict of str to float
+        Tokens a second of one stream, by name of the engine.
+    seed : int
+        Decides which samples are long.
+
+    """
+
+    def __init__(self, speeds: dict[str, float], seed: int) -> None:
+        self._seed = seed
+        self._machines = {
+            name: EngineMachine(
+                EngineSettings(
+                    name,
+                    'cask',
+                    '',
+                    batch_limit=_BATCH_LIMIT,
+                    tokens_per_second=speed,
+                ),
+                Records(None),
+            )
+            for name, speed in speeds.items()
+        }
+
+    async def generate(
+        self,
+        address: str,
+        request: GenerateRequest,
+    ) -> AsyncIterator[Chunk]:
+        """Run a generation whose length its seed decides."""
+        generator = np.random.default_rng((self._seed, request.seed))
+        length = _TOKENS
+        if generator.random() < _LONG_SHARE:
+            length *= _LONG_RATIO
+        sized = msgspec.structs.replace(
+            request,
+            prompt=f'{request.prompt} [length={length}]',
+        )
+        machine = self._machines[address]
+        async for chunk in machine.generate(sized, asyncio.Event()):
+            yield chunk
+
+    async def cancel(self, address: str, request_id: str) -> None:
+        """Do nothing: closing the stream ends the run."""
+
+    async def read_state(self, address: str) -> EngineState:
+        """Return an engine's word."""
+        return self._machines[address].read_state()
+
+    async def order(self, address: str, order: Order) -> OrderOutcome:
+        """Refuse all orders."""
+        return OrderOutcome(accepted=False)
+
+
+class LocalScorer(PlainServiceClient):
+    """A scorer that takes no time."""
+
+    async def call(self, address: str, request: PlainRequest) -> PlainAnswer:
+        """Score a sample."""
+        return PlainAnswer(200, b'{"score": 1}', 'application/json')
--- a/packages/node/ladder_node/steps/production.py
+++ b/packages/node/ladder_node/steps/production.py
@@ -174,8 +174,10 @@
             lambda run: self._maker.make(run, self._guard),
             draft,
         )
-        with self._watch.follow(draft.place, race):
-            return await race.run()
+        with self._watch.follow(draft.place, race) as taken:
+            sample = await race.run()
+            taken.append(sample)
+        return sample
 
     def _note_failure(self, draft: Draft, error: Exception) -> None:
         if isinstance(error, StaleSampleError):
--- a/packages/node/ladder_node/steps/races.py
+++ b/packages/node/ladder_node/steps/races.py
@@ -37,6 +37,11 @@
         """Number of runs in flight."""
         return len(self._drafts)
 
+    @property
+    def tokens(self) -> int:
+        """Tokens of the longest run."""
+        return max(map(_read_tokens, self._drafts.values()), default=0)
+
     @property
     def is_won_by_hedge(self) -> bool:
         """Whether a copy finished before the first run."""
--- a/packages/node/ladder_node/steps/watch.py
+++ b/packages/node/ladder_node/steps/watch.py
@@ -8,6 +8,7 @@
 
 from ladder_core.supervision import Service
 from ladder_core.timers import Subscription, TimerService
+from ladder_core.values import Sample
 from ladder_node.steps.capacity import Places
 from ladder_node.steps.events import StepEvents
 from ladder_node.steps.pool import SamplePlace, SamplePool
@@ -19,7 +20,7 @@
 )
 
 _PERIOD_SECONDS = 0.25
-_KEPT_DURATIONS = 256
+_KEPT_SAMPLES = 256
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,7 +58,7 @@
         self._timers = timers
         self._events = events
         self._entries: dict[SamplePlace, _Entry] = {}
-        self._durations: deque[float] = deque(maxlen=_KEPT_DURATIONS)
+        self._finished: deque[RunningSample] = deque(maxlen=_KEPT_SAMPLES)
         self._pool: SamplePool | None = None
         self._subscription: Subscription | None = None
 
@@ -79,16 +80,29 @@
             self._subscription = None
 
     @contextlib.contextmanager
-    def follow(self, place: SamplePlace, race: SampleRace) -> Iterator[None]:
-        """Count a race as in flight, and its time when it is won."""
+    def follow(
+        self,
+        place: SamplePlace,
+        race: SampleRace,
+    ) -> Iterator[list[Sample]]:
+        """
+        Count a race as in flight.
+
+        Yields
+        ------
+        list of Sample
+            Takes the sample that the race ends with.
+
+        """
+        taken: list[Sample] = []
         entry = _Entry(race, self._timers.now())
         self._entries[place] = entry
         try:
-            yield
+            yield taken
         finally:
             if self._entries.get(place) is entry:
                 self._entries.pop(place)
-        self._durations.append(self._timers.now() - entry.begun)
+        self._note_finished(place, entry, taken)
         if race.is_won_by_hedge:
             self._events.note_hedge_won(place)
 
@@ -101,6 +115,19 @@
             self._entries[place].race.hedge()
             self._events.note_hedged(place)
 
+    def _note_finished(
+        self,
+        place: SamplePlace,
+        entry: _Entry,
+        taken: list[Sample],
+    ) -> None:
+        seconds = self._timers.now() - entry.begun
+        spans = (span for sample in taken for span in sample.spans)
+        tokens = sum(span.tokens for span in spans)
+        self._finished.append(
+            RunningSample(place.group, place.index, seconds, tokens),
+        )
+
     def _read_progress(self, pool: SamplePool) -> StepProgress:
         now = self._timers.now()
         running = tuple(
@@ -108,11 +135,18 @@
                 place.group,
                 place.index,
                 now - entry.begun,
+                entry.race.tokens,
                 entry.race.runs,
             )
             for place, entry in self._entries.items()
         )
         busy = sum(sample.runs for sample in running)
-        typical = statistics.median(self._durations) if self._durations else 0
+        finished = self._finished or (RunningSample(0, 0, 0),)
         idle = self._count_places().engines - busy
-        return StepProgress(pool.waiting, idle, typical, running)
+        return StepProgress(
+            pool.waiting,
+            idle,
+            statistics.median(sample.seconds for sample in finished),
+            statistics.median(sample.rate for sample in finished),
+            running,
+        )
--- a/packages/policy/ladder_policy/stragglers/base.py
+++ b/packages/policy/ladder_policy/stragglers/base.py
@@ -15,6 +15,8 @@
         Its place within the step.
     seconds : float
         Time since its generation began.
+    tokens : int
+        Tokens of its longest run.
     runs : int
         Number of runs of it that are in flight.
 
@@ -23,8 +25,14 @@
     group: int
     index: int
     seconds: float
+    tokens: int = 0
     runs: int = 1
 
+    @property
+    def rate(self) -> float:
+        """Tokens a second."""
+        return self.tokens / self.seconds if self.seconds > 0 else 0
+
 
 @dataclass(frozen=True, slots=True)
 class StepProgress:
@@ -39,6 +47,8 @@
         Places in the batches of the engines that the step leaves idle.
     typical_seconds : float
         Median time of the samples that have finished; zero without any.
+    typical_rate : float
+        Their median tokens a second.
     running : tuple of RunningSample
         Samples in flight.
 
@@ -47,6 +57,7 @@
     waiting: int
     idle_places: int
     typical_seconds: float
+    typical_rate: float
     running: tuple[RunningSample, ...]
 
 
--- a/packages/policy/ladder_policy/stragglers/hedge.py
+++ b/packages/policy/ladder_policy/stragglers/hedge.py
@@ -19,17 +19,19 @@
 
 class HedgePolicy(StragglerPolicy):
     """
-    Hedge late samples once nothing waits, the last members of groups first.
+    Hedge samples that are late and slow once nothing waits.
 
     Notes
     -----
-    A hedge only takes places that are idle, so it never delays a first run.
+    A sample that is merely long gains nothing on an engine that is as fast,
+    and its second run slows the others there. So its tokens a second must be
+    well below those of the samples that have finished.
 
     Examples
     --------
-    >>> late = RunningSample(0, 0, seconds=9)
-    >>> fresh = RunningSample(1, 0, seconds=1)
-    >>> progress = StepProgress(0, 8, 2, (late, fresh))
+    >>> slow = RunningSample(0, 0, seconds=9, tokens=9)
+    >>> long = RunningSample(1, 0, seconds=9, tokens=90)
+    >>> progress = StepProgress(0, 8, 2, 10, (slow, long))
     >>> [sample.group for sample in HedgePolicy().choose(progress)]
     [0]
 
@@ -39,11 +41,10 @@
         """Choose the longest running samples, one for each idle place."""
         if progress.waiting or progress.typical_seconds <= 0:
             return ()
-        limit = _LATE_RATIO * progress.typical_seconds
         late = [
             sample
             for sample in progress.running
-            if sample.runs == 1 and sample.seconds > limit
+            if sample.runs == 1 and _is_late(sample, progress)
         ]
         late.sort(key=_read_seconds, reverse=True)
         return tuple(late[: max(progress.idle_places, 0)])
@@ -53,5 +54,11 @@
         return -1 if missing <= size * _LAST_SHARE else 0
 
 
+def _is_late(sample: RunningSample, progress: StepProgress) -> bool:
+    if sample.seconds <= _LATE_RATIO * progress.typical_seconds:
+        return False
+    return sample.rate * _LATE_RATIO < progress.typical_rate
+
+
 def _read_seconds(sample: RunningSample) -> float:
     return sample.seconds
--- a/packages/policy/ladder_policy/stragglers/tests/test_hedge.py
+++ b/packages/policy/ladder_policy/stragglers/tests/test_hedge.py
@@ -9,7 +9,7 @@
 
 
 def choose(waiting=0, idle=9, typical=1, running=LATE):
-    progress = StepProgress(waiting, idle, typical, running)
+    progress = StepProgress(waiting, idle, typical, 10, running)
     return [sample.group for sample in HedgePolicy().choose(progress)]
 
 
@@ -27,6 +27,11 @@
     assert choose(typical=0) == []
 
 
+def test_long_sample_on_a_fast_engine_is_left_there():
+    assert choose(running=(RunningSample(0, 0, 20, tokens=200),)) == []
+    assert choose(running=(RunningSample(0, 0, 20, tokens=20),)) == [0]
+
+
 def test_hedged_sample_is_not_hedged_again():
     assert choose(running=(RunningSample(0, 0, 99, runs=2),)) == []
 
--- a/packages/policy/ladder_policy/stragglers/wait.py
+++ b/packages/policy/ladder_policy/stragglers/wait.py
@@ -14,7 +14,7 @@
     Examples
     --------
     >>> late = RunningSample(0, 0, seconds=100)
-    >>> WaitPolicy().choose(StepProgress(0, 8, 1, (late,)))
+    >>> WaitPolicy().choose(StepProgress(0, 8, 1, 9, (late,)))
     ()
 
     """
