--- a/packages/node/ladder_node/steps/tests/test_stragglers.py
+++ b/packages/node/ladder_node/steps/tests/test_stragglers.py
@@ -75,3 +75,14 @@
         await world.open(make_spec(groups=8, size=4))
         await world.timers.advance(SLOW)
         assert 'sample-hedged' not in world.list_kinds()
+
+
+async def test_straggler_gets_no_second_run_on_its_own_engine():
+    async with run_world() as world:
+        world.engines.slow['e1'] = SLOW
+        await world.open(make_spec(groups=1, size=4))
+        await world.timers.advance(5)
+        world.targets.mark_leaving('e2')
+        await world.timers.advance(9)
+        assert 'sample-hedged' in world.list_kinds()
+        assert len(world.engines.started) == 4
