--- a/packages/node/ladder_node/dispatch/engine_choice.py
+++ b/packages/node/ladder_node/dispatch/engine_choice.py
@@ -1,6 +1,6 @@
 """What is to be generated, and on which engine."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from math import inf
 
 from ladder_core.errors import TargetUnavailableError
@@ -33,6 +33,14 @@
         Seed of the sampling.
     priority : int
         Lower values run first.
+    prefix : str
+        Text that an earlier run produced; generation goes on after it.
+    prefix_tokens : int
+        Number of tokens in `prefix`.
+    avoided : tuple of str
+        Names of engines that are not used.
+    visited : list of str
+        Takes the names of the engines that run the generation.
     deadline : float
         Seconds on the timer service's clock after which nobody waits.
 
@@ -45,6 +53,10 @@
     max_tokens: int
     seed: int = 0
     priority: int = 0
+    prefix: str = ''
+    prefix_tokens: int = 0
+    avoided: tuple[str, ...] = ()
+    visited: list[str] = field(default_factory=list)
     deadline: float = inf
 
 
@@ -103,6 +115,7 @@
         candidates = [_make_candidate(target) for target in usable.values()]
         near = self._regions.narrow(candidates)
         chosen = self._chooser.choose(generation.prompt, near)
+        generation.visited.append(chosen.name)
         return usable[chosen.name]
 
 
@@ -110,6 +123,8 @@
     entry = target.entry
     if entry.model != generation.model or entry.pool not in generation.pools:
         return False
+    if entry.name in generation.avoided:
+        return False
     centres = generation.data_centres
     return not centres or entry.data_centre in centres
 
--- a/packages/node/ladder_node/dispatch/generation.py
+++ b/packages/node/ladder_node/dispatch/generation.py
@@ -128,7 +128,7 @@
             Engines failed on it one after another.
 
         """
-        received = _Received()
+        received = _Received(generation.prefix, generation.prefix_tokens)
         failures = Failures(_MAX_ATTEMPTS, is_repeatable=True)
         self._retries.note_request()
         while await self._may_try(failures):
--- /dev/null
+++ b/packages/policy/ladder_policy/stragglers/hedge.py
@@ -0,0 +1,64 @@
+"""
+Run stragglers a second time on idle engines.
+
+References
+----------
+Dean and Barroso, "The Tail at Scale", Communications of the ACM, 2013.
+
+"""
+
+from ladder_policy.stragglers.base import (
+    RunningSample,
+    StepProgress,
+    StragglerPolicy,
+)
+
+_LATE_RATIO = 2
+_LAST_SHARE = 0.25
+
+
+class HedgePolicy(StragglerPolicy):
+    """
+    Hedge samples that are late and slow once nothing waits.
+
+    Notes
+    -----
+    A sample that is merely long gains nothing on an engine that is as fast,
+    and its second run slows the others there. So its tokens a second must be
+    well below those of the samples that have finished.
+
+    Examples
+    --------
+    >>> slow = RunningSample(0, 0, seconds=9, tokens=9)
+    >>> long = RunningSample(1, 0, seconds=9, tokens=90)
+    >>> progress = StepProgress(0, 8, 2, 10, (slow, long))
+    >>> [sample.group for sample in HedgePolicy().choose(progress)]
+    [0]
+
+    """
+
+    def choose(self, progress: StepProgress) -> tuple[RunningSample, ...]:
+        """Choose the longest running samples, one for each idle place."""
+        if progress.waiting or progress.typical_seconds <= 0:
+            return ()
+        late = [
+            sample
+            for sample in progress.running
+            if sample.runs == 1 and _is_late(sample, progress)
+        ]
+        late.sort(key=_read_seconds, reverse=True)
+        return tuple(late[: max(progress.idle_places, 0)])
+
+    def adjust_priority(self, missing: int, size: int) -> int:
+        """Prefer the last members of a group."""
+        return -1 if missing <= size * _LAST_SHARE else 0
+
+
+def _is_late(sample: RunningSample, progress: StepProgress) -> bool:
+    if sample.seconds <= _LATE_RATIO * progress.typical_seconds:
+        return False
+    return sample.rate * _LATE_RATIO < progress.typical_rate
+
+
+def _read_seconds(sample: RunningSample) -> float:
+    return sample.seconds
