--- a/packages/node/ladder_node/dispatch/generation.py
+++ b/packages/node/ladder_node/dispatch/generation.py
@@ -192,6 +192,7 @@
         request = _make_request(generation, received)
         traffic = _TEXT.labels(target.entry.region)
         traffic.inc(len(request.prompt) + len(request.prefix))
+        stated = 0 if target.state is None else target.state.version
         with self._dispatch(target, request) as dispatch:
             async with closing(
                 self._engines.generate(address, request),
@@ -200,6 +201,7 @@
                     received.add(chunk)
                     traffic.inc(len(chunk.text))
                     dispatch.is_open = not chunk.end
+                    self._compare_version(target, chunk, stated)
                     yield chunk
             if dispatch.is_open:
                 raise TargetLostError(
@@ -207,6 +209,16 @@
                     remedy='go on elsewhere from what was received',
                 )
 
+    def _compare_version(
+        self,
+        target: Target,
+        chunk: Chunk,
+        stated: int,
+    ) -> None:
+        if chunk.tokens:
+            name = target.entry.name
+            self._targets.note_served_version(name, chunk.version, stated)
+
     @contextmanager
     def _dispatch(
         self,
--- a/packages/node/ladder_node/entry/tests/test_admission.py
+++ b/packages/node/ladder_node/entry/tests/test_admission.py
@@ -57,6 +57,7 @@
     with pytest.raises(OverloadedError) as caught:
         admission.admit(NOISY)
     assert caught.value.execution is Execution.not_run
+    assert caught.value.retry_after
     await timers.advance(caught.value.retry_after)
     admission.admit(NOISY)
 
--- a/packages/node/ladder_node/targets/table.py
+++ b/packages/node/ladder_node/targets/table.py
@@ -17,6 +17,7 @@
     'Failures that opened the circuit of a target',
     ['reason'],
 )
+_DOUBT_SECONDS = 20
 
 
 @dataclass(slots=True)
@@ -40,6 +41,9 @@
         Whether the target is kept for one request.
     circuit : Circuit
         Keeps new requests from the target when it fails.
+    doubted_until : float
+        Seconds on the timer service's clock before which the target gets no
+        new requests, because its streams name an older version than its word.
 
     """
 
@@ -50,6 +54,7 @@
     is_leaving: bool = False
     is_reserved: bool = False
     circuit: Circuit = field(default_factory=Circuit)
+    doubted_until: float = 0
 
 
 class TargetTable:
@@ -153,6 +158,48 @@
             self._timeline.record('target-suspended', name, reason=reason)
         target.circuit.fail(now)
 
+    def note_served_version(
+        self,
+        name: str,
+        served: int,
+        stated: int,
+    ) -> None:
+        """
+        Compare what a stream names with the target's word.
+
+        Parameters
+        ----------
+        name : str
+            Name of the target.
+        served : int
+            Version of a chunk.
+        stated : int
+            Version that the target stated before the request was sent.
+
+        Notes
+        -----
+        A target that serves an older version than it stated gets no new
+        requests for a while, in which it is ordered to load again.
+
+        """
+        target = self._targets.get(name)
+        now = self._timers.now()
+        if target is None or served >= stated or now < target.doubted_until:
+            return
+        self.doubt(name, target.entry.address)
+        self._timeline.record(
+            'version-contradicted',
+            name,
+            stated=stated,
+            served=served,
+        )
+
+    def doubt(self, name: str, address: str) -> None:
+        """Give a target whose word was contradicted no new requests."""
+        target = self._targets.get(name)
+        if target is not None and target.entry.address == address:
+            target.doubted_until = self._timers.now() + _DOUBT_SECONDS
+
     def list_all(self, kind: HostKind, pool: str = '') -> list[Target]:
         """Return the targets of a kind, of one pool if it is named."""
         return [
@@ -202,6 +249,8 @@
 def _is_available(target: Target, now: float) -> bool:
     if target.is_leaving or target.is_reserved:
         return False
+    if now < target.doubted_until:
+        return False
     if not target.circuit.allows(now, target.sent):
         return False
     return target.state is None or target.state.role is Role.serving
