Give the in-process tables one set of rows and the field's words

Cause: two tables in the tests' own process kept rows, revisions and outcomes twice beside the stand-in's; one spoke of weather, fate and forecasts. A pull that a drain cuts short left its cancelled task unawaited.

--- a/packages/clients/ladder_clients/table/tests/test_resilient.py
+++ b/packages/clients/ladder_clients/table/tests/test_resilient.py
@@ -14,8 +14,8 @@
 from ladder_core.errors import StoreUnavailableError
 from ladder_core.timeline import HybridClock, HybridTime, TimeLine
 from ladder_core.timers import ManualTimerService
-from ladder_standins.memory import Fate, MemoryTable, Weather
 from ladder_standins.rows import TableRows
+from ladder_standins.timed_table import CallConditions, CallEnding, TimedTable
 
 INSERT = Transaction(
     'token',
@@ -25,17 +25,17 @@
 
 
 class Bench:
-    """A resilient client over a table whose weather a test sets."""
+    """A resilient client over a table whose conditions a test sets."""
 
     def __init__(self, call_seconds=2, is_urgent=False, budget=None):
         self.timers = ManualTimerService()
-        self.weather = []
-        self.climate = Weather()
+        self.planned = []
+        self.usual = CallConditions()
         self.calls = []
         self.writes: list[str] = []
         self.gate = TableGate(self.timers, budget)
         rows = TableRows(lambda kind, subject, **_: self.writes.append(subject))
-        inner = MemoryTable(rows, self.timers, self._forecast)
+        inner = TimedTable(rows, self.timers, self._draw)
         self.client = ResilientTableClient(
             inner,
             self.gate,
@@ -55,23 +55,23 @@
             with pytest.raises(StoreUnavailableError):
                 await self.run(self.client.read('t', 'k'))
 
-    def _forecast(self):
+    def _draw(self):
         self.calls.append(self.timers.now())
-        return self.weather.pop(0) if self.weather else self.climate
+        return self.planned.pop(0) if self.planned else self.usual
 
 
 async def test_down_store_is_probed_and_not_called_for_each_request():
     bench = Bench(budget=TableBudget(burst=1000))
     timeline = TimeLine('a', HybridClock(bench.timers))
     bench.gate.report_to(timeline)
-    bench.climate = Weather(Fate.refused)
+    bench.usual = CallConditions(CallEnding.refused)
     await bench.fail(5)
     calls = len(bench.calls)
     for _ in range(50):
         with pytest.raises(StoreUnavailableError):
             await bench.client.read('t', 'k')
     assert len(bench.calls) == calls
-    bench.climate = Weather()
+    bench.usual = CallConditions()
     await bench.timers.advance(1)
     await bench.run(bench.client.read('t', 'k'))
     assert not bench.gate.breaker.is_open
@@ -81,7 +81,7 @@
 
 async def test_slow_store_of_five_seconds_a_call_is_given_up_at_the_limit():
     bench = Bench()
-    bench.climate = Weather(before=2.5, after=2.5)
+    bench.usual = CallConditions(before=2.5, after=2.5)
     with pytest.raises(StoreUnavailableError):
         await bench.run(bench.client.read('t', 'k'))
     assert bench.timers.now() <= 2.5
@@ -93,7 +93,7 @@
     bench = Bench(call_seconds=6, is_urgent=True)
     for _ in range(9):
         bench.gate.breaker.note_failure()
-    bench.climate = Weather(before=2.5, after=2.5)
+    bench.usual = CallConditions(before=2.5, after=2.5)
     outcome = await bench.run(bench.client.commit(INSERT))
     assert outcome.committed
     assert bench.gate.breaker.is_open
@@ -102,7 +102,9 @@
 @pytest.mark.parametrize('losses', [1, 2])
 async def test_effect_without_answer_is_learnt_and_happens_once(losses):
     bench = Bench()
-    bench.weather = [Weather(Fate.answer_lost) for _ in range(losses)]
+    bench.planned = [
+        CallConditions(CallEnding.answer_lost) for _ in range(losses)
+    ]
     outcome = await bench.run(bench.client.commit(INSERT))
     assert outcome.committed
     assert bench.writes == ['t/k']
@@ -111,7 +113,7 @@
 
 async def test_late_effect_happens_once():
     bench = Bench()
-    bench.weather = [Weather(Fate.late_effect, lateness=30)]
+    bench.planned = [CallConditions(CallEnding.late_effect, lateness=30)]
     assert (await bench.run(bench.client.commit(INSERT))).committed
     await bench.timers.advance(60)
     assert bench.writes == ['t/k']
@@ -119,7 +121,10 @@
 
 async def test_lost_answer_is_no_refusal_although_the_store_goes_down():
     bench = Bench()
-    bench.weather = [Weather(Fate.answer_lost), Weather(Fate.refused)]
+    bench.planned = [
+        CallConditions(CallEnding.answer_lost),
+        CallConditions(CallEnding.refused),
+    ]
     with pytest.raises(StoreOutcomeUnknownError):
         await bench.run(bench.client.commit(INSERT))
     assert bench.writes == ['t/k']
@@ -127,7 +132,7 @@
 
 async def test_calls_beyond_the_queue_are_refused_at_once():
     bench = Bench(budget=TableBudget(burst=1000, pending_calls=8))
-    bench.climate = Weather(before=2.5)
+    bench.usual = CallConditions(before=2.5)
     tasks = [
         asyncio.create_task(bench.client.read('t', 'k')) for _ in range(100)
     ]
--- a/packages/node/ladder_node/app/requests.py
+++ b/packages/node/ladder_node/app/requests.py
@@ -55,7 +55,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Surroundings:
+class DispatchParts:
     """
     What the dispatchers stand on.
 
@@ -84,7 +84,7 @@
     timeline: TimeLine
 
 
-def make_dispatchers(around: Surroundings) -> Dispatchers:
+def make_dispatchers(around: DispatchParts) -> Dispatchers:
     """Return the dispatchers of a node."""
     clients, timers = around.clients, around.timers
     board = SharedSuspectBoard(clients.table, around.gossip, timers)
@@ -116,7 +116,7 @@
     return Dispatchers(generations, services, keyed, children)
 
 
-def _make_log(around: Surroundings, children: Supervisor) -> IntentLog:
+def _make_log(around: DispatchParts, children: Supervisor) -> IntentLog:
     table, timers = around.clients.table, around.timers
     writer = IntentWriter(table, timers)
     children.add(writer)
--- a/packages/node/ladder_node/app/tree.py
+++ b/packages/node/ladder_node/app/tree.py
@@ -9,7 +9,7 @@
 from ladder_node.app.clients import Clients, make_clients
 from ladder_node.app.duties import add_duties, make_leases
 from ladder_node.app.peers import make_peers
-from ladder_node.app.requests import Surroundings, make_dispatchers
+from ladder_node.app.requests import DispatchParts, make_dispatchers
 from ladder_node.configuration import ConfigurationKeeper
 from ladder_node.entry import (
     Drain,
@@ -125,7 +125,7 @@
     tenure = StepTenure(leases, settings.entry_address)
     peers = make_peers(settings, configuration, targets, timers, timeline)
     dispatchers = make_dispatchers(
-        Surroundings(
+        DispatchParts(
             settings=settings,
             clients=clients,
             targets=targets,
--- a/packages/node/ladder_node/duties/tests/test_lease.py
+++ b/packages/node/ladder_node/duties/tests/test_lease.py
@@ -16,8 +16,8 @@
     guard,
     rank_node,
 )
-from ladder_standins.memory import Fate, MemoryTable, Weather
 from ladder_standins.rows import TableRows
+from ladder_standins.timed_table import CallConditions, CallEnding, TimedTable
 
 DUTY = 'pool/brewmind'
 
@@ -78,7 +78,7 @@
             draw.uniform(0, 1000),
             draw.uniform(0.98, 1.02),
         )
-        self.network = MemoryTable(rows, base, lambda: draw_weather(draw))
+        self.network = TimedTable(rows, base, lambda: draw_conditions(draw))
         self.table = PausableTable(self.network, self.timers.running)
         self.lease = None
         self.timeline = TimeLine(name, HybridClock(self.timers))
@@ -116,11 +116,11 @@
             return
 
 
-def draw_weather(draw):
-    fate = draw.choices(tuple(Fate), (8, 1, 1, 1))[0]
+def draw_conditions(draw):
+    ending = draw.choices(tuple(CallEnding), (8, 1, 1, 1))[0]
     slowness = draw.choice((0, 0, 0.3, 5))
-    return Weather(
-        fate,
+    return CallConditions(
+        ending,
         before=draw.random() * slowness,
         after=draw.random() * slowness,
         lateness=draw.random() * 30,
@@ -192,9 +192,9 @@
     assert is_broken
 
 
-def make_keeper(name, rows, timers, forecast=Weather):
+def make_keeper(name, rows, timers, draw=CallConditions):
     return LeaseKeeper(
-        MemoryTable(rows, timers, forecast),
+        TimedTable(rows, timers, draw),
         Holder(name, f'{name}:1'),
         timers,
         TimeLine(name, HybridClock(timers)),
@@ -259,9 +259,9 @@
 async def test_slow_store_of_five_seconds_a_call_keeps_leases():
     timers = ManualTimerService()
     rows = TableRows(ignore_write)
-    forecasts = iter([Weather(), Weather()])
-    slow = Weather(before=2.5, after=2.5)
-    keeper = make_keeper('a', rows, timers, lambda: next(forecasts, slow))
+    planned = iter([CallConditions(), CallConditions()])
+    slow = CallConditions(before=2.5, after=2.5)
+    keeper = make_keeper('a', rows, timers, lambda: next(planned, slow))
     await keeper.start()
     lease = await keeper.acquire(DUTY)
     for _ in range(120):
@@ -273,8 +273,10 @@
 async def test_lost_answer_of_an_acquisition_is_followed_by_another():
     timers = ManualTimerService()
     rows = TableRows(ignore_write)
-    forecasts = iter([Weather(), Weather(Fate.answer_lost)])
-    keeper = make_keeper('a', rows, timers, lambda: next(forecasts, Weather()))
+    planned = iter([CallConditions(), CallConditions(CallEnding.answer_lost)])
+    keeper = make_keeper(
+        'a', rows, timers, lambda: next(planned, CallConditions())
+    )
     assert await keeper.acquire(DUTY) is None
     lease = await keeper.acquire(DUTY)
     assert lease.epoch == 2
@@ -295,7 +297,7 @@
     assert moved == [duty for duty in duties if before[duty] == nodes[0]]
 
 
-class CountingTable(MemoryTable):
+class CountingTable(TimedTable):
     """Count the calls of all nodes."""
 
     def __init__(self, rows, timers):
--- a/packages/node/ladder_node/duties/tests/test_weights.py
+++ b/packages/node/ladder_node/duties/tests/test_weights.py
@@ -8,8 +8,8 @@
 from ladder_node.duties import Holder, Lease, LeaseKeeper, WeightRollout
 from ladder_node.targets import TargetTable
 from ladder_policy.versions import AllAtOncePlanner
-from ladder_standins.memory import MemoryTable
 from ladder_standins.rows import TableRows
+from ladder_standins.timed_table import TimedTable
 
 POOL = 'brewmind'
 
@@ -64,7 +64,7 @@
         self.targets = TargetTable(bench.timers, self.timeline)
         self.targets.update_hosts(bench.entries)
         self.keeper = LeaseKeeper(
-            MemoryTable(bench.rows, bench.timers),
+            TimedTable(bench.rows, bench.timers),
             Holder(name, f'{name}:1'),
             bench.timers,
             self.timeline,
--- a/packages/node/ladder_node/entry/drain.py
+++ b/packages/node/ladder_node/entry/drain.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
-from typing import TypeVar
+from typing import Any, TypeVar
 
 from starlette.datastructures import MutableHeaders
 from starlette.types import ASGIApp, Message, Receive, Scope, Send
@@ -124,8 +124,7 @@
             if waiting.done():
                 return waiting.result()
         finally:
-            finishing.cancel()
-            waiting.cancel()
+            await _end(finishing, waiting)
         return await pull(0)
 
     def begin_request(self) -> None:
@@ -142,6 +141,13 @@
             self._idle.set()
 
 
+async def _end(*tasks: asyncio.Task[Any]) -> None:
+    """Cancel tasks and wait for their ends."""
+    for task in tasks:
+        task.cancel()
+    await asyncio.wait(tasks)
+
+
 class EntryMiddleware:
     """
     Count requests, and have callers leave a node that drains.
--- a/standins/ladder_standins/memory_table.py
+++ b/standins/ladder_standins/memory_table.py
@@ -2,16 +2,11 @@
 
 from enum import StrEnum
 
-from ladder_clients.table import (
-    Condition,
-    Outcome,
-    Row,
-    TableClient,
-    Transaction,
-    Write,
-)
+from ladder_clients.table import Outcome, Row, TableClient, Transaction
 from ladder_clients.table.errors import StoreOutcomeUnknownError
 from ladder_core.errors import StoreUnavailableError
+from ladder_standins.records import Records
+from ladder_standins.rows import TableRows
 
 _REMEDY = 'wait until it has recovered'
 
@@ -45,23 +40,17 @@
         self.faults: list[TableFault] = []
         self.default = TableFault.none
         self.late: list[Transaction] = []
-        self._rows: dict[tuple[str, str], Row] = {}
-        self._revisions: dict[tuple[str, str], int] = {}
-        self._outcomes: dict[str, Outcome] = {}
+        self._rows = TableRows(Records(None).add)
 
     async def read(self, table: str, key: str) -> Row | None:
         """Return one row."""
         self._meet_fault()
-        return self._rows.get((table, key))
+        return self._rows.find(table, key)
 
     async def scan(self, table: str, prefix: str = '') -> list[Row]:
         """Return rows by prefix."""
         self._meet_fault()
-        return [
-            row
-            for position, row in sorted(self._rows.items())
-            if position[0] == table and position[1].startswith(prefix)
-        ]
+        return self._rows.scan(table, prefix)
 
     async def commit(self, transaction: Transaction) -> Outcome:
         """Apply a transaction."""
@@ -77,43 +66,14 @@
     async def read_outcome(self, token: str) -> Outcome | None:
         """Return the outcome of a transaction."""
         self._meet_fault()
-        return self._outcomes.get(token)
+        return self._rows.find_outcome(token)
 
     def apply(self, transaction: Transaction) -> Outcome:
         """Apply a transaction once for its token."""
-        outcome = self._outcomes.get(transaction.token)
-        if outcome is None:
-            outcome = self._decide(transaction)
-            self._outcomes[transaction.token] = outcome
-        return outcome
+        return self._rows.commit(transaction)
 
     def _meet_fault(self) -> TableFault:
         fault = self.faults.pop(0) if self.faults else self.default
         if fault is TableFault.down:
             raise StoreUnavailableError('down', remedy=_REMEDY, retry_after=1)
         return fault
-
-    def _decide(self, transaction: Transaction) -> Outcome:
-        conflicts = tuple(
-            self._find(condition)
-            for condition in transaction.conditions
-            if self._find(condition).revision != condition.revision
-        )
-        if conflicts:
-            return Outcome(committed=False, conflicts=conflicts)
-        for write in transaction.writes:
-            self._write(write)
-        return Outcome(committed=True)
-
-    def _find(self, condition: Condition) -> Row:
-        position = (condition.table, condition.key)
-        return self._rows.get(position) or Row(*position, '', 0)
-
-    def _write(self, write: Write) -> None:
-        position = (write.table, write.key)
-        revision = self._revisions.get(position, 0) + 1
-        self._revisions[position] = revision
-        if write.body is None:
-            self._rows.pop(position, None)
-        else:
-            self._rows[position] = Row(*position, write.body, revision)
--- a/standins/ladder_standins/memory.py
+++ b/standins/ladder_standins/timed_table.py
@@ -17,7 +17,7 @@
 from ladder_standins.rows import TableRows
 
 
-class Fate(StrEnum):
+class CallEnding(StrEnum):
     """What becomes of one call."""
 
     answered = 'answered'
@@ -27,13 +27,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Weather:
+class CallConditions:
     """
     How one call goes.
 
     Attributes
     ----------
-    fate : Fate
+    ending : CallEnding
         What becomes of it.
     before, after : float
         Seconds until its effect, and from there to its answer.
@@ -42,15 +42,15 @@
 
     """
 
-    fate: Fate = Fate.answered
+    ending: CallEnding = CallEnding.answered
     before: float = 0
     after: float = 0
     lateness: float = 0
 
 
-class MemoryTable(TableClient):
+class TimedTable(TableClient):
     """
-    Calls to rows in memory that go as the weather has it.
+    Calls to rows in memory under given conditions.
 
     Parameters
     ----------
@@ -58,8 +58,8 @@
         The rows, shared by the clients of all nodes.
     timers : TimerService
         Clock of the network.
-    forecast : callable
-        Called for the weather of each call.
+    draw : callable
+        Called for the conditions of each call.
 
     """
 
@@ -67,47 +67,47 @@
         self,
         rows: TableRows,
         timers: TimerService,
-        forecast: Callable[[], Weather] = Weather,
+        draw: Callable[[], CallConditions] = CallConditions,
     ) -> None:
         self._rows = rows
         self._timers = timers
-        self._forecast = forecast
+        self._draw = draw
         self._late: set[asyncio.Task[None]] = set()
 
     async def read(self, table: str, key: str) -> Row | None:
         """Return one row, or None if it is absent."""
-        weather = await self._begin_read()
+        conditions = await self._begin_read()
         row = self._rows.find(table, key)
-        await self._timers.sleep(weather.after)
+        await self._timers.sleep(conditions.after)
         return row
 
     async def scan(self, table: str, prefix: str = '') -> list[Row]:
         """Return the rows whose keys start with a prefix."""
-        weather = await self._begin_read()
+        conditions = await self._begin_read()
         rows = self._rows.scan(table, prefix)
-        await self._timers.sleep(weather.after)
+        await self._timers.sleep(conditions.after)
         return rows
 
     async def commit(self, transaction: Transaction) -> Outcome:
         """Apply a transaction."""
-        weather = self._forecast()
-        await self._timers.sleep(weather.before)
-        if weather.fate is Fate.refused:
+        conditions = self._draw()
+        await self._timers.sleep(conditions.before)
+        if conditions.ending is CallEnding.refused:
             raise _make_unavailable()
-        if weather.fate is Fate.late_effect:
-            self._schedule(transaction, weather.lateness)
+        if conditions.ending is CallEnding.late_effect:
+            self._schedule(transaction, conditions.lateness)
             raise _make_unknown(transaction)
         outcome = self._rows.commit(transaction)
-        await self._timers.sleep(weather.after)
-        if weather.fate is Fate.answer_lost:
+        await self._timers.sleep(conditions.after)
+        if conditions.ending is CallEnding.answer_lost:
             raise _make_unknown(transaction)
         return outcome
 
     async def read_outcome(self, token: str) -> Outcome | None:
         """Return the outcome of a transaction."""
-        weather = await self._begin_read()
+        conditions = await self._begin_read()
         outcome = self._rows.find_outcome(token)
-        await self._timers.sleep(weather.after)
+        await self._timers.sleep(conditions.after)
         return outcome
 
     async def close(self) -> None:
@@ -116,12 +116,12 @@
             task.cancel()
         await asyncio.gather(*self._late, return_exceptions=True)
 
-    async def _begin_read(self) -> Weather:
-        weather = self._forecast()
-        await self._timers.sleep(weather.before)
-        if weather.fate is not Fate.answered:
+    async def _begin_read(self) -> CallConditions:
+        conditions = self._draw()
+        await self._timers.sleep(conditions.before)
+        if conditions.ending is not CallEnding.answered:
             raise _make_unavailable()
-        return weather
+        return conditions
 
     def _schedule(self, transaction: Transaction, seconds: float) -> None:
         task = asyncio.create_task(self._commit_late(transaction, seconds))
