Let a release of leases end that is refused without a conflict

Ruled out: the stand-in's table, which always lists the rows. Change: nothing left to leave out ends the release; the leases run out. Result: the new test runs into its 5 s limit with the old code and passes with the new one.

--- a/packages/node/ladder_node/duties/keeper.py
+++ b/packages/node/ladder_node/duties/keeper.py
@@ -238,6 +238,9 @@
             if outcome.committed:
                 return
             taken = _select_taken(leases, outcome)
+            if not taken:
+                # Asking again would be refused again; the leases run out.
+                return
             leases = tuple(lease for lease in leases if lease not in taken)
 
 
--- a/packages/node/ladder_node/duties/tests/test_lease.py
+++ b/packages/node/ladder_node/duties/tests/test_lease.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ladder_clients.table import TableClient, Transaction, Write
+from ladder_clients.table import Outcome, TableClient, Transaction, Write
 from ladder_core.errors import LadderError
 from ladder_core.timeline import HybridClock, HybridTime, TimeLine
 from ladder_core.timers import ManualTimerService, TimerService
@@ -256,6 +256,26 @@
     assert await second.acquire('stolen') is None
 
 
+class RefusingRows(TableRows):
+    """Rows that may refuse every transaction without naming a conflict."""
+
+    is_refusing = False
+
+    def commit(self, transaction):
+        if self.is_refusing:
+            return Outcome(committed=False)
+        return super().commit(transaction)
+
+
+async def test_release_that_is_refused_without_a_conflict_ends():
+    rows = RefusingRows(ignore_write)
+    keeper = make_keeper('a', rows, ManualTimerService())
+    lease = await keeper.acquire(DUTY)
+    rows.is_refusing = True
+    await asyncio.wait_for(lease.release(), 5)
+    assert not lease.is_valid()
+
+
 async def test_slow_store_of_five_seconds_a_call_keeps_leases():
     timers = ManualTimerService()
     rows = TableRows(ignore_write)
