--- a/packages/node/ladder_node/app/requests.py
+++ b/packages/node/ladder_node/app/requests.py
@@ -57,7 +57,7 @@
 @dataclass(frozen=True, slots=True)
 class DispatchParts:
     """
-    What the dispatchers stand on.
+    What the dispatchers are built from.
 
     Attributes
     ----------
@@ -84,23 +84,23 @@
     timeline: TimeLine
 
 
-def make_dispatchers(around: DispatchParts) -> Dispatchers:
+def make_dispatchers(parts: DispatchParts) -> Dispatchers:
     """Return the dispatchers of a node."""
-    clients, timers = around.clients, around.timers
-    board = SharedSuspectBoard(clients.table, around.gossip, timers)
-    guard = CrashGuard(board, TcpProbe(timers), timers, around.timeline)
+    clients, timers = parts.clients, parts.timers
+    board = SharedSuspectBoard(clients.table, parts.gossip, timers)
+    guard = CrashGuard(board, TcpProbe(timers), timers, parts.timeline)
     retries = BudgetedRetries(timers)
     generations = GenerationDispatcher(
-        around.targets,
+        parts.targets,
         clients.engines,
-        _make_chooser(around.settings.policies.routing),
+        _make_chooser(parts.settings.policies.routing),
         timers,
         guard,
         retries,
-        NearestRegion(around.settings.region),
+        NearestRegion(parts.settings.region),
     )
     services = PlainDispatcher(
-        around.targets,
+        parts.targets,
         clients.services,
         guard,
         retries,
@@ -110,17 +110,17 @@
     children.add(generations)
     keyed = KeyedDispatcher(
         services,
-        _make_log(around, children),
-        around.timeline,
+        _make_log(parts, children),
+        parts.timeline,
     )
     return Dispatchers(generations, services, keyed, children)
 
 
-def _make_log(around: DispatchParts, children: Supervisor) -> IntentLog:
-    table, timers = around.clients.table, around.timers
+def _make_log(parts: DispatchParts, children: Supervisor) -> IntentLog:
+    table, timers = parts.clients.table, parts.timers
     writer = IntentWriter(table, timers)
     children.add(writer)
-    children.add(IntentCleaner(table, timers, around.settings.name))
+    children.add(IntentCleaner(table, timers, parts.settings.name))
     return IntentLog(table, writer, timers)
 
 
--- a/packages/node/ladder_node/app/tree.py
+++ b/packages/node/ladder_node/app/tree.py
@@ -21,11 +21,11 @@
 from ladder_node.peers import LeavingTargets, PauseGuard
 from ladder_node.steps import (
     RunnerFactory,
-    StepBook,
     StepCapacity,
+    StepCatalog,
     StepRegistry,
     StepStore,
-    StepTenure,
+    TrainerLeases,
 )
 from ladder_node.targets import TargetTable, TargetWatcher
 
@@ -122,7 +122,7 @@
     targets = TargetTable(timers, timeline)
     configuration = ConfigurationKeeper(clients.table, timers, timeline)
     leases = make_leases(settings, clients, timers, timeline)
-    tenure = StepTenure(leases, settings.entry_address)
+    trainer_leases = TrainerLeases(leases, settings.entry_address)
     peers = make_peers(settings, configuration, targets, timers, timeline)
     dispatchers = make_dispatchers(
         DispatchParts(
@@ -152,12 +152,12 @@
                 timers,
                 timeline,
             ),
-            StepBook(
+            StepCatalog(
                 StepStore(clients.table, clients.objects),
-                tenure,
+                trainer_leases,
                 timeline,
             ),
-            tenure,
+            trainer_leases,
             timers,
         ),
         gossip=peers.gossip,
--- a/packages/node/ladder_node/steps/book.py
+++ b/packages/node/ladder_node/steps/catalog.py
@@ -12,12 +12,12 @@
 from ladder_node.steps.records import OpenStep, make_closed_error
 from ladder_node.steps.spec import StepSpec
 from ladder_node.steps.store import StepStore
-from ladder_node.steps.tenure import StepTenure
+from ladder_node.steps.trainer_leases import TrainerLeases
 
 _MAX_CLEANUPS = 256
 
 
-class StepBook:
+class StepCatalog:
     """
     Enter, find and close steps in the store.
 
@@ -25,7 +25,7 @@
     ----------
     store : StepStore
         Keeps rows and objects.
-    tenure : StepTenure
+    trainer_leases : TrainerLeases
         Tells which node runs a trainer's steps.
     timeline : TimeLine
         Takes what happens.
@@ -35,11 +35,11 @@
     def __init__(
         self,
         store: StepStore,
-        tenure: StepTenure,
+        trainer_leases: TrainerLeases,
         timeline: TimeLine,
     ) -> None:
         self._store = store
-        self._tenure = tenure
+        self._trainer_leases = trainer_leases
         self._timeline = timeline
         self._closings: dict[tuple[str, int], None] = {}
         self._cleanups: deque[tuple[str, OpenStep]] = deque(
@@ -88,7 +88,7 @@
         """
         record = await self._store.read_record(spec.trainer)
         record.open(spec, run)
-        await self._tenure.settle(spec.trainer, spec.step, unreachable)
+        await self._trainer_leases.settle(spec.trainer, spec.step, unreachable)
         groups: tuple[Group, ...] = ()
         opened = record.find(spec.step)
         if opened is None:
@@ -159,7 +159,7 @@
         """
         try:
             if not is_running:
-                await self._tenure.settle(trainer, step, unreachable)
+                await self._trainer_leases.settle(trainer, step, unreachable)
             await self._close(trainer, step)
         except StoreUnavailableError as error:
             logger.warning('closing {}/{}: {}', trainer, step, error)
@@ -202,7 +202,7 @@
                 f'step {trainer}/{step} is not open',
                 remedy='open it with its prompts',
             )
-        await self._tenure.settle(trainer, step, unreachable)
+        await self._trainer_leases.settle(trainer, step, unreachable)
         return await self._store.load_spec(trainer, opened)
 
     async def _recover(
--- a/packages/node/ladder_node/steps/registry.py
+++ b/packages/node/ladder_node/steps/registry.py
@@ -9,14 +9,14 @@
 from ladder_core.supervision import Service
 from ladder_core.timers import Subscription, TimerService
 from ladder_core.values import Allowance, Group
-from ladder_node.steps.book import StepBook, make_run
+from ladder_node.steps.catalog import StepCatalog, make_run
 from ladder_node.steps.errors import StepElsewhereError
 from ladder_node.steps.factory import RunnerFactory
 from ladder_node.steps.records import make_closed_error, make_contents_error
 from ladder_node.steps.runner import StepRunner
 from ladder_node.steps.saver import GroupSaver
 from ladder_node.steps.spec import StepSpec
-from ladder_node.steps.tenure import StepTenure
+from ladder_node.steps.trainer_leases import TrainerLeases
 
 _RECONCILE_SECONDS = 3
 _ABANDONED_SECONDS = 3600
@@ -60,9 +60,9 @@
     ----------
     factory : RunnerFactory
         Makes runners.
-    book : StepBook
+    catalog : StepCatalog
         Enters steps into the store.
-    tenure : StepTenure
+    trainer_leases : TrainerLeases
         Holds the trainers' leases.
     timers : TimerService
         Source of time.
@@ -72,13 +72,13 @@
     def __init__(
         self,
         factory: RunnerFactory,
-        book: StepBook,
-        tenure: StepTenure,
+        catalog: StepCatalog,
+        trainer_leases: TrainerLeases,
         timers: TimerService,
     ) -> None:
         self._factory = factory
-        self._book = book
-        self._tenure = tenure
+        self._catalog = catalog
+        self._trainer_leases = trainer_leases
         self._timers = timers
         self._steps: dict[Key, RunningStep] = {}
         self._closed: dict[Key, None] = {}
@@ -181,7 +181,7 @@
         runner = self._find_here(trainer, step)
         if runner is not None:
             return runner
-        spec = await self._book.look_up(trainer, step, unreachable)
+        spec = await self._catalog.look_up(trainer, step, unreachable)
         return await self.open(spec, allowance, unreachable)
 
     async def finish(
@@ -203,7 +203,7 @@
         if running is not None:
             self._note_closed(trainer, step)
             await self._end(running, make_closed_error(f'{trainer}/{step}'))
-        await self._book.close(
+        await self._catalog.close(
             trainer,
             step,
             is_running=running is not None,
@@ -222,13 +222,13 @@
             logger.warning('steps not brought up to date: {}', error)
 
     async def _reconcile(self) -> None:
-        await self._book.catch_up()
+        await self._catalog.catch_up()
         for running in tuple(self._steps.values()):
             await self._reconcile_step(running)
         busy = {trainer for trainer, _ in self._steps}
-        for trainer in self._tenure.trainers:
+        for trainer in self._trainer_leases.trainers:
             if trainer not in busy:
-                await self._tenure.release(trainer)
+                await self._trainer_leases.release(trainer)
 
     async def _reconcile_step(self, running: RunningStep) -> None:
         spec = running.runner.spec
@@ -246,9 +246,9 @@
     async def _confirm(self, running: RunningStep) -> None:
         spec = running.runner.spec
         if running.is_entered:
-            await self._tenure.settle(spec.trainer, spec.step)
+            await self._trainer_leases.settle(spec.trainer, spec.step)
             return
-        await self._book.enter(spec, running.saver.run)
+        await self._catalog.enter(spec, running.saver.run)
         running.is_entered = True
         await running.saver.start()
 
@@ -270,7 +270,7 @@
         groups: tuple[Group, ...] = ()
         is_entered = True
         try:
-            groups = await self._book.enter(spec, run, unreachable)
+            groups = await self._catalog.enter(spec, run, unreachable)
         except StoreUnavailableError:
             is_entered = False
         # Another request may have begun or closed the step meanwhile.
@@ -279,7 +279,7 @@
             return runner
         runner = self._factory.make(spec, allowance)
         runner.restore(groups)
-        saver = GroupSaver(runner, self._book.store, self._timers, run)
+        saver = GroupSaver(runner, self._catalog.store, self._timers, run)
         running = RunningStep(runner, saver, is_entered)
         self._steps[spec.trainer, spec.step] = running
         await self._start(running)
@@ -290,7 +290,7 @@
         if running.is_entered:
             await running.saver.start()
         else:
-            self._book.note_unrecorded(running.runner.spec)
+            self._catalog.note_unrecorded(running.runner.spec)
 
     async def _drop(self, key: Key) -> None:
         running = self._steps.pop(key, None)
--- a/packages/node/ladder_node/steps/tests/fakes.py
+++ b/packages/node/ladder_node/steps/tests/fakes.py
@@ -25,12 +25,12 @@
     HeldGroups,
     Pull,
     RunnerFactory,
-    StepBook,
     StepCapacity,
+    StepCatalog,
     StepRegistry,
     StepSpec,
     StepStore,
-    StepTenure,
+    TrainerLeases,
 )
 from ladder_node.targets import TargetTable
 from ladder_policy.routing import LeastLoadedChooser
@@ -206,7 +206,7 @@
             world.timers,
             self.timeline,
         )
-        tenure = StepTenure(self.leases, self.address)
+        trainer_leases = TrainerLeases(self.leases, self.address)
         store = StepStore(world.table, world.objects)
         self.registry = StepRegistry(
             RunnerFactory(
@@ -216,8 +216,8 @@
                 world.timers,
                 self.timeline,
             ),
-            StepBook(store, tenure, self.timeline),
-            tenure,
+            StepCatalog(store, trainer_leases, self.timeline),
+            trainer_leases,
             world.timers,
         )
 
--- a/packages/node/ladder_node/steps/tenure.py
+++ b/packages/node/ladder_node/steps/trainer_leases.py
@@ -5,7 +5,7 @@
 from ladder_node.steps.metrics import STEPS_REDIRECTED
 
 
-class StepTenure:
+class TrainerLeases:
     """
     Hold a lease for each trainer whose steps run here.
 
--- a/standins/ladder_standins/plain.py
+++ b/standins/ladder_standins/plain.py
@@ -23,7 +23,7 @@
     count: int
 
 
-class PlainStand:
+class PlainServiceApp:
     """
     Counts what it executes and echoes it.
 
@@ -65,7 +65,7 @@
 
 def make_plain_service(name: str, records: Records) -> Starlette:
     """Return the plain service."""
-    stand = PlainStand(name, records)
+    stand = PlainServiceApp(name, records)
     methods = ['GET', 'POST', 'PUT', 'DELETE', 'PATCH']
     route = Route('/{path:path}', stand.execute, methods=methods)
     return Starlette(routes=[route])
--- a/standins/ladder_standins/weights.py
+++ b/standins/ladder_standins/weights.py
@@ -22,7 +22,7 @@
     version: int
 
 
-class WeightStand:
+class WeightStoreApp:
     """
     Versions of models, handed out at a limited rate.
 
@@ -73,7 +73,7 @@
 
 def make_weight_store(size_bytes: int, bytes_per_second: float) -> Starlette:
     """Return the weight store."""
-    store = WeightStand(size_bytes, bytes_per_second)
+    store = WeightStoreApp(size_bytes, bytes_per_second)
     path = '/v1/models/{model}'
     return Starlette(
         routes=[
