Bind request and trace ids to the logs; show where the time line is

Cause: the issue of the whole path asks for logs with request and trace ids and for a quick start that says where the time line is; neither was there. Change: a middleware reads X-Request-Id and traceparent, binds both to all logs of the request and answers with the request id; the quick start writes the merged time line of all nodes.

--- a/packages/node/ladder_node/app/tree.py
+++ b/packages/node/ladder_node/app/tree.py
@@ -16,6 +16,7 @@
     EntryMiddleware,
     EntryParts,
     EntryServer,
+    RequestLogMiddleware,
     make_entry_app,
 )
 from ladder_node.peers import LeavingTargets, PauseGuard
@@ -87,7 +88,9 @@
         parts.drain,
         guard.ensure_fresh,
     )
-    root.add(EntryServer(app, settings.entry_address))
+    root.add(
+        EntryServer(RequestLogMiddleware(app), settings.entry_address),
+    )
     return Node(root, parts.drain)
 
 
--- a/packages/node/ladder_node/entry/__init__.py
+++ b/packages/node/ladder_node/entry/__init__.py
@@ -3,6 +3,7 @@
 from ladder_node.entry.app import make_entry_app
 from ladder_node.entry.drain import Drain, EntryMiddleware
 from ladder_node.entry.parts import EntryParts
+from ladder_node.entry.request_log import RequestLogMiddleware
 from ladder_node.entry.server import EntryServer
 
 __all__ = (
@@ -10,5 +11,6 @@
     'EntryMiddleware',
     'EntryParts',
     'EntryServer',
+    'RequestLogMiddleware',
     'make_entry_app',
 )
--- /dev/null
+++ b/packages/node/ladder_node/entry/request_log.py
@@ -0,0 +1,99 @@
+"""
+Bind the ids of a request to all logs that are written on its behalf.
+
+References
+----------
+W3C Recommendation "Trace Context", section 3.2, header ``traceparent``.
+
+"""
+
+import re
+import uuid
+from dataclasses import dataclass
+
+from loguru import logger
+from starlette.datastructures import Headers, MutableHeaders
+from starlette.types import ASGIApp, Message, Receive, Scope, Send
+
+REQUEST_ID_HEADER = 'x-request-id'
+
+_TRACE_HEADER = 'traceparent'
+_REQUEST_ID = re.compile(r'[\w.-]{1,64}')
+_TRACE = re.compile('[0-9a-f]{2}-([0-9a-f]{32})-[0-9a-f]{16}-[0-9a-f]{2}')
+
+
+@dataclass(frozen=True, slots=True)
+class RequestIds:
+    """
+    The ids of one request.
+
+    Attributes
+    ----------
+    request_id : str
+        The caller's own id, or a new one.
+    trace_id : str
+        Trace of the caller, or a new one; 32 hexadecimal digits.
+
+    """
+
+    request_id: str
+    trace_id: str
+
+
+def read_ids(headers: Headers) -> RequestIds:
+    """
+    Return the ids that a request's headers name, or new ones.
+
+    Parameters
+    ----------
+    headers : Headers
+        Header fields of the request; malformed ids in them are ignored.
+
+    Returns
+    -------
+    RequestIds
+        The ids.
+
+    """
+    request_id = headers.get(REQUEST_ID_HEADER, '')
+    if not _REQUEST_ID.fullmatch(request_id):
+        request_id = uuid.uuid4().hex
+    trace = _TRACE.fullmatch(headers.get(_TRACE_HEADER, ''))
+    trace_id = trace.group(1) if trace else uuid.uuid4().hex
+    return RequestIds(request_id, trace_id)
+
+
+class RequestLogMiddleware:
+    """
+    Bind request and trace id to the logs, and answer with the request id.
+
+    Parameters
+    ----------
+    app : ASGIApp
+        Handles the request.
+
+    """
+
+    def __init__(self, app: ASGIApp) -> None:
+        self._app = app
+
+    async def __call__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Handle one request."""
+        ids = read_ids(Headers(scope=scope))
+
+        async def send_named(message: Message) -> None:
+            if message['type'] == 'http.response.start':
+                headers = MutableHeaders(scope=message)
+                headers[REQUEST_ID_HEADER] = ids.request_id
+            await send(message)
+
+        with logger.contextualize(
+            request_id=ids.request_id,
+            trace_id=ids.trace_id,
+        ):
+            await self._app(scope, receive, send_named)
--- a/standins/ladder_standins/operator.py
+++ b/standins/ladder_standins/operator.py
@@ -94,3 +94,27 @@
         '--author=quickstart',
     )
     return await process.wait()
+
+
+async def save_timeline(fleet: Fleet, node: str, path: Path) -> None:
+    """
+    Write the merged time line of all nodes to a file.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The system.
+    node : str
+        Node to ask which others there are.
+    path : Path
+        The file.
+
+    """
+    process = await asyncio.create_subprocess_exec(
+        str(_PROGRAM),
+        'timeline',
+        f'--node={fleet.processes.find_address(node)}',
+        stdout=asyncio.subprocess.PIPE,
+    )
+    events, _ = await process.communicate()
+    await asyncio.to_thread(path.write_bytes, events)
--- a/standins/ladder_standins/quickstart.py
+++ b/standins/ladder_standins/quickstart.py
@@ -9,10 +9,15 @@
 import defopt
 
 from ladder_standins.fleet import Fleet, Layout
-from ladder_standins.operator import apply_lists, write_lists
+from ladder_standins.operator import (
+    apply_lists,
+    save_timeline,
+    write_lists,
+)
 from ladder_standins.trainer import StepReport, StepRequest, Trainer
 
 _FOLDER = Path('run')
+_TIMELINE = 'timeline.txt'
 _STEPS = 3
 _GROUPS = 8
 _SAMPLES_PER_GROUP = 4
@@ -58,6 +63,7 @@
     """
     result = asyncio.run(_run(folder))
     _print_table(result)
+    _say(f'time line of all nodes: {folder / _TIMELINE}')
     _say(f'logs and records of all processes: {folder}')
     if not result.is_good:
         sys.exit(1)
@@ -83,7 +89,9 @@
     await apply_lists(fleet, write_lists(folder, _SECRET))
     for node in _NODES:
         await fleet.controls.wait_answer(node, '/readyz')
-    return await _train(fleet)
+    result = await _train(fleet)
+    await save_timeline(fleet, _NODES[0], folder / _TIMELINE)
+    return result
 
 
 async def _train(fleet: Fleet) -> Result:
