Send a step's samples to engines that are fresh enough

Cause: the time line of bin/quickstart shows samples of step 2 sent again and again to engines at version 0 ('sample-too-old', floor 1) while engine-3 was at version 1 since before the step: the choice of an engine did not look at the version. Since weights go out in waves (an engine a second of three), a step waited for the last of them.

Ruled out: the waves themselves; all at once takes the whole pool away.

Change: a generation carries the oldest version that its trainer can take; engines that state an older one are used only if no other can be.

--- a/packages/node/ladder_node/dispatch/engine_choice.py
+++ b/packages/node/ladder_node/dispatch/engine_choice.py
@@ -39,6 +39,8 @@
         Number of tokens in `prefix`.
     avoided : tuple of str
         Names of engines that are not used.
+    min_version : int
+        Engines that state an older version are used only if no other can be.
     visited : list of str
         Takes the names of the engines that run the generation.
     deadline : float
@@ -56,6 +58,7 @@
     prefix: str = ''
     prefix_tokens: int = 0
     avoided: tuple[str, ...] = ()
+    min_version: int = 0
     visited: list[str] = field(default_factory=list)
     deadline: float = inf
 
@@ -113,12 +116,22 @@
                 retry_after=_RETRY_SECONDS,
             )
         candidates = [_make_candidate(target) for target in usable.values()]
-        near = self._regions.narrow(candidates)
+        fresh = _prefer_fresh(candidates, generation.min_version)
+        near = self._regions.narrow(fresh)
         chosen = self._chooser.choose(generation.prompt, near)
         generation.visited.append(chosen.name)
         return usable[chosen.name]
 
 
+def _prefer_fresh(
+    candidates: list[Candidate],
+    min_version: int,
+) -> list[Candidate]:
+    """Leave out engines whose samples would be too old, if others are left."""
+    fresh = [one for one in candidates if one.version >= min_version]
+    return fresh or candidates
+
+
 def _is_usable(target: Target, generation: Generation) -> bool:
     entry = target.entry
     if entry.model != generation.model or entry.pool not in generation.pools:
--- a/packages/node/ladder_node/steps/sampler.py
+++ b/packages/node/ladder_node/steps/sampler.py
@@ -162,14 +162,14 @@
         return Sample(index, draft.text, tuple(draft.spans), score)
 
     async def _generate(self, draft: Draft, guard: StalenessGuard) -> None:
-        generation = self._make_generation(draft)
+        generation = self._make_generation(draft, guard.floor)
         stream = self._generations.generate(generation)
         # A generation that is given up must not go on at its engine.
         async with closing(stream) as chunks:
             async for chunk in chunks:
                 _add_chunk(draft, chunk, guard)
 
-    def _make_generation(self, draft: Draft) -> Generation:
+    def _make_generation(self, draft: Draft, floor: int) -> Generation:
         place = draft.place
         identity = str(self._spec.identify(place.group, place.index))
         digest = xxhash.xxh3_64_intdigest(identity.encode())
@@ -189,6 +189,7 @@
             prefix_tokens=draft.tokens,
             avoided=tuple(draft.avoided),
             visited=draft.visited,
+            min_version=floor,
         )
 
 
