Free an engine stand-in's places when its callers leave

Starlette does not close the generator of a stream that it cancels, and an engine that has nothing to do never collects garbage.

Ruled out: the node; it cancelled and closed the streams, hedged on, and went on asking.

Change: the stand-in closes what makes a stream.

--- a/standins/ladder_standins/engine/app.py
+++ b/standins/ladder_standins/engine/app.py
@@ -1,13 +1,15 @@
 """The HTTP side of an engine stand-in."""
 
 import asyncio
-from collections.abc import AsyncIterator
+import contextlib
+from collections.abc import AsyncGenerator
 
 import msgspec
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import Response, StreamingResponse
 from starlette.routing import Route
+from starlette.types import Receive, Scope, Send
 
 from ladder_clients.engines import (
     Chunk,
@@ -25,6 +27,24 @@
 _UNAVAILABLE = 503
 
 
+class _ClosedStream(StreamingResponse):
+    """A stream whose place in the batch is free when its caller has left."""
+
+    def __init__(self, chunks: AsyncGenerator[bytes, None]) -> None:
+        super().__init__(chunks)
+        self._chunks = chunks
+
+    async def __call__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Send the stream, and close what makes it."""
+        async with contextlib.aclosing(self._chunks):
+            await super().__call__(scope, receive, send)
+
+
 class EngineApp:
     """
     Serve one engine machine over HTTP.
@@ -45,7 +65,7 @@
         wanted = await read_json(request, GenerateRequest)
         if not self._engine.is_accepting:
             return Response(status_code=_UNAVAILABLE)
-        return StreamingResponse(self._stream(wanted))
+        return _ClosedStream(self._stream(wanted))
 
     async def cancel(self, request: Request) -> Response:
         """Cancel a generation."""
@@ -80,12 +100,18 @@
         self._engine.misbehaviour = await read_json(request, Misbehaviour)
         return answer_json({})
 
-    async def _stream(self, wanted: GenerateRequest) -> AsyncIterator[bytes]:
+    async def _stream(
+        self,
+        wanted: GenerateRequest,
+    ) -> AsyncGenerator[bytes, None]:
         cancelled = asyncio.Event()
         self._streams[wanted.request_id] = cancelled
         try:
-            async for chunk in self._engine.generate(wanted, cancelled):
-                yield _encode(chunk)
+            async with contextlib.aclosing(
+                self._engine.generate(wanted, cancelled),
+            ) as chunks:
+                async for chunk in chunks:
+                    yield _encode(chunk)
         finally:
             self._streams.pop(wanted.request_id, None)
 
--- a/standins/ladder_standins/engine/machine.py
+++ b/standins/ladder_standins/engine/machine.py
@@ -3,7 +3,7 @@
 import asyncio
 import os
 from collections import OrderedDict
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 
 import aiohttp
 import msgspec
@@ -127,7 +127,7 @@
         self,
         request: GenerateRequest,
         cancelled: asyncio.Event,
-    ) -> AsyncIterator[Chunk]:
+    ) -> AsyncGenerator[Chunk, None]:
         """Yield the chunks of a generation, the end marker last."""
         async with self._batch.join(request.priority):
             self._begin(request)
