--- a/packages/clients/ladder_clients/table/__init__.py
+++ b/packages/clients/ladder_clients/table/__init__.py
@@ -1,11 +1,15 @@
 """The table service."""
 
-from ladder_clients.table.base import TableClient
-from ladder_clients.table.errors import StoreOutcomeUnknownError
+from ladder_clients.table.base import PartitionedTable, TableClient
+from ladder_clients.table.errors import (
+    HistoryLostError,
+    StoreOutcomeUnknownError,
+)
 from ladder_clients.table.gate import TableBudget, TableGate
 from ladder_clients.table.http import HttpTableClient
 from ladder_clients.table.resilient import ResilientTableClient
 from ladder_clients.table.wire import (
+    Changes,
     Condition,
     Outcome,
     Row,
@@ -14,10 +18,13 @@
 )
 
 __all__ = (
+    'Changes',
     'Condition',
+    'HistoryLostError',
     'HttpTableClient',
     'Outcome',
     'ResilientTableClient',
+    'PartitionedTable',
     'Row',
     'StoreOutcomeUnknownError',
     'TableBudget',
--- a/packages/clients/ladder_clients/table/base.py
+++ b/packages/clients/ladder_clients/table/base.py
@@ -2,7 +2,7 @@
 
 from abc import ABC, abstractmethod
 
-from ladder_clients.table.wire import Outcome, Row, Transaction
+from ladder_clients.table.wire import Changes, Outcome, Row, Transaction
 
 
 class TableClient(ABC):
@@ -57,3 +57,108 @@
             The service does not answer.
 
         """
+
+
+class PartitionedTable(TableClient):
+    """
+    A table service whose tables have partitions, and whose changes are fed.
+
+    Notes
+    -----
+    A transaction changes rows of one partition, in any tables.
+
+    """
+
+    @abstractmethod
+    async def read_part(self, table: str, part: str, key: str) -> Row | None:
+        """
+        Return one row of a partition, or None if it is absent.
+
+        Raises
+        ------
+        StoreUnavailableError
+            The service does not answer.
+
+        """
+
+    @abstractmethod
+    async def scan_part(
+        self,
+        table: str,
+        part: str,
+        prefix: str = '',
+        start: str = '',
+        limit: int | None = None,
+    ) -> list[Row]:
+        """
+        Return rows of a partition, by key.
+
+        Parameters
+        ----------
+        table, part : str
+            Where to look.
+        prefix : str, optional
+            What the keys begin with.
+        start : str, optional
+            The first key, if it exists.
+        limit : int, optional
+            Largest number of rows; all of them by default.
+
+        Raises
+        ------
+        StoreUnavailableError
+            The service does not answer.
+
+        """
+
+    @abstractmethod
+    async def list_parts(self, table: str) -> list[str]:
+        """
+        Return the partitions of a table that have rows.
+
+        Raises
+        ------
+        StoreUnavailableError
+            The service does not answer.
+
+        """
+
+    @abstractmethod
+    async def snapshot(self, table: str) -> Changes:
+        """
+        Return the unnamed partition of a table, and where its changes go on.
+
+        Raises
+        ------
+        StoreUnavailableError
+            The service does not answer.
+
+        """
+
+    @abstractmethod
+    async def watch(
+        self,
+        table: str,
+        after: int,
+        wait_seconds: float,
+    ) -> Changes:
+        """
+        Wait for changes of a table, in any partition.
+
+        Parameters
+        ----------
+        table : str
+            The table.
+        after : int
+            Revision up to which the changes are known.
+        wait_seconds : float
+            Longest wait for the first change.
+
+        Raises
+        ------
+        HistoryLostError
+            Changes are missing; read the table anew.
+        StoreUnavailableError
+            The service does not answer.
+
+        """
--- a/packages/clients/ladder_clients/table/errors.py
+++ b/packages/clients/ladder_clients/table/errors.py
@@ -1,6 +1,6 @@
 """Errors of the table service."""
 
-from ladder_core.errors import MayHaveRunError
+from ladder_core.errors import MayHaveRunError, NotRunError
 
 
 class StoreOutcomeUnknownError(MayHaveRunError):
@@ -8,3 +8,9 @@
 
     kind = 'store-outcome-unknown'
     status = 503
+
+
+class HistoryLostError(NotRunError):
+    """The table service no longer has the changes that were asked for."""
+
+    kind = 'history-lost'
--- a/packages/clients/ladder_clients/table/http.py
+++ b/packages/clients/ladder_clients/table/http.py
@@ -21,6 +21,8 @@
 
 _OK = 200
 _NOT_FOUND = 404
+# Statuses by which a service says that it has not acted on the call.
+_NOT_DONE = frozenset((429, 503))
 _CALL_SECONDS = 2
 _RETRY_SECONDS = 1
 
@@ -80,6 +82,13 @@
                 remedy='read its outcome back by its token',
                 retry_after=_RETRY_SECONDS,
             ) from error
+        if answer.status not in _NOT_DONE and answer.status != _OK:
+            raise StoreOutcomeUnknownError(
+                f'transaction {transaction.token} was answered'
+                f' with status {answer.status}',
+                remedy='read its outcome back by its token',
+                retry_after=_RETRY_SECONDS,
+            )
         return self._decode(answer, Outcome)
 
     async def read_outcome(self, token: str) -> Outcome | None:
--- a/packages/clients/ladder_clients/table/wire.py
+++ b/packages/clients/ladder_clients/table/wire.py
@@ -14,7 +14,10 @@
     body : str
         Content, JSON by convention.
     revision : int
-        Counts the writes of the row, from one; zero for an absent row.
+        Grows with each write of the row; zero for an absent row.
+    part : str
+        Partition of the table; the rows of one partition are changed
+        together.
 
     """
 
@@ -22,6 +25,7 @@
     key: str
     body: str
     revision: int
+    part: str = ''
 
 
 class Condition(msgspec.Struct, frozen=True):
@@ -34,12 +38,15 @@
         Position of the row.
     revision : int
         The required revision.
+    part : str
+        Partition of the table.
 
     """
 
     table: str
     key: str
     revision: int
+    part: str = ''
 
 
 class Write(msgspec.Struct, frozen=True):
@@ -52,12 +59,15 @@
         Position of the row.
     body : str or None
         New content.
+    part : str
+        Partition of the table.
 
     """
 
     table: str
     key: str
     body: str | None
+    part: str = ''
 
 
 class Transaction(msgspec.Struct, frozen=True):
@@ -91,8 +101,31 @@
         Whether the writes took effect.
     conflicts : tuple of Row
         Rows as they are, whose conditions did not hold.
+    revision : int
+        Revision of the rows that were written.
 
     """
 
     committed: bool
     conflicts: tuple[Row, ...] = ()
+    revision: int = 0
+
+
+class Changes(msgspec.Struct, frozen=True):
+    """
+    Rows of a table as they became, up to a revision of the table service.
+
+    Attributes
+    ----------
+    rows : tuple of Row
+        The newest content of each row that changed.
+    removed : tuple of Row
+        Rows that are gone.
+    revision : int
+        Where the next look continues.
+
+    """
+
+    rows: tuple[Row, ...]
+    removed: tuple[Row, ...]
+    revision: int
--- a/packages/node/ladder_node/app/duties.py
+++ b/packages/node/ladder_node/app/duties.py
@@ -6,15 +6,9 @@
 from ladder_core.timers import TimerService
 from ladder_node.app.clients import Clients
 from ladder_node.app.share import TableShare
-from ladder_node.duties import (
-    DutySeeker,
-    Holder,
-    LeaseKeeper,
-    PoolDuties,
-    VersionDoubts,
-    WeightRollout,
-)
+from ladder_node.duties import PoolDuties, VersionDoubts, WeightRollout
 from ladder_node.entry import EntryParts
+from ladder_node.leases import DutySeeker, Holder, LeaseKeeper
 from ladder_policy.versions import WavePlanner
 
 
--- a/packages/node/ladder_node/duties/pools.py
+++ b/packages/node/ladder_node/duties/pools.py
@@ -5,8 +5,8 @@
 from ladder_core.supervision import Service
 from ladder_core.timers import Subscription, TimerService
 from ladder_core.values import HostKind
-from ladder_node.duties.seeker import DutySeeker
 from ladder_node.duties.weights import WeightRollout
+from ladder_node.leases.seeker import DutySeeker
 from ladder_node.targets import TargetTable
 
 _PERIOD_SECONDS = 1
--- a/packages/node/ladder_node/duties/tests/test_weights.py
+++ b/packages/node/ladder_node/duties/tests/test_weights.py
@@ -5,7 +5,8 @@
 from ladder_core.timeline import HybridClock, HybridTime, TimeLine
 from ladder_core.timers import ManualTimerService
 from ladder_core.values import HostEntry, HostKind
-from ladder_node.duties import Holder, Lease, LeaseKeeper, WeightRollout
+from ladder_node.duties import WeightRollout
+from ladder_node.leases import Holder, Lease, LeaseKeeper
 from ladder_node.targets import TargetTable
 from ladder_policy.versions import AllAtOncePlanner
 from ladder_standins.rows import TableRows
--- a/packages/node/ladder_node/duties/weights.py
+++ b/packages/node/ladder_node/duties/weights.py
@@ -13,7 +13,7 @@
 from ladder_core.timeline import TimeLine
 from ladder_core.timers import TimerService
 from ladder_core.values import HostKind
-from ladder_node.duties.lease import Lease
+from ladder_node.leases.lease import Lease
 from ladder_node.targets import Target, TargetTable
 from ladder_policy.versions import Replica, RolloutPlanner, Supply
 
--- a/packages/node/ladder_node/duties/keeper.py
+++ b/packages/node/ladder_node/leases/keeper.py
@@ -10,13 +10,11 @@
 from ladder_core.supervision import Service
 from ladder_core.timeline import TimeLine
 from ladder_core.timers import Subscription, TimerService
-from ladder_node.duties.lease import Lease
-from ladder_node.duties.lease_store import Grant, Holder, LeaseStore
-from ladder_node.duties.lease_watch import ExpiryWatch
+from ladder_node.leases.lease import Lease
+from ladder_node.leases.store import Grant, Holder, LeaseReading, LeaseStore
+from ladder_node.leases.term import LeaseTerm
+from ladder_node.leases.watch import ExpiryWatch
 
-LEASE_SECONDS = 15
-_MARGIN_SECONDS = 1
-_RENEWAL_SECONDS = 3
 _STORE_ERRORS = (StoreUnavailableError, StoreOutcomeUnknownError)
 
 _held_gauge = Gauge('ladder_leases_held', 'Leases held by this node')
@@ -49,14 +47,15 @@
         This node's clock.
     timeline : TimeLine
         Takes each change of hands.
+    term : LeaseTerm, optional
+        How long a lease lasts.
 
     Notes
     -----
-    A lease is valid for `LEASE_SECONDS` less a margin, counted from before
-    its renewal was sent. Another node takes it after it has seen the
-    lease's and the heartbeat's rows unchanged for `LEASE_SECONDS`, under
-    the condition that both still are. The margin covers the drift between
-    two clocks within one term.
+    A lease is valid for its term less a margin, counted from before its
+    renewal was sent. Another node takes it after it has seen the lease's and
+    the heartbeat's rows unchanged for a term, under the condition that both
+    still are.
 
     """
 
@@ -66,7 +65,10 @@
         node: Holder,
         timers: TimerService,
         timeline: TimeLine,
+        term: LeaseTerm | None = None,
     ) -> None:
+        self._term = term or LeaseTerm()
+        self._name = node.name
         self._store = LeaseStore(table, node)
         self._timers = timers
         self._timeline = timeline
@@ -78,7 +80,7 @@
     async def start(self) -> None:
         """Begin to renew what is held."""
         self._subscription = self._timers.subscribe(
-            _RENEWAL_SECONDS,
+            self._term.renewal,
             self.renew,
         )
 
@@ -157,16 +159,16 @@
                 logger.warning('leases not renewed: {}', error)
                 return
             if outcome.committed:
-                _extend(leases, sent)
+                self._extend(leases, sent)
                 return
             for lease in _select_taken(leases, outcome):
                 self._lose(lease, 'taken')
 
     async def _acquire(self, name: str) -> Lease | None:
         reading = await self._store.read(name)
-        if reading.is_foreign:
+        if reading.is_foreign and not self._is_own_predecessor(reading):
             unchanged = self._watch.observe(name, reading.conditions)
-            if unchanged < LEASE_SECONDS:
+            if unchanged < self._term.seconds:
                 return None
         sent = self._timers.now()
         grant = await self._store.take(reading)
@@ -188,7 +190,7 @@
             self._timers,
             self._release_one,
         )
-        _extend((lease,), sent)
+        self._extend((lease,), sent)
         self._held[name] = lease
         self._watch.forget(name)
         _acquired_counter.inc()
@@ -201,6 +203,13 @@
         )
         return lease
 
+    def _is_own_predecessor(self, reading: LeaseReading) -> bool:
+        return self._term.trusts_name and reading.content.holder == self._name
+
+    def _extend(self, leases: Iterable[Lease], sent: float) -> None:
+        for lease in leases:
+            lease.extend(sent + self._term.seconds - self._term.margin)
+
     def _lose(self, lease: Lease, reason: str) -> None:
         self._drop(lease)
         _lost_counter.labels(reason).inc()
@@ -244,11 +253,6 @@
             leases = tuple(lease for lease in leases if lease not in taken)
 
 
-def _extend(leases: Iterable[Lease], sent: float) -> None:
-    for lease in leases:
-        lease.extend(sent + LEASE_SECONDS - _MARGIN_SECONDS)
-
-
 def _select_taken(
     leases: Iterable[Lease],
     outcome: Outcome,
--- a/packages/node/ladder_node/duties/lease.py
+++ b/packages/node/ladder_node/leases/lease.py
@@ -12,7 +12,7 @@
 
 from ladder_clients.table import Condition
 from ladder_core.timers import TimerService
-from ladder_node.duties.lease_rows import LEASES_TABLE
+from ladder_node.leases.rows import LEASES_TABLE
 
 
 class Lease:
--- a/packages/node/ladder_node/duties/seeker.py
+++ b/packages/node/ladder_node/leases/seeker.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable, Iterable
 
 from ladder_core.timers import TimerService
-from ladder_node.duties.keeper import LeaseKeeper
-from ladder_node.duties.lease import Lease
-from ladder_node.duties.spread import choose_period, rank_node
+from ladder_node.leases.keeper import LeaseKeeper
+from ladder_node.leases.lease import Lease
+from ladder_node.leases.spread import choose_period, rank_node
 
 
 class DutySeeker:
--- a/packages/node/ladder_node/duties/lease_store.py
+++ b/packages/node/ladder_node/leases/store.py
@@ -10,8 +10,8 @@
     Transaction,
     Write,
 )
-from ladder_node.duties.lease import Lease, guard
-from ladder_node.duties.lease_rows import (
+from ladder_node.leases.lease import Lease, guard
+from ladder_node.leases.rows import (
     HEARTBEATS_TABLE,
     LEASES_TABLE,
     Heartbeat,
@@ -152,7 +152,7 @@
         outcome = await self._commit(reading.conditions, (write,))
         if not outcome.committed:
             return None
-        return Grant(content.epoch, reading.conditions[0].revision + 1)
+        return Grant(content.epoch, outcome.revision)
 
     async def renew(self, leases: tuple[Lease, ...]) -> Outcome:
         """
--- /dev/null
+++ b/packages/node/ladder_node/leases/term.py
@@ -0,0 +1,36 @@
+"""How long a lease lasts, and how often its holder renews it."""
+
+from dataclasses import dataclass
+
+# A store that takes five seconds for an answer still leaves time for two
+# renewals within a term.
+_SECONDS = 15
+_MARGIN_SECONDS = 1
+_RENEWAL_SECONDS = 3
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseTerm:
+    """
+    Times of the leases of one deployment; the same on all of its nodes.
+
+    Attributes
+    ----------
+    seconds : float
+        Time without a renewal after which another node takes a lease.
+    margin : float
+        Seconds by which the holder stops earlier; covers the drift between
+        two clocks within one term.
+    renewal : float
+        Seconds between renewals.
+    trusts_name : bool
+        Whether a lease that is held under this node's own name by another
+        process is taken at once: the platform starts a node's process only
+        after its predecessor has ended.
+
+    """
+
+    seconds: float = _SECONDS
+    margin: float = _MARGIN_SECONDS
+    renewal: float = _RENEWAL_SECONDS
+    trusts_name: bool = False
--- a/packages/node/ladder_node/duties/tests/test_lease.py
+++ b/packages/node/ladder_node/leases/tests/test_lease.py
@@ -8,17 +8,18 @@
 from ladder_core.errors import LadderError
 from ladder_core.timeline import HybridClock, HybridTime, TimeLine
 from ladder_core.timers import ManualTimerService, TimerService
-from ladder_node.duties import (
-    LEASE_SECONDS,
+from ladder_node.leases import (
     DutySeeker,
     Holder,
     LeaseKeeper,
+    LeaseTerm,
     guard,
     rank_node,
 )
 from ladder_standins.rows import TableRows
 from ladder_standins.timed_table import CallConditions, CallEnding, TimedTable
 
+LEASE_SECONDS = LeaseTerm().seconds
 DUTY = 'pool/brewmind'
 
 
--- a/packages/node/ladder_node/steps/tests/fakes.py
+++ b/packages/node/ladder_node/steps/tests/fakes.py
@@ -20,7 +20,7 @@
 from ladder_core.timers import ManualTimerService
 from ladder_core.values import Allowance, Group, HostEntry, HostKind
 from ladder_node.dispatch import GenerationDispatcher, PlainDispatcher
-from ladder_node.duties import Holder, LeaseKeeper
+from ladder_node.leases import Holder, LeaseKeeper
 from ladder_node.steps import (
     HeldGroups,
     Pull,
@@ -116,6 +116,7 @@
     def __init__(self):
         self.rows = {}
         self.writes = 0
+        self.revision = 0
         self.is_out = False
         self.losing = 0
 
@@ -140,12 +141,13 @@
         ]
         if conflicts:
             return Outcome(committed=False, conflicts=tuple(conflicts))
+        self.revision += 1
         for write in transaction.writes:
             self.write(write)
         if self.losing:
             self.losing -= 1
             raise StoreOutcomeUnknownError('lost', remedy='read it back')
-        return Outcome(committed=True)
+        return Outcome(committed=True, revision=self.revision)
 
     async def read_outcome(self, token):
         raise NotImplementedError
@@ -162,10 +164,9 @@
     def write(self, write):
         self.writes += 1
         position = (write.table, write.key)
-        row = self.rows.pop(position, None)
+        self.rows.pop(position, None)
         if write.body is not None:
-            revision = row.revision + 1 if row else 1
-            self.rows[position] = Row(*position, write.body, revision)
+            self.rows[position] = Row(*position, write.body, self.revision)
 
 
 class FakeObjects(ObjectStore):
--- a/packages/node/ladder_node/steps/trainer_leases.py
+++ b/packages/node/ladder_node/steps/trainer_leases.py
@@ -1,6 +1,6 @@
 """Which node runs a trainer's steps."""
 
-from ladder_node.duties import Lease, LeaseKeeper
+from ladder_node.leases import Lease, LeaseKeeper
 from ladder_node.steps.errors import StepElsewhereError
 from ladder_node.steps.metrics import STEPS_REDIRECTED
 
--- a/standins/ladder_standins/memory_table.py
+++ b/standins/ladder_standins/memory_table.py
@@ -2,8 +2,14 @@
 
 from enum import StrEnum
 
-from ladder_clients.table import Outcome, Row, TableClient, Transaction
-from ladder_clients.table.errors import StoreOutcomeUnknownError
+from ladder_clients.table import (
+    Changes,
+    Outcome,
+    PartitionedTable,
+    Row,
+    StoreOutcomeUnknownError,
+    Transaction,
+)
 from ladder_core.errors import StoreUnavailableError
 from ladder_standins.records import Records
 from ladder_standins.rows import TableRows
@@ -21,7 +27,7 @@
     late_request = 'late-request'
 
 
-class MemoryTable(TableClient):
+class MemoryTable(PartitionedTable):
     """
     Rows in memory; the next calls meet the faults of a list, in order.
 
@@ -42,6 +48,58 @@
         self.late: list[Transaction] = []
         self._rows = TableRows(Records(None).add)
 
+    @property
+    def rows(self) -> TableRows:
+        """The rows, for tests that look at them or change them."""
+        return self._rows
+
+    async def read_part(self, table: str, part: str, key: str) -> Row | None:
+        """Return one row of a partition."""
+        self._meet_fault()
+        return self._rows.find(table, key, part)
+
+    async def scan_part(
+        self,
+        table: str,
+        part: str,
+        prefix: str = '',
+        start: str = '',
+        limit: int | None = None,
+    ) -> list[Row]:
+        """Return rows of a partition."""
+        self._meet_fault()
+        rows = self._rows.scan(table, prefix, part)
+        return [row for row in rows if row.key >= start][:limit]
+
+    async def list_parts(self, table: str) -> list[str]:
+        """Return the partitions that have rows."""
+        self._meet_fault()
+        return self._rows.list_parts(table)
+
+    async def snapshot(self, table: str) -> Changes:
+        """Return the unnamed partition."""
+        self._meet_fault()
+        return Changes(
+            tuple(self._rows.scan(table)),
+            (),
+            self._rows.revision,
+        )
+
+    async def watch(
+        self,
+        table: str,
+        after: int,
+        wait_seconds: float,
+    ) -> Changes:
+        """Wait for changes of a table."""
+        self._meet_fault()
+        changes = self._rows.list_changes(table, after)
+        while not changes.rows and not changes.removed:
+            await self._rows.wait_for_news()
+            self._meet_fault()
+            changes = self._rows.list_changes(table, after)
+        return changes
+
     async def read(self, table: str, key: str) -> Row | None:
         """Return one row."""
         self._meet_fault()
--- a/standins/ladder_standins/rows.py
+++ b/standins/ladder_standins/rows.py
@@ -1,8 +1,17 @@
 """Rows in memory, and the outcomes of the transactions over them."""
 
+import asyncio
 from typing import Protocol
 
-from ladder_clients.table import Condition, Outcome, Row, Transaction, Write
+from ladder_clients.table import (
+    Changes,
+    Condition,
+    HistoryLostError,
+    Outcome,
+    Row,
+    Transaction,
+    Write,
+)
 
 
 class NoteWrite(Protocol):
@@ -25,20 +34,75 @@
 
     def __init__(self, note: NoteWrite) -> None:
         self._note = note
-        self._rows: dict[str, dict[str, Row]] = {}
-        self._revisions: dict[tuple[str, str], int] = {}
+        self._rows: dict[tuple[str, str], dict[str, Row]] = {}
+        self._revision = 0
         self._outcomes: dict[str, Outcome] = {}
+        self._changed: dict[str, dict[tuple[str, str], Row | None]] = {}
+        self._changed_at: dict[tuple[str, str, str], int] = {}
+        self._oldest = 0
+        self._news = asyncio.Event()
 
-    def find(self, table: str, key: str) -> Row | None:
+    @property
+    def revision(self) -> int:
+        """Revision of the newest write of any row."""
+        return self._revision
+
+    def find(self, table: str, key: str, part: str = '') -> Row | None:
         """Return a row, or None if it is absent."""
-        return self._rows.get(table, {}).get(key)
+        return self._rows.get((table, part), {}).get(key)
 
-    def scan(self, table: str, prefix: str = '') -> list[Row]:
+    def scan(self, table: str, prefix: str = '', part: str = '') -> list[Row]:
         """Return the rows whose keys start with a prefix, by key."""
-        rows = self._rows.get(table, {})
+        rows = self._rows.get((table, part), {})
         keys = sorted(key for key in rows if key.startswith(prefix))
         return [rows[key] for key in keys]
 
+    def list_parts(self, table: str) -> list[str]:
+        """Return the partitions of a table that have rows."""
+        return sorted(
+            part
+            for (name, part), rows in self._rows.items()
+            if name == table and rows
+        )
+
+    def list_changes(self, table: str, after: int) -> Changes:
+        """
+        Return what became of the rows that changed after a revision.
+
+        Raises
+        ------
+        HistoryLostError
+            The changes are no longer kept.
+
+        """
+        if after < self._oldest:
+            raise HistoryLostError(
+                f'the changes after revision {after} are gone',
+                remedy='read the whole table',
+            )
+        found = sorted(
+            (self._changed_at[table, *position], position, row)
+            for position, row in self._changed.get(table, {}).items()
+            if self._changed_at[table, *position] > after
+        )
+        return Changes(
+            rows=tuple(row for _, _, row in found if row),
+            removed=tuple(
+                Row(table, position[1], '', at, position[0])
+                for at, position, row in found
+                if not row
+            ),
+            revision=self._revision,
+        )
+
+    def forget_changes(self) -> None:
+        """Drop the history of changes."""
+        self._oldest = self._revision
+
+    async def wait_for_news(self) -> None:
+        """Wait for the next write of any row."""
+        await self._news.wait()
+
     def commit(self, transaction: Transaction) -> Outcome:
         """Apply a transaction once, and return its outcome."""
         outcome = self._outcomes.get(transaction.token)
@@ -53,35 +117,47 @@
 
     def _apply(self, transaction: Transaction) -> Outcome:
         conflicts = [
-            self.find(condition.table, condition.key)
-            or Row(condition.table, condition.key, '', 0)
+            self.find(condition.table, condition.key, condition.part)
+            or Row(condition.table, condition.key, '', 0, condition.part)
             for condition in transaction.conditions
             if not self._holds(condition)
         ]
         if conflicts:
             return Outcome(committed=False, conflicts=tuple(conflicts))
+        self._revision += 1
         for write in transaction.writes:
             self._write(write, transaction.token)
-        return Outcome(committed=True)
+        self._news.set()
+        self._news = asyncio.Event()
+        return Outcome(committed=True, revision=self._revision)
 
     def _holds(self, condition: Condition) -> bool:
-        row = self.find(condition.table, condition.key)
+        row = self.find(condition.table, condition.key, condition.part)
         revision = row.revision if row else 0
         return condition.revision == revision
 
     def _write(self, write: Write, token: str) -> None:
-        position = (write.table, write.key)
-        revision = self._revisions.get(position, 0) + 1
-        self._revisions[position] = revision
-        rows = self._rows.setdefault(write.table, {})
+        rows = self._rows.setdefault((write.table, write.part), {})
+        row = None
         if write.body is None:
             rows.pop(write.key, None)
         else:
-            rows[write.key] = Row(*position, write.body, revision)
+            row = Row(
+                write.table,
+                write.key,
+                write.body,
+                self._revision,
+                write.part,
+            )
+            rows[write.key] = row
+        changed = self._changed.setdefault(write.table, {})
+        changed[write.part, write.key] = row
+        position = (write.table, write.part, write.key)
+        self._changed_at[position] = self._revision
         self._note(
             'row-written',
             f'{write.table}/{write.key}',
-            revision=revision,
+            revision=self._revision,
             token=token,
             body=write.body,
         )
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -6,7 +6,7 @@
 from ladder_clients.engines import EngineState
 from ladder_clients.table import Row
 from ladder_core.timeline import Event
-from ladder_node.duties.lease_rows import LeaseRow
+from ladder_node.leases.rows import LeaseRow
 from ladder_standins.engine.machine import Misbehaviour
 from ladder_standins.fleet import EngineLayout, Layout, NodeLayout
 from ladder_standins.trainer import StepRequest, Trainer
