--- a/packages/cli/ladder_cli/programs.py
+++ b/packages/cli/ladder_cli/programs.py
@@ -4,7 +4,7 @@
 from collections.abc import AsyncIterator
 
 from ladder_clients.configuration import ConfigurationRows
-from ladder_clients.table import HttpTableClient
+from ladder_clients.table.http import HttpTableClient
 from ladder_clients.transport import HttpClient
 
 
--- /dev/null
+++ b/packages/clients/ladder_clients/exchanges/connection.py
@@ -0,0 +1,218 @@
+"""
+One kept connection to a target.
+
+References
+----------
+RFC 9112, "HTTP/1.1", section 9, "Connection Management".
+
+"""
+
+import asyncio
+from typing import cast
+
+import h11
+
+from ladder_clients.exchanges.errors import (
+    SilentConnectionError,
+    TransportBrokenError,
+)
+from ladder_clients.exchanges.messages import OutgoingRequest
+
+_REMEDY = 'read back whether the request took effect'
+# Unread bytes at which the other end is made to wait.
+_BUFFER_BYTES = 262_144
+
+
+class KeptConnection(asyncio.Protocol):
+    """
+    Bytes of one connection, and the state of its exchange.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` of the other end.
+
+    Notes
+    -----
+    A byte that arrives while no request is waiting belongs to none, so the
+    connection is closed. After a broken, cancelled or short answer it is
+    closed as well.
+
+    """
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.expires_at: float = 0
+        self.has_served = False
+        self._transport: asyncio.Transport | None = None
+        self._http = h11.Connection(h11.CLIENT)
+        self._news = asyncio.Event()
+        self._received = bytearray()
+        self._error: Exception | None = None
+        self._is_closed = False
+        self._is_idle = True
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether another request may be sent."""
+        return not self._is_closed and self._is_idle
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take note of the transport."""
+        self._transport = cast('asyncio.Transport', transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Keep what arrives for the exchange that waits."""
+        if self._is_idle:
+            self.abort()
+            return
+        self._received += data
+        if len(self._received) > _BUFFER_BYTES and self._transport:
+            self._transport.pause_reading()
+        self._news.set()
+
+    def eof_received(self) -> bool:
+        """Let the connection close."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Wake the exchange."""
+        self._is_closed = True
+        self._error = exc
+        self._news.set()
+
+    def send(self, request: OutgoingRequest) -> None:
+        """
+        Put a request on the wire.
+
+        Raises
+        ------
+        TransportBrokenError
+            The connection closed before the request was written.
+
+        """
+        if self._transport is None or self._is_closed:
+            raise TransportBrokenError(
+                f'{self.address}: the connection is closed',
+                remedy='send the request over another connection',
+            )
+        self._is_idle = False
+        headers = [
+            *request.headers,
+            (b'Content-Length', str(len(request.body)).encode()),
+        ]
+        events: list[h11.Event] = [
+            h11.Request(
+                method=request.method,
+                target=request.target,
+                headers=headers,
+            ),
+        ]
+        if request.body:
+            events.append(h11.Data(data=request.body))
+        events.append(h11.EndOfMessage())
+        parts = [self._http.send(event) for event in events]
+        self._transport.write(b''.join(part for part in parts if part))
+
+    async def read_head(self, gap: float) -> h11.Response:
+        """
+        Return the head of the answer.
+
+        Raises
+        ------
+        TransportError
+            The connection broke or stays silent.
+
+        """
+        while True:
+            event = await self._next_event(gap)
+            if isinstance(event, h11.Response):
+                return event
+            if not isinstance(event, h11.InformationalResponse):
+                raise self._make_broken('it closed without an answer')
+
+    async def read_chunk(self, gap: float) -> bytes:
+        """
+        Return the next bytes of the body; empty at its end.
+
+        Raises
+        ------
+        TransportError
+            The connection broke or stays silent before the end.
+
+        """
+        event = await self._next_event(gap)
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return b''
+        raise self._make_broken('the answer was cut')
+
+    def finish(self) -> bool:
+        """
+        End an exchange whose answer was read whole.
+
+        Returns
+        -------
+        bool
+            Whether the connection may be kept.
+
+        """
+        states = (self._http.our_state, self._http.their_state)
+        has_rest = self._received or self._http.trailing_data[0]
+        if self._is_closed or has_rest or states != (h11.DONE, h11.DONE):
+            self.abort()
+            return False
+        self._http.start_next_cycle()
+        self.has_served = True
+        self._is_idle = True
+        return True
+
+    def abort(self) -> None:
+        """Close at once; bytes on their way are dropped."""
+        self._is_closed = True
+        if self._transport is not None:
+            self._transport.abort()
+        self._news.set()
+
+    async def _next_event(self, gap: float) -> h11.Event | type[h11.PAUSED]:
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                raise self._make_broken(str(error)) from error
+            if event is not h11.NEED_DATA:
+                return cast('h11.Event', event)
+            await self._receive(gap)
+
+    async def _receive(self, gap: float) -> None:
+        """Hand what arrived to the parser; wait for it if need be."""
+        if not self._received and not self._is_closed:
+            await self._wait(gap)
+        if self._received:
+            received = bytes(self._received)
+            self._received.clear()
+            if self._transport is not None and not self._is_closed:
+                self._transport.resume_reading()
+            self._http.receive_data(received)
+        elif self._error is not None:
+            raise self._make_broken(repr(self._error))
+        else:
+            self._http.receive_data(b'')
+
+    async def _wait(self, gap: float) -> None:
+        self._news.clear()
+        try:
+            async with asyncio.timeout(gap):
+                await self._news.wait()
+        except TimeoutError as error:
+            raise SilentConnectionError(
+                f'{self.address}: nothing received for {gap} s',
+                remedy=_REMEDY,
+            ) from error
+
+    def _make_broken(self, reason: str) -> TransportBrokenError:
+        return TransportBrokenError(
+            f'{self.address}: connection broke: {reason}',
+            remedy=_REMEDY,
+        )
--- /dev/null
+++ b/packages/clients/ladder_clients/replicas/__init__.py
@@ -0,0 +1,19 @@
+"""Replicas of services and of models."""
+
+from ladder_clients.replicas.base import ReplicaClient
+from ladder_clients.replicas.messages import (
+    CallerRequest,
+    OrderOutcome,
+    TaskRequest,
+    TextEvent,
+    VersionOrder,
+)
+
+__all__ = (
+    'CallerRequest',
+    'OrderOutcome',
+    'ReplicaClient',
+    'TaskRequest',
+    'TextEvent',
+    'VersionOrder',
+)
--- a/packages/clients/ladder_clients/table/__init__.py
+++ b/packages/clients/ladder_clients/table/__init__.py
@@ -6,7 +6,6 @@
     StoreOutcomeUnknownError,
 )
 from ladder_clients.table.gate import TableBudget, TableGate
-from ladder_clients.table.http import HttpTableClient
 from ladder_clients.table.resilient import ResilientTableClient
 from ladder_clients.table.wire import (
     Changes,
@@ -21,7 +20,6 @@
     'Changes',
     'Condition',
     'HistoryLostError',
-    'HttpTableClient',
     'Outcome',
     'ResilientTableClient',
     'PartitionedTable',
--- a/packages/clients/ladder_clients/table/tests/test_http.py
+++ b/packages/clients/ladder_clients/table/tests/test_http.py
@@ -1,11 +1,11 @@
 import pytest
 
 from ladder_clients.table import (
-    HttpTableClient,
     StoreOutcomeUnknownError,
     Transaction,
     Write,
 )
+from ladder_clients.table.http import HttpTableClient
 from ladder_clients.transport import HttpClient
 from ladder_core.errors import StoreUnavailableError
 from ladder_standins.scripted import ScriptedTarget
--- a/packages/clients/ladder_clients/transport/__init__.py
+++ b/packages/clients/ladder_clients/transport/__init__.py
@@ -1,17 +1,17 @@
 """HTTP transport shared by all clients."""
 
-from ladder_clients.transport.client import (
-    ORIGIN_HEADER,
-    Answer,
-    HttpClient,
-    Timeouts,
-)
-from ladder_clients.transport.errors import (
+from ladder_clients.exchanges.errors import (
     SilentConnectionError,
     TransportBrokenError,
     TransportError,
     UnreachableError,
 )
+from ladder_clients.exchanges.messages import Timeouts
+from ladder_clients.transport.client import (
+    ORIGIN_HEADER,
+    Answer,
+    HttpClient,
+)
 from ladder_clients.transport.probe import TargetProbe, TcpProbe
 from ladder_clients.transport.translation import translate_target_errors
 
--- a/packages/clients/ladder_clients/transport/client.py
+++ b/packages/clients/ladder_clients/transport/client.py
@@ -6,12 +6,13 @@
 
 import aiohttp
 
-from ladder_clients.transport.errors import (
+from ladder_clients.exchanges.errors import (
     SilentConnectionError,
     TransportBrokenError,
     TransportError,
     UnreachableError,
 )
+from ladder_clients.exchanges.messages import Timeouts
 from ladder_clients.transport.once import (
     BrokenExchangeError,
     Progress,
@@ -23,30 +24,6 @@
 
 ORIGIN_HEADER = 'x-origin'
 
-_CONNECT_SECONDS = 2
-_GAP_SECONDS = 5
-
-
-@dataclass(frozen=True, slots=True)
-class Timeouts:
-    """
-    Limits of one exchange.
-
-    Attributes
-    ----------
-    total : float or None
-        Seconds for the whole exchange; None for streams.
-    gap : float
-        Seconds without a byte after which the connection counts as silent.
-    connect : float
-        Seconds for making a connection.
-
-    """
-
-    total: float | None = _GAP_SECONDS
-    gap: float = _GAP_SECONDS
-    connect: float = _CONNECT_SECONDS
-
 
 @dataclass(frozen=True, slots=True)
 class Answer:
--- a/packages/clients/ladder_clients/transport/translation.py
+++ b/packages/clients/ladder_clients/transport/translation.py
@@ -3,7 +3,7 @@
 import contextlib
 from collections.abc import Iterator
 
-from ladder_clients.transport.errors import (
+from ladder_clients.exchanges.errors import (
     SilentConnectionError,
     TransportBrokenError,
     TransportError,
--- a/packages/core/ladder_core/errors/__init__.py
+++ b/packages/core/ladder_core/errors/__init__.py
@@ -9,7 +9,6 @@
     NotRunError,
     OverloadedError,
     StoreUnavailableError,
-    TargetUnavailableError,
     TooLargeError,
     UnauthorizedError,
     UnknownNameError,
@@ -21,9 +20,16 @@
     InProgressError,
     MayHaveRunError,
     PoisonousRequestError,
+    RunFailedError,
     TargetLostError,
     TargetRefusedError,
     TargetTimeoutError,
+    TaskRejectedError,
+)
+from ladder_core.errors.targets import (
+    TargetChangedError,
+    TargetFullError,
+    TargetUnavailableError,
 )
 from ladder_core.errors.tree import Execution, LadderError, SettingsError
 
@@ -43,12 +49,16 @@
     'NotRunError',
     'OverloadedError',
     'PoisonousRequestError',
+    'RunFailedError',
     'SettingsError',
     'StoreUnavailableError',
+    'TargetChangedError',
+    'TargetFullError',
     'TargetLostError',
     'TargetRefusedError',
     'TargetTimeoutError',
     'TargetUnavailableError',
+    'TaskRejectedError',
     'TooLargeError',
     'UnauthorizedError',
     'UnknownNameError',
--- a/packages/core/ladder_core/errors/refusals.py
+++ b/packages/core/ladder_core/errors/refusals.py
@@ -71,12 +71,6 @@
     status = 429
 
 
-class TargetUnavailableError(NotRunError):
-    """No target can take the request now."""
-
-    kind = 'target-unavailable'
-
-
 class StoreUnavailableError(NotRunError):
     """The table service is needed and does not answer."""
 
--- a/packages/core/ladder_core/errors/runs.py
+++ b/packages/core/ladder_core/errors/runs.py
@@ -73,3 +73,19 @@
     kind = 'poisonous-request'
     status = 422
     execution = Execution.ran
+
+
+class RunFailedError(LadderError):
+    """The target ran the request and answered that it failed."""
+
+    kind = 'run-failed'
+    status = 500
+    execution = Execution.ran
+
+
+class TaskRejectedError(LadderError):
+    """The target answered that a task can never be done."""
+
+    kind = 'task-rejected'
+    status = 422
+    execution = Execution.ran
--- a/packages/core/ladder_core/timeline/recorder.py
+++ b/packages/core/ladder_core/timeline/recorder.py
@@ -1,6 +1,7 @@
 """The bounded time line of one process."""
 
 from collections import deque
+from collections.abc import Callable
 from itertools import islice
 
 from ladder_core.timeline.clock import HybridClock, HybridTime
@@ -21,6 +22,8 @@
         Source of stamps.
     capacity : int, optional
         Number of events kept; the oldest are dropped first.
+    sink : callable, optional
+        Called with each event, for example to write it to the log.
 
     """
 
@@ -29,9 +32,11 @@
         node: str,
         clock: HybridClock,
         capacity: int = _CAPACITY_EVENTS,
+        sink: Callable[[Event], None] | None = None,
     ) -> None:
         self._node = node
         self._clock = clock
+        self._sink = sink
         self._events: deque[Event] = deque(maxlen=capacity)
 
     @property
@@ -56,6 +61,8 @@
         texts = {name: str(field) for name, field in fields.items()}
         event = Event(self._clock.tick(), self._node, kind, subject, texts)
         self._events.append(event)
+        if self._sink is not None:
+            self._sink(event)
 
     def read(self, after: HybridTime, limit: int) -> list[Event]:
         """
--- a/packages/core/ladder_core/values/__init__.py
+++ b/packages/core/ladder_core/values/__init__.py
@@ -7,10 +7,20 @@
 )
 from ladder_core.values.hosts import HostEntry, HostKind, HostState
 from ladder_core.values.lists import Allowance, Lists, Plan, Weighing
+from ladder_core.values.replicas import Replica
+from ladder_core.values.routes import (
+    CallerLimits,
+    Route,
+    RouteKind,
+    RouteTable,
+    ServiceEntry,
+    ServiceShare,
+)
 from ladder_core.values.samples import Group, Sample, SampleId, VersionSpan
 
 __all__ = (
     'Allowance',
+    'CallerLimits',
     'Difference',
     'DifferenceKind',
     'Group',
@@ -19,8 +29,14 @@
     'HostState',
     'Lists',
     'Plan',
+    'Replica',
+    'Route',
+    'RouteKind',
+    'RouteTable',
     'Sample',
     'SampleId',
+    'ServiceEntry',
+    'ServiceShare',
     'VersionSpan',
     'Weighing',
     'compare_lists',
--- a/packages/node/ladder_node/app/clients.py
+++ b/packages/node/ladder_node/app/clients.py
@@ -13,11 +13,11 @@
 )
 from ladder_clients.services import PlainServiceClient
 from ladder_clients.table import (
-    HttpTableClient,
     ResilientTableClient,
     TableClient,
     TableGate,
 )
+from ladder_clients.table.http import HttpTableClient
 from ladder_clients.transport import HttpClient
 from ladder_core.settings import NodeSettings
 from ladder_core.timers import TimerService
--- a/packages/node/ladder_node/app/peers.py
+++ b/packages/node/ladder_node/app/peers.py
@@ -6,8 +6,8 @@
 from ladder_core.timeline import TimeLine
 from ladder_core.timers import TimerService
 from ladder_node.configuration import ConfigurationKeeper
-from ladder_node.entry import Drain
 from ladder_node.peers import Gossip, Member, NodeDirectory, ZmqTransport
+from ladder_node.serving import Drain
 from ladder_node.targets import TargetTable
 
 
--- a/packages/node/ladder_node/app/tree.py
+++ b/packages/node/ladder_node/app/tree.py
@@ -12,14 +12,12 @@
 from ladder_node.app.requests import DispatchParts, make_dispatchers
 from ladder_node.configuration import ConfigurationKeeper
 from ladder_node.entry import (
-    Drain,
-    EntryMiddleware,
     EntryParts,
-    EntryServer,
     RequestLogMiddleware,
     make_entry_app,
 )
 from ladder_node.peers import LeavingTargets, PauseGuard
+from ladder_node.serving import Drain, EntryMiddleware, EntryServer
 from ladder_node.steps import (
     RunnerFactory,
     StepCapacity,
--- /dev/null
+++ b/packages/node/ladder_node/batches/crew.py
@@ -0,0 +1,40 @@
+"""Tasks that end together with the holding of a lease."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from loguru import logger
+
+from ladder_core.errors import LadderError
+from ladder_node.batches.fence import OwnershipLostError
+
+
+class Crew:
+    """
+    Start tasks in a group; only the loss of the lease ends them all.
+
+    Parameters
+    ----------
+    group : asyncio.TaskGroup
+        The group, owned by the caller.
+
+    """
+
+    def __init__(self, group: asyncio.TaskGroup) -> None:
+        self._group = group
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Run work; an error other than the loss of the lease is logged."""
+        return self._group.create_task(_guard(work))
+
+
+async def _guard(work: Coroutine[Any, Any, None]) -> None:
+    try:
+        await work
+    except OwnershipLostError:
+        raise
+    except LadderError as error:
+        logger.warning('work of the duty ended: {}', error)
+    except Exception:
+        logger.exception('work of the duty failed')
--- /dev/null
+++ b/packages/node/ladder_node/batches/desk.py
@@ -0,0 +1,195 @@
+"""What every node does for the callers of batches."""
+
+from prometheus_client import Counter
+
+from ladder_clients.table import StoreOutcomeUnknownError
+from ladder_core.errors import (
+    LadderError,
+    StoreUnavailableError,
+    UnknownNameError,
+)
+from ladder_core.timeline import TimeLine
+from ladder_core.timers import TimerService
+from ladder_core.values import Route
+from ladder_node.batches.records import BatchHead
+from ladder_node.batches.spec import BatchSpec, TaskSpec
+from ladder_node.batches.store import BatchStore, ResultPage
+
+# Another node may reach the store while this one does not, so a caller is
+# sent there before its time is used up.
+_ACCEPT_SECONDS = 1
+_PAUSE_SECONDS = 0.15
+_POLL_SECONDS = 0.12
+_KEPT_HEADS = 512
+
+_accepted_counter = Counter(
+    'ladder_batches_accepted_total',
+    'Submissions of batches by what came of them',
+    ('outcome',),
+)
+
+
+class BatchDesk:
+    """
+    Accept batches, show their results and end them.
+
+    Parameters
+    ----------
+    store : BatchStore
+        Keeps the batches.
+    timers : TimerService
+        Source of time.
+    timeline : TimeLine
+        Takes each decision.
+
+    """
+
+    def __init__(
+        self,
+        store: BatchStore,
+        timers: TimerService,
+        timeline: TimeLine,
+    ) -> None:
+        self._store = store
+        self._timers = timers
+        self._timeline = timeline
+        # Heads never change, so what was read once is kept.
+        self._heads: dict[str, BatchHead] = {}
+
+    async def accept(self, spec: BatchSpec, route: Route) -> None:
+        """
+        Keep a batch; a repetition is accepted again.
+
+        Raises
+        ------
+        StoreUnavailableError
+            The batch is not kept and none of it runs.
+        StoreOutcomeUnknownError
+            The batch may be kept.
+
+        """
+        began = self._timers.now()
+        outcome = 'refused'
+        try:
+            is_new = await self._accept(spec, route)
+            outcome = 'accepted' if is_new else 'repeated'
+        except StoreOutcomeUnknownError:
+            outcome = 'unknown'
+            raise
+        finally:
+            _accepted_counter.labels(outcome).inc()
+            self._timeline.record(
+                'batch-submitted',
+                spec.batch_id,
+                outcome=outcome,
+                step=spec.step,
+                model=spec.model,
+                tasks=len(spec.tasks),
+                seconds=round(self._timers.now() - began, 3),
+            )
+
+    async def read(
+        self,
+        batch_id: str,
+        start: int,
+        wait_seconds: float,
+    ) -> ResultPage:
+        """
+        Return results from a position on, and wait for the first one.
+
+        Raises
+        ------
+        UnknownNameError
+            There is no such batch.
+        StoreUnavailableError
+            The store does not answer.
+
+        """
+        head = await self._require_head(batch_id)
+        until = self._timers.now() + wait_seconds
+        while True:
+            page = await self._store.read_results(batch_id, start, head.total)
+            if page.results or start >= head.total:
+                return page
+            if self._timers.now() + _POLL_SECONDS > until:
+                return page
+            await self._timers.sleep(_POLL_SECONDS)
+
+    async def find_task(self, batch_id: str, task_id: str) -> TaskSpec:
+        """
+        Return a task of a batch that was not ended.
+
+        Raises
+        ------
+        UnknownNameError
+            There is no such batch or task, or the batch was ended.
+        StoreUnavailableError
+            The store does not answer.
+
+        """
+        head = await self._require_head(batch_id)
+        if await self._store.is_ended(batch_id):
+            raise UnknownNameError(
+                f'batch {batch_id} was ended',
+                remedy='ask for tasks of an open batch',
+            )
+        spec = await self._store.read_spec(batch_id, head)
+        for task in spec.tasks:
+            if task.task_id == task_id:
+                return task
+        raise UnknownNameError(
+            f'batch {batch_id} has no task {task_id}',
+            remedy='ask for one of the tasks that were submitted',
+        )
+
+    async def end(self, batch_id: str) -> None:
+        """
+        End a batch; a repetition changes nothing.
+
+        Raises
+        ------
+        UnknownNameError
+            There is no such batch.
+        StoreUnavailableError, StoreOutcomeUnknownError
+            The end is not confirmed.
+
+        """
+        await self._require_head(batch_id)
+        await self._store.end(batch_id)
+        self._timeline.record('batch-end-accepted', batch_id)
+
+    async def _accept(self, spec: BatchSpec, route: Route) -> bool:
+        """
+        Keep a batch, and try again for a short time.
+
+        Explanation
+        -----------
+        After an attempt of unknown outcome a later one that took no effect
+        proves nothing, so the first error is raised.
+
+        """
+        until = self._timers.now() + _ACCEPT_SECONDS
+        errors: list[LadderError] = []
+        while not errors or self._timers.now() < until:
+            try:
+                return await self._store.accept(spec, route)
+            except StoreOutcomeUnknownError as error:
+                errors.insert(0, error)
+            except StoreUnavailableError as error:
+                errors.append(error)
+            await self._timers.sleep(_PAUSE_SECONDS)
+        raise errors[0]
+
+    async def _require_head(self, batch_id: str) -> BatchHead:
+        head = self._heads.get(batch_id)
+        if head is None:
+            head = await self._store.find_head(batch_id)
+        if head is None:
+            raise UnknownNameError(
+                f'there is no batch {batch_id}',
+                remedy='submit it first',
+            )
+        if len(self._heads) >= _KEPT_HEADS:
+            self._heads.pop(next(iter(self._heads)))
+        self._heads[batch_id] = head
+        return head
--- /dev/null
+++ b/packages/node/ladder_node/batches/engines.py
@@ -0,0 +1,166 @@
+"""Engines as the node that runs tasks on them sees them."""
+
+from collections.abc import Iterable
+
+from ladder_core.values import Replica
+from ladder_node.replicas import ReplicaBoard, ReplicaRecord
+from ladder_policy.rollouts import EngineHoldings, EngineView
+
+# Time for a token before the first measurement; what counts is the ratio of
+# engines, and any start is corrected by the first texts.
+_FIRST_TOKEN_SECONDS = 0.0007
+_NEWEST_SHARE = 0.3
+_MEMORY_SECONDS = 6
+# Groups whose prompts an engine is assumed to hold.
+_PREFIXES = 64
+
+
+class EngineState:
+    """
+    One engine: its slots, its speed and the load it carries out.
+
+    Parameters
+    ----------
+    record : ReplicaRecord
+        What is known of the replica.
+
+    Attributes
+    ----------
+    running : dict of str to str
+        Model of each task that runs here.
+    loading : str
+        Model whose next version is being loaded; empty for none.
+    orders : int or None
+        Orders that the engine has accepted; None if not known.
+    """
+
+    def __init__(self, record: ReplicaRecord) -> None:
+        self.record = record
+        self.running: dict[str, str] = {}
+        self.loading = ''
+        self.orders: int | None = None
+        self._token_seconds = _FIRST_TOKEN_SECONDS
+        self._measured_at: float = 0
+        self._prefixes: dict[str, None] = {}
+
+    @property
+    def replica(self) -> Replica:
+        """The replica's own word."""
+        return self.record.replica
+
+    @property
+    def free_slots(self) -> int:
+        """Tasks that it can take at once."""
+        return max(self.replica.slots - len(self.running), 0)
+
+    def begin(self, task_id: str, model: str, group: str) -> None:
+        """Note that a task runs here."""
+        self.running[task_id] = model
+        self._prefixes.pop(group, None)
+        self._prefixes[group] = None
+        if len(self._prefixes) > _PREFIXES:
+            self._prefixes.pop(next(iter(self._prefixes)))
+
+    def end(self, task_id: str) -> None:
+        """Note that a task runs here no more."""
+        self.running.pop(task_id, None)
+
+    def note_speed(self, token_seconds: float, now: float) -> None:
+        """Take the measured time for a token."""
+        self._token_seconds = self.find_pace(now)
+        change = token_seconds - self._token_seconds
+        self._token_seconds += _NEWEST_SHARE * change
+        self._measured_at = now
+
+    def find_pace(self, now: float) -> float:
+        """
+        Return the seconds for a token.
+
+        Explanation
+        -----------
+        An engine that was slow gets no tasks, so no measurement would ever
+        show that it has recovered. What was measured is therefore forgotten
+        after a while.
+
+        """
+        if now - self._measured_at > _MEMORY_SECONDS:
+            return _FIRST_TOKEN_SECONDS
+        return self._token_seconds
+
+    def view(self, group: str, now: float) -> EngineView:
+        """Return what the choice of an engine looks at."""
+        return EngineView(
+            self.record.name,
+            self.find_pace(now),
+            self.free_slots,
+            group in self._prefixes,
+        )
+
+    def describe(self) -> EngineHoldings:
+        """Return what the plan of loads looks at."""
+        running: dict[str, int] = {}
+        for model in self.running.values():
+            running[model] = running.get(model, 0) + 1
+        return EngineHoldings(
+            self.record.name,
+            self.replica.versions,
+            running,
+            self.free_slots,
+            self.loading,
+        )
+
+
+class EngineTable:
+    """
+    The engines of all services.
+
+    Parameters
+    ----------
+    board : ReplicaBoard
+        The replicas.
+
+    """
+
+    def __init__(self, board: ReplicaBoard) -> None:
+        self._board = board
+        self._states: dict[str, EngineState] = {}
+
+    def find(self, name: str) -> EngineState | None:
+        """Return an engine that is listed, or None."""
+        record = self._board.find(name)
+        return self._track(record) if record else None
+
+    def list_usable(self, service: str, now: float) -> list[EngineState]:
+        """Return the engines of a service that may get a task now."""
+        return [
+            self._track(record)
+            for record in self._board.list_service(service)
+            if record.allows(now)
+        ]
+
+    def list_lasting(self, service: str, now: float) -> list[EngineState]:
+        """Return the engines of a service that are neither lost nor leave."""
+        return [
+            self._track(record)
+            for record in self._board.list_service(service)
+            if not record.replica.is_leaving and not record.is_lost(now)
+        ]
+
+    def list_running(self) -> list[EngineState]:
+        """Return the engines that run tasks, listed or not."""
+        return [state for state in self._states.values() if state.running]
+
+    def _track(self, record: ReplicaRecord) -> EngineState:
+        state = self._states.get(record.name)
+        if state is None or state.record is not record:
+            state = EngineState(record)
+            self._states[record.name] = state
+        return state
+
+
+def find_quickest(engines: Iterable[EngineState], now: float) -> float:
+    """Return the seconds for a token at the quickest of some engines."""
+    return min(
+        (engine.find_pace(now) for engine in engines),
+        default=_FIRST_TOKEN_SECONDS,
+    )
--- /dev/null
+++ b/packages/node/ladder_node/batches/fence.py
@@ -0,0 +1,165 @@
+"""
+The right of one node to write results, partition by partition.
+
+Explanation
+-----------
+A transaction changes one partition only, so it cannot require the row of the
+lease. A new holder therefore writes its epoch into a row of each partition
+before it reads anything there. Each write of results requires that row as
+the holder left it, so a write of an earlier holder that arrives late is
+refused by the table service.
+"""
+
+import asyncio
+import uuid
+from collections.abc import Iterable
+
+import msgspec
+
+from ladder_clients.table import (
+    Condition,
+    PartitionedTable,
+    Row,
+    StoreOutcomeUnknownError,
+    Transaction,
+    Write,
+)
+from ladder_core.errors import NotRunError, StoreUnavailableError
+from ladder_core.timers import TimerService
+from ladder_node.batches.records import OWNERS_TABLE, OwnerRow, list_shards
+from ladder_node.leases import Lease
+
+_KEY = 'owner'
+_RETRY_SECONDS = 0.15
+
+
+class OwnershipLostError(NotRunError):
+    """Another node runs the batches now."""
+
+    kind = 'ownership-lost'
+
+
+class Fence:
+    """
+    Keep earlier holders of a lease from writing.
+
+    Parameters
+    ----------
+    table : PartitionedTable
+        The table service.
+    lease : Lease
+        The lease under which this node writes.
+    node : str
+        Name of this node.
+    timers : TimerService
+        Source of time.
+
+    """
+
+    def __init__(
+        self,
+        table: PartitionedTable,
+        lease: Lease,
+        node: str,
+        timers: TimerService,
+    ) -> None:
+        self._table = table
+        self._lease = lease
+        self._own = OwnerRow(node, lease.epoch)
+        self._timers = timers
+        self._revisions: dict[str, int] = {}
+
+    @property
+    def epoch(self) -> int:
+        """Fencing token of the lease."""
+        return self._lease.epoch
+
+    async def raise_all(self) -> None:
+        """
+        Fence all partitions.
+
+        Raises
+        ------
+        OwnershipLostError
+            Another node has a later lease, or this one has run out.
+
+        """
+        await asyncio.gather(*(self._raise(shard) for shard in list_shards()))
+
+    def check(self) -> None:
+        """
+        Make sure that the lease is valid.
+
+        Raises
+        ------
+        OwnershipLostError
+            It has run out.
+
+        """
+        if not self._lease.is_valid():
+            raise OwnershipLostError(
+                f'lease {self._lease.name} has run out',
+                remedy='acquire it again',
+            )
+
+    def guard(self, shard: str) -> Condition:
+        """Return the condition that no later holder fenced a partition."""
+        return Condition(OWNERS_TABLE, _KEY, self._revisions[shard], shard)
+
+    def note_conflicts(self, shard: str, rows: Iterable[Row]) -> None:
+        """
+        Look at the rows that kept a transaction from taking effect.
+
+        Raises
+        ------
+        OwnershipLostError
+            A later holder has fenced the partition.
+
+        """
+        for row in rows:
+            if row.table == OWNERS_TABLE and row.part == shard:
+                self._accept_own(shard, row)
+
+    async def _raise(self, shard: str) -> None:
+        while True:
+            self.check()
+            try:
+                if await self._try_raise(shard):
+                    return
+            except (StoreUnavailableError, StoreOutcomeUnknownError):
+                await self._timers.sleep(_RETRY_SECONDS)
+
+    async def _try_raise(self, shard: str) -> bool:
+        row = await self._table.read_part(OWNERS_TABLE, shard, _KEY)
+        if row is not None and _decode(row) == self._own:
+            self._revisions[shard] = row.revision
+            return True
+        if row is not None and _decode(row).epoch >= self._own.epoch:
+            raise _make_lost(_decode(row))
+        revision = row.revision if row else 0
+        body = msgspec.json.encode(self._own).decode()
+        outcome = await self._table.commit(
+            Transaction(
+                uuid.uuid4().hex,
+                (Condition(OWNERS_TABLE, _KEY, revision, shard),),
+                (Write(OWNERS_TABLE, _KEY, body, shard),),
+            ),
+        )
+        self._revisions[shard] = outcome.revision
+        return outcome.committed
+
+    def _accept_own(self, shard: str, row: Row) -> None:
+        if not row.revision or _decode(row) != self._own:
+            raise _make_lost(_decode(row) if row.revision else self._own)
+        self._revisions[shard] = row.revision
+
+
+def _decode(row: Row) -> OwnerRow:
+    return msgspec.json.decode(row.body, type=OwnerRow)
+
+
+def _make_lost(owner: OwnerRow) -> OwnershipLostError:
+    return OwnershipLostError(
+        f'node {owner.node} runs the batches under epoch {owner.epoch}',
+        remedy='leave them to it',
+    )
--- /dev/null
+++ b/packages/node/ladder_node/batches/intake.py
@@ -0,0 +1,196 @@
+"""Open the batches that any node accepts, and close those that are ended."""
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from ladder_clients.table import HistoryLostError, Row
+from ladder_core.errors import StoreUnavailableError
+from ladder_node.batches.book import BatchBook
+from ladder_node.batches.crew import Crew
+from ladder_node.batches.fence import Fence
+from ladder_node.batches.ledger import Ledger
+from ladder_node.batches.parts import OwnerParts
+from ladder_node.batches.records import (
+    BATCHES_TABLE,
+    BatchHead,
+    TaskResult,
+    list_shards,
+    split_end_key,
+)
+from ladder_node.batches.work import BatchWork, Stage
+
+_WATCH_SECONDS = 1.2
+_RETRY_SECONDS = 0.25
+_MILLISECONDS = 1000
+
+
+class BatchIntake:
+    """
+    Follow the table of batches.
+
+    Parameters
+    ----------
+    parts : OwnerParts
+        What the work needs.
+    fence : Fence
+        This node's right to write results.
+    book : BatchBook
+        Takes the batches.
+    on_open, on_end : callable
+        Called with each batch that is opened, or was ended.
+
+    """
+
+    def __init__(
+        self,
+        parts: OwnerParts,
+        fence: Fence,
+        book: BatchBook,
+        on_open: Callable[[BatchWork], None],
+        on_end: Callable[[BatchWork], None],
+    ) -> None:
+        self._parts = parts
+        self._fence = fence
+        self._book = book
+        self._on_open = on_open
+        self._on_end = on_end
+        self._known: set[str] = set()
+
+    async def run(self, crew: Crew) -> None:
+        """
+        Follow the table until cancelled.
+
+        Raises
+        ------
+        OwnershipLostError
+            The lease has run out.
+
+        """
+        while True:
+            try:
+                await self._read_and_watch(crew)
+            except HistoryLostError:
+                self._parts.timeline.record('feed-history-lost', BATCHES_TABLE)
+            except StoreUnavailableError as error:
+                self._parts.timeline.record(
+                    'dependency-lost',
+                    f'feed/{BATCHES_TABLE}',
+                    error=error.message,
+                )
+                await self._parts.timers.sleep(_RETRY_SECONDS)
+            self._fence.check()
+
+    async def _read_and_watch(self, crew: Crew) -> None:
+        table = self._parts.table
+        revision = (await table.snapshot(BATCHES_TABLE)).revision
+        shards = await asyncio.gather(
+            *(table.scan_part(BATCHES_TABLE, part) for part in list_shards()),
+        )
+        self._take_rows((row for rows in shards for row in rows), crew)
+        while True:
+            changes = await table.watch(
+                BATCHES_TABLE,
+                revision,
+                _WATCH_SECONDS,
+            )
+            revision = changes.revision
+            self._take_rows(changes.rows, crew)
+
+    def _take_rows(self, rows: Iterable[Row], crew: Crew) -> None:
+        heads: dict[str, Row] = {}
+        for row in rows:
+            batch_id, is_end = split_end_key(row.key)
+            if is_end:
+                self._end(batch_id)
+            else:
+                heads[batch_id] = row
+        for batch_id, row in heads.items():
+            if batch_id not in self._known:
+                self._known.add(batch_id)
+                if not self._book.is_ended(batch_id):
+                    head = msgspec.json.decode(row.body, type=BatchHead)
+                    crew.spawn(self._open(batch_id, head, crew))
+
+    async def _open(self, batch_id: str, head: BatchHead, crew: Crew) -> None:
+        """Read a batch that was accepted, and hand it out."""
+        wall = time.time() * _MILLISECONDS
+        age = max((wall - head.accepted_at) / _MILLISECONDS, 0)
+        if age > head.retention_seconds + head.step_seconds:
+            return
+        ledger = self._make_ledger(batch_id)
+        listed = await self._read(batch_id, ledger)
+        spec = await self._parts.store.read_spec(batch_id, head)
+        if self._book.is_ended(batch_id):
+            return
+        batch = self._book.add(spec, head, ledger, age, listed)
+        self._parts.timeline.record(
+            'batch-opened',
+            batch_id,
+            epoch=self._fence.epoch,
+            step=spec.step,
+            model=spec.model,
+            min_version=spec.min_version,
+            tasks=len(spec.tasks),
+            groups=len(batch.groups),
+            target_groups=spec.target_groups,
+            listed=len(listed),
+            reused=sum(bool(work.draft.parts) for work in batch.tasks.values()),
+            age=round(age, 3),
+        )
+        crew.spawn(ledger.run())
+        self._on_open(batch)
+
+    async def _read(self, batch_id: str, ledger: Ledger) -> list[TaskResult]:
+        while True:
+            try:
+                return await ledger.load()
+            except StoreUnavailableError:
+                self._fence.check()
+                await self._parts.timers.sleep(_RETRY_SECONDS)
+
+    def _make_ledger(self, batch_id: str) -> Ledger:
+        return Ledger(
+            batch_id,
+            self._parts.store,
+            self._parts.table,
+            self._fence,
+            self._parts.timers,
+            lambda results: self._note_written(batch_id, results),
+        )
+
+    def _end(self, batch_id: str) -> None:
+        """Stop all work of a batch that was ended."""
+        if self._book.is_ended(batch_id):
+            return
+        batch = self._book.end(batch_id)
+        if batch is None:
+            return
+        stages = [work.stage for work in batch.tasks.values()]
+        self._parts.timeline.record(
+            'batch-ended',
+            batch_id,
+            done=stages.count(Stage.done),
+            total=len(stages),
+            left=round(batch.due - self._parts.timers.now(), 3),
+        )
+        batch.ledger.close()
+        self._on_end(batch)
+
+    def _note_written(
+        self,
+        batch_id: str,
+        results: list[TaskResult],
+    ) -> None:
+        batch = self._book.find(batch_id)
+        self._parts.timeline.record(
+            'results-durable',
+            batch_id,
+            results=','.join(result.task_id for result in results),
+            total=batch.head.total if batch else 0,
+        )
+        if batch is not None and batch.ledger.count >= batch.head.total:
+            self._book.close(batch_id)
+            batch.ledger.close()
--- /dev/null
+++ b/packages/node/ladder_node/batches/ledger.py
@@ -0,0 +1,223 @@
+"""Write the results of batches, each position once."""
+
+import asyncio
+import uuid
+from collections import deque
+from collections.abc import Callable
+
+from prometheus_client import Counter, Histogram
+
+from ladder_clients.table import (
+    Condition,
+    Outcome,
+    PartitionedTable,
+    Row,
+    StoreOutcomeUnknownError,
+    Transaction,
+    Write,
+)
+from ladder_core.errors import StoreUnavailableError
+from ladder_core.timers import TimerService
+from ladder_node.batches.fence import Fence, OwnershipLostError
+from ladder_node.batches.records import (
+    POSITIONS_TABLE,
+    TaskResult,
+    TaskState,
+    find_shard,
+)
+from ladder_node.batches.store import BatchStore
+
+_RETRY_SECONDS = 0.2
+# A transaction has at most 100 entries and 1 MB.
+_MAX_RESULTS = 24
+_MAX_CHARACTERS = 500_000
+
+_results_counter = Counter(
+    'ladder_batch_results_total',
+    'Results of tasks that were written, by how the task ended',
+    ('state',),
+)
+_write_histogram = Histogram(
+    'ladder_batch_result_write_seconds',
+    'Time from a result to its durable position',
+)
+
+
+class Ledger:
+    """
+    Append results to the positions of one batch.
+
+    Parameters
+    ----------
+    batch_id : str
+        The batch.
+    store : BatchStore
+        Makes the rows.
+    table : PartitionedTable
+        Takes them.
+    fence : Fence
+        This node's right to write.
+    timers : TimerService
+        Source of time.
+    on_written : callable
+        Called with the results that are durable.
+
+    Notes
+    -----
+    One transaction at a time is on its way. It requires the number of
+    results that were there before, and that no later owner has fenced the
+    partition. So the same transaction is sent again after a lost answer, and
+    takes effect once. A late effect finds its condition gone.
+
+    """
+
+    def __init__(
+        self,
+        batch_id: str,
+        store: BatchStore,
+        table: PartitionedTable,
+        fence: Fence,
+        timers: TimerService,
+        on_written: Callable[[list[TaskResult]], None],
+    ) -> None:
+        self._batch_id = batch_id
+        self._shard = find_shard(batch_id)
+        self._store = store
+        self._table = table
+        self._fence = fence
+        self._timers = timers
+        self._on_written = on_written
+        self._pending: deque[tuple[float, TaskResult]] = deque()
+        self._news = asyncio.Event()
+        self._count = 0
+        self._revision = 0
+        self._is_closing = False
+
+    @property
+    def count(self) -> int:
+        """Number of results that are durable."""
+        return self._count
+
+    async def load(self) -> list[TaskResult]:
+        """
+        Read what is there; return all results.
+
+        Raises
+        ------
+        StoreUnavailableError
+            The table service does not answer.
+
+        """
+        await self._read_position()
+        return await self._store.list_listed(self._batch_id)
+
+    def add(self, result: TaskResult) -> None:
+        """Take a result, to be written soon."""
+        self._pending.append((self._timers.now(), result))
+        self._news.set()
+
+    def close(self) -> None:
+        """Write what is pending and end then."""
+        self._is_closing = True
+        self._news.set()
+
+    async def run(self) -> None:
+        """
+        Write results as they come, until closed.
+
+        Raises
+        ------
+        OwnershipLostError
+            Another node writes the results of the batch now.
+
+        """
+        while not self._is_closing:
+            await self._news.wait()
+            self._news.clear()
+            while self._pending:
+                chosen = self._choose()
+                await self._write([result for _, result in chosen])
+                self._finish(chosen)
+
+    def _choose(self) -> list[tuple[float, TaskResult]]:
+        chosen: list[tuple[float, TaskResult]] = []
+        size = 0
+        for entry in self._pending:
+            size += len(entry[1].text)
+            if chosen and size > _MAX_CHARACTERS:
+                break
+            chosen.append(entry)
+            if len(chosen) == _MAX_RESULTS:
+                break
+        return chosen
+
+    def _finish(self, chosen: list[tuple[float, TaskResult]]) -> None:
+        now = self._timers.now()
+        for began, result in chosen:
+            self._pending.popleft()
+            _results_counter.labels(result.state).inc()
+            _write_histogram.observe(now - began)
+        self._on_written([result for _, result in chosen])
+
+    async def _write(self, results: list[TaskResult]) -> None:
+        wanted = self._count + len(results)
+        writes = self._store.make_result_writes(
+            self._batch_id,
+            self._count,
+            results,
+        )
+        while not await self._try_write(writes, wanted):
+            await self._timers.sleep(_RETRY_SECONDS)
+            self._fence.check()
+
+    async def _try_write(self, writes: list[Write], wanted: int) -> bool:
+        self._fence.check()
+        condition = Condition(
+            POSITIONS_TABLE,
+            self._batch_id,
+            self._revision,
+            self._shard,
+        )
+        conditions = (self._fence.guard(self._shard), condition)
+        try:
+            outcome = await self._table.commit(
+                Transaction(uuid.uuid4().hex, conditions, tuple(writes)),
+            )
+            if outcome.committed:
+                self._count = wanted
+                self._revision = outcome.revision
+                return True
+            return await self._explain(outcome, wanted)
+        except (StoreUnavailableError, StoreOutcomeUnknownError):
+            return False
+
+    async def _explain(self, outcome: Outcome, wanted: int) -> bool:
+        """Tell whether a conflict is the trace of an own lost answer."""
+        self._fence.note_conflicts(self._shard, outcome.conflicts)
+        before = self._count
+        row = await self._read_position()
+        if self._count == wanted:
+            return True
+        if self._count != before:
+            raise OwnershipLostError(
+                f'batch {self._batch_id} has {self._count} results and not'
+                f' {before} or {wanted}',
+                remedy='read the batch anew under a new lease',
+            )
+        del row
+        return False
+
+    async def _read_position(self) -> Row | None:
+        row = await self._table.read_part(
+            POSITIONS_TABLE,
+            self._shard,
+            self._batch_id,
+        )
+        self._count = int(row.body) if row else 0
+        self._revision = row.revision if row else 0
+        return row
+
+
+def make_given_up(task_id: str) -> TaskResult:
+    """Return the result of a task that is given up."""
+    return TaskResult(task_id, TaskState.given_up)
--- /dev/null
+++ b/packages/node/ladder_node/batches/loading.py
@@ -0,0 +1,193 @@
+"""Order engines to load versions, and watch until they hold them."""
+
+from collections.abc import Callable
+
+from prometheus_client import Counter
+
+from ladder_clients.replicas import OrderOutcome, ReplicaClient, VersionOrder
+from ladder_core.errors import LadderError
+from ladder_core.timeline import TimeLine
+from ladder_core.timers import TimerService
+from ladder_core.values import Replica
+from ladder_node.batches.engines import EngineState
+from ladder_node.batches.fence import OwnershipLostError
+from ladder_policy.rollouts import LoadDecision
+
+# A load takes about a second; looking earlier costs a probe and tells
+# nothing.
+_FIRST_LOOK_SECONDS = 0.85
+_LOOK_SECONDS = 0.2
+_GIVE_UP_SECONDS = 6
+_RETRY_SECONDS = 0.5
+
+_orders_counter = Counter(
+    'ladder_version_orders_total',
+    'Orders to load a version, by the answer',
+    ('outcome',),
+)
+
+
+class VersionLoader:
+    """
+    Carry out decisions to load versions.
+
+    Parameters
+    ----------
+    client : ReplicaClient
+        Gives the orders.
+    timers : TimerService
+        Source of time.
+    timeline : TimeLine
+        Takes each order and its end.
+    holder : str
+        Name of this node.
+    epoch : int
+        Fencing token of the lease.
+    on_state : callable
+        Called with a replica's new state.
+
+    """
+
+    def __init__(
+        self,
+        client: ReplicaClient,
+        timers: TimerService,
+        timeline: TimeLine,
+        holder: str,
+        epoch: int,
+        on_state: Callable[[Replica], None],
+    ) -> None:
+        self._client = client
+        self._timers = timers
+        self._timeline = timeline
+        self._holder = holder
+        self._epoch = epoch
+        self._on_state = on_state
+
+    async def load(
+        self,
+        engine: EngineState,
+        decision: LoadDecision,
+        ends_runs: bool,
+    ) -> None:
+        """
+        Give an order, and return when the engine holds the version.
+
+        Explanation
+        -----------
+        An order whose answer was lost is not repeated before the engine was
+        asked what it does. An engine that does not get there is left as it
+        is; the next plan decides anew.
+
+        Raises
+        ------
+        OwnershipLostError
+            The engine has seen a later holder of the lease.
+
+        """
+        engine.loading = decision.model
+        began = self._timers.now()
+        outcome = 'lost'
+        try:
+            outcome = await self._order(engine, decision, ends_runs)
+            if outcome != OrderOutcome.invalid:
+                outcome = await self._watch(engine, decision, outcome)
+        finally:
+            engine.loading = ''
+            self._note_end(decision, outcome, self._timers.now() - began)
+
+    def _note_end(
+        self,
+        decision: LoadDecision,
+        outcome: str,
+        seconds: float,
+    ) -> None:
+        _orders_counter.labels(outcome).inc()
+        self._timeline.record(
+            'version-order-ended',
+            decision.engine,
+            model=decision.model,
+            version=decision.version,
+            reason=decision.reason,
+            epoch=self._epoch,
+            outcome=outcome,
+            seconds=round(seconds, 3),
+        )
+
+    async def _order(
+        self,
+        engine: EngineState,
+        decision: LoadDecision,
+        ends_runs: bool,
+    ) -> str:
+        if engine.orders is None:
+            state = await self._read(engine)
+            if state is None:
+                return 'unreachable'
+            if state.is_busy or _holds(state, decision):
+                return OrderOutcome.busy
+        order = VersionOrder(
+            decision.model,
+            decision.version,
+            self._holder,
+            self._epoch,
+            engine.orders or 0,
+            ends_runs,
+        )
+        before = engine.orders or 0
+        engine.orders = None
+        try:
+            outcome = await self._client.order_version(engine.replica, order)
+        except LadderError as error:
+            engine.record.note_failure(self._timers.now())
+            return error.kind
+        if outcome is OrderOutcome.accepted:
+            engine.orders = before + 1
+        if outcome is OrderOutcome.fenced_off:
+            raise OwnershipLostError(
+                f'{decision.engine} has seen a later epoch than {self._epoch}',
+                remedy='leave the engines to the later holder',
+            )
+        return outcome
+
+    async def _watch(
+        self,
+        engine: EngineState,
+        decision: LoadDecision,
+        outcome: str,
+    ) -> str:
+        """Ask the engine until it holds the version or does nothing."""
+        until = self._timers.now() + _GIVE_UP_SECONDS
+        is_accepted = outcome == OrderOutcome.accepted
+        delay = _FIRST_LOOK_SECONDS if is_accepted else _LOOK_SECONDS
+        while self._timers.now() < until:
+            await self._timers.sleep(delay)
+            delay = _LOOK_SECONDS
+            # The list of replicas may have told it meanwhile.
+            if _holds(engine.replica, decision):
+                return 'loaded'
+            state = await self._read(engine)
+            if state is not None and _holds(state, decision):
+                return 'loaded'
+            if state is not None and not state.is_busy and not is_accepted:
+                return outcome
+        return f'{outcome}-given-up'
+
+    async def _read(self, engine: EngineState) -> Replica | None:
+        try:
+            state = await self._client.read_state(engine.replica)
+        except LadderError as error:
+            self._timeline.record(
+                'replica-state-unknown',
+                engine.record.name,
+                error=error.message,
+            )
+            await self._timers.sleep(_RETRY_SECONDS)
+            return None
+        engine.orders = state.orders
+        self._on_state(state)
+        return state
+
+
+def _holds(replica: Replica, decision: LoadDecision) -> bool:
+    return replica.versions.get(decision.model, 0) >= decision.version
--- /dev/null
+++ b/packages/node/ladder_node/batches/owner.py
@@ -0,0 +1,89 @@
+"""Seek the lease of the duty, and run the batches while it is held."""
+
+import asyncio
+import contextlib
+
+from loguru import logger
+from prometheus_client import Gauge
+
+from ladder_core.supervision import Service
+from ladder_node.batches.fence import OwnershipLostError
+from ladder_node.batches.parts import OwnerParts
+from ladder_node.batches.tenure import Tenure
+from ladder_node.leases import DutySeeker, Lease
+
+DUTY = 'batches'
+_SEEK_SECONDS = 0.3
+_RETRY_SECONDS = 0.3
+
+_owner_gauge = Gauge(
+    'ladder_batches_owner',
+    'One while this node runs the batches',
+)
+
+
+class BatchOwner(Service):
+    """
+    Run the batches of the deployment on one node at a time.
+
+    Parameters
+    ----------
+    parts : OwnerParts
+        What the work needs.
+    seeker : DutySeeker
+        Seeks the lease.
+
+    """
+
+    def __init__(self, parts: OwnerParts, seeker: DutySeeker) -> None:
+        self._parts = parts
+        self._seeker = seeker
+        self._task: asyncio.Task[None] | None = None
+        self._lease: Lease | None = None
+
+    async def start(self) -> None:
+        """Begin to seek the lease."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Leave the duty to another node at once."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._task
+        self._task = None
+        if self._lease is not None:
+            await self._lease.release()
+            self._lease = None
+
+    async def _run(self) -> None:
+        while True:
+            lease = await self._seeker.seek(DUTY)
+            if lease is None:
+                await self._parts.timers.sleep(_SEEK_SECONDS)
+                continue
+            await self._hold(lease)
+
+    async def _hold(self, lease: Lease) -> None:
+        self._lease = lease
+        _owner_gauge.set(1)
+        self._parts.timeline.record('duty-begun', DUTY, epoch=lease.epoch)
+        reason = 'closed'
+        try:
+            await Tenure(self._parts, lease).run()
+        except OwnershipLostError as error:
+            reason = error.message
+        except Exception as error:
+            reason = repr(error)
+            logger.exception('the duty {} failed', DUTY)
+            await lease.release()
+            await self._parts.timers.sleep(_RETRY_SECONDS)
+        finally:
+            _owner_gauge.set(0)
+            self._parts.timeline.record(
+                'duty-ended',
+                DUTY,
+                epoch=lease.epoch,
+                reason=reason,
+            )
--- /dev/null
+++ b/packages/node/ladder_node/batches/parts.py
@@ -0,0 +1,54 @@
+"""What the holder of the duty works with."""
+
+from dataclasses import dataclass
+
+from ladder_clients.replicas import ReplicaClient
+from ladder_clients.table import PartitionedTable
+from ladder_core.timeline import TimeLine
+from ladder_core.timers import TimerService
+from ladder_node.batches.store import BatchStore
+from ladder_node.forwarding import Forwarder
+from ladder_node.replicas import ReplicaBoard
+from ladder_node.routes import ModelVersions, RouteKeeper
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerParts:
+    """
+    Parts of a node that the duty uses.
+
+    Attributes
+    ----------
+    node : str
+        Name of this node.
+    store : BatchStore
+        Keeps the batches.
+    table : PartitionedTable
+        The table service.
+    client : ReplicaClient
+        Speaks to engines.
+    forwarder : Forwarder
+        Passes the calls of scorers on.
+    board : ReplicaBoard
+        The replicas.
+    routes : RouteKeeper
+        The configuration.
+    versions : ModelVersions
+        The newest versions of models.
+    timers : TimerService
+        Source of time.
+    timeline : TimeLine
+        Takes each decision.
+
+    """
+
+    node: str
+    store: BatchStore
+    table: PartitionedTable
+    client: ReplicaClient
+    forwarder: Forwarder
+    board: ReplicaBoard
+    routes: RouteKeeper
+    versions: ModelVersions
+    timers: TimerService
+    timeline: TimeLine
--- /dev/null
+++ b/packages/node/ladder_node/batches/runner.py
@@ -0,0 +1,189 @@
+"""Run one task on one engine."""
+
+from prometheus_client import Counter, Histogram
+
+from ladder_clients.replicas import ReplicaClient, TaskRequest, TextEvent
+from ladder_core.errors import (
+    AnswerCorruptError,
+    LadderError,
+    RunFailedError,
+    TargetChangedError,
+    TargetFullError,
+    TargetUnavailableError,
+    TaskRejectedError,
+)
+from ladder_core.timeline import TimeLine
+from ladder_core.timers import TimerService
+from ladder_node.batches.engines import EngineState
+from ladder_node.batches.work import BatchWork, TaskWork
+
+# Time for which an engine that had no place gets no task.
+_FULL_REST_SECONDS = 0.3
+_LATER_SECONDS = 0.1
+
+_runs_counter = Counter(
+    'ladder_task_runs_total',
+    'Runs of tasks on engines, by what came of them',
+    ('outcome',),
+)
+_first_event_histogram = Histogram(
+    'ladder_task_first_event_seconds',
+    'Time from the start of a run to its first event',
+)
+
+
+class RunWatch:
+    """
+    Progress of one run.
+
+    Attributes
+    ----------
+    engine : EngineState
+        Where it runs.
+    began_at, last_at : float
+        Times in seconds of its start and of its last event.
+    events : int
+        Events of this run.
+
+    """
+
+    def __init__(self, engine: EngineState, now: float) -> None:
+        self.engine = engine
+        self.began_at = now
+        self.last_at = now
+        self.events = 0
+
+    def note_event(self, now: float) -> float:
+        """Note an event; return the seconds since the one before."""
+        gap = now - self.last_at
+        self.last_at = now
+        self.events += 1
+        return gap
+
+
+class TaskRunner:
+    """
+    Generate texts on engines.
+
+    Parameters
+    ----------
+    client : ReplicaClient
+        Sends the tasks.
+    timers : TimerService
+        Source of time.
+    timeline : TimeLine
+        Takes one event for each run.
+    node : str
+        Name of this node.
+
+    """
+
+    def __init__(
+        self,
+        client: ReplicaClient,
+        timers: TimerService,
+        timeline: TimeLine,
+    ) -> None:
+        self._client = client
+        self._timers = timers
+        self._timeline = timeline
+
+    async def run(
+        self,
+        batch: BatchWork,
+        work: TaskWork,
+        watch: RunWatch,
+    ) -> None:
+        """
+        Run a task once; its draft takes the events.
+
+        Raises
+        ------
+        TaskRejectedError
+            No run of the task can succeed.
+
+        """
+        first = len(work.draft.parts)
+        outcome = 'cancelled'
+        try:
+            await self._generate(batch, work, watch)
+            outcome = 'completed'
+        except TaskRejectedError:
+            outcome = 'rejected'
+            raise
+        except LadderError as error:
+            outcome = error.kind
+            self._note_error(work, watch, error)
+        finally:
+            _runs_counter.labels(outcome).inc()
+            self._timeline.record(
+                'task-run-ended',
+                work.task_id,
+                batch=batch.batch_id,
+                replica=watch.engine.record.name,
+                outcome=outcome,
+                first_event=first + 1,
+                events=watch.events,
+                versions=sorted(set(work.draft.versions)),
+                seconds=round(self._timers.now() - watch.began_at, 3),
+            )
+
+    async def _generate(
+        self,
+        batch: BatchWork,
+        work: TaskWork,
+        watch: RunWatch,
+    ) -> None:
+        request = TaskRequest(
+            work.task_id,
+            work.spec.target,
+            work.spec.headers,
+            work.spec.body,
+            len(work.draft.parts),
+        )
+        events = self._client.generate(watch.engine.replica, request)
+        async for event in events:
+            _check(event, work, batch)
+            gap = watch.note_event(self._timers.now())
+            if watch.events == 1:
+                _first_event_histogram.observe(gap)
+            else:
+                now = self._timers.now()
+                watch.engine.note_speed(gap / work.tokens_per_event, now)
+            work.draft.append(event)
+        work.draft.is_complete = True
+        watch.engine.record.note_success(watch.last_at - watch.began_at)
+
+    def _note_error(
+        self,
+        work: TaskWork,
+        watch: RunWatch,
+        error: LadderError,
+    ) -> None:
+        now = self._timers.now()
+        record = watch.engine.record
+        if isinstance(error, RunFailedError):
+            work.failed_runs += 1
+        elif isinstance(error, TargetFullError):
+            record.rest(now + _FULL_REST_SECONDS)
+        elif isinstance(error, TargetChangedError):
+            work.not_before = now + _LATER_SECONDS
+        else:
+            is_down = isinstance(error, TargetUnavailableError)
+            record.note_failure(now, is_down=is_down)
+
+
+def _check(event: TextEvent, work: TaskWork, batch: BatchWork) -> None:
+    """Refuse an event that is out of order or from weights too old."""
+    expected = len(work.draft.parts) + 1
+    if event.number != expected:
+        raise AnswerCorruptError(
+            f'event {event.number} came in place of {expected}',
+            remedy='resume the text after its last whole event',
+        )
+    if event.version < batch.spec.min_version:
+        raise AnswerCorruptError(
+            f'version {event.version} is older than'
+            f' {batch.spec.min_version}, which the batch allows',
+            remedy='run the task on an engine with newer weights',
+        )
--- /dev/null
+++ b/packages/node/ladder_node/batches/scoring.py
@@ -0,0 +1,114 @@
+"""Have texts scored."""
+
+from prometheus_client import Histogram
+
+from ladder_clients.replicas import CallerRequest
+from ladder_core.errors import LadderError
+from ladder_core.timers import TimerService
+from ladder_core.values import Route
+from ladder_node.batches.spec import ScorerSpec
+from ladder_node.batches.work import TaskWork
+from ladder_node.forwarding import Forwarder, WholeAnswer
+from ladder_node.routes import RouteKeeper
+
+_OK = 200
+_REDIRECTION = 300
+_SERVER_ERROR = 500
+_PAUSE_SECONDS = 0.1
+
+_scoring_histogram = Histogram(
+    'ladder_scoring_seconds',
+    'Time from a whole text to its score',
+)
+
+
+class TaskScorer:
+    """
+    Call the scorers of tasks through their routes.
+
+    Parameters
+    ----------
+    forwarder : Forwarder
+        Passes the calls on.
+    routes : RouteKeeper
+        The configuration.
+    timers : TimerService
+        Source of time.
+
+    """
+
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        routes: RouteKeeper,
+        timers: TimerService,
+    ) -> None:
+        self._forwarder = forwarder
+        self._routes = routes
+        self._timers = timers
+
+    async def score(self, work: TaskWork) -> str | None:
+        """
+        Return the score of a complete text.
+
+        Explanation
+        -----------
+        A scorer may be called again, so its call is repeated until it
+        succeeds, or has failed as often as its route allows.
+
+        Parameters
+        ----------
+        work : TaskWork
+            A task whose text is complete.
+
+        Returns
+        -------
+        str or None
+            The scorer's proof; None if its failures are used up or its route
+            is gone.
+
+        """
+        scorer = work.spec.scorer
+        if scorer is None:
+            return ''
+        began = self._timers.now()
+        request = _make_request(scorer)
+        while True:
+            path = scorer.target
+            route = self._routes.require().find_route(scorer.host, path)
+            if route is None:
+                return None
+            if work.failed_scorings >= route.max_attempts:
+                return None
+            answer = await self._call(route, request)
+            if answer is not None and _OK <= answer.status < _REDIRECTION:
+                _scoring_histogram.observe(self._timers.now() - began)
+                return answer.proof
+            if answer is not None and answer.status == _SERVER_ERROR:
+                work.failed_scorings += answer.failures
+            await self._timers.sleep(_PAUSE_SECONDS)
+
+    async def _call(
+        self,
+        route: Route,
+        request: CallerRequest,
+    ) -> WholeAnswer | None:
+        try:
+            return await self._forwarder.forward(
+                route,
+                request,
+                route.timeout_seconds,
+            )
+        except LadderError:
+            # The forwarder has recorded the request's end and its reason.
+            return None
+
+
+def _make_request(scorer: ScorerSpec) -> CallerRequest:
+    return CallerRequest(
+        scorer.call_id,
+        b'POST',
+        scorer.target.encode(),
+        ((b'Host', scorer.host.encode()),),
+        scorer.body,
+    )
--- /dev/null
+++ b/packages/node/ladder_node/batches/store.py
@@ -0,0 +1,303 @@
+"""Transactions over the rows of batches."""
+
+import time
+import uuid
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import msgspec
+
+from ladder_clients.objects import ObjectStore
+from ladder_clients.table import (
+    Condition,
+    PartitionedTable,
+    Row,
+    Transaction,
+    Write,
+)
+from ladder_core.errors import StoreUnavailableError
+from ladder_core.values import Route
+from ladder_node.batches.records import (
+    BATCHES_TABLE,
+    POSITIONS_TABLE,
+    RESULTS_TABLE,
+    TASKS_TABLE,
+    BatchHead,
+    TaskResult,
+    find_shard,
+    make_end_key,
+    make_result_key,
+    parse_position,
+    split_pieces,
+)
+from ladder_node.batches.spec import BatchSpec
+
+_MILLISECONDS = 1000
+# A transaction may have 100 entries and 1 MB; base64 adds a third.
+_MAX_PIECES = 40
+# Bytes of results in one answer to a reader.
+_PAGE_CHARACTERS = 700_000
+_PAGE_ROWS = 200
+_OBJECT_PREFIX = 'batch-'
+
+
+@dataclass(frozen=True, slots=True)
+class ResultPage:
+    """
+    Results of a batch from a position on.
+
+    Attributes
+    ----------
+    total : int
+        Number of tasks of the batch.
+    next_position : int
+        Position after the last result here.
+    results : tuple of TaskResult
+        The results.
+
+    """
+
+    total: int
+    next_position: int
+    results: tuple[TaskResult, ...]
+
+
+class BatchStore:
+    """
+    Keep batches in the platform's table, and large ones in its object store.
+
+    Parameters
+    ----------
+    table : PartitionedTable
+        The table service.
+    objects : ObjectStore
+        The object store.
+    node : str
+        Name of this node.
+
+    """
+
+    def __init__(
+        self,
+        table: PartitionedTable,
+        objects: ObjectStore,
+        node: str,
+    ) -> None:
+        self._table = table
+        self._objects = objects
+        self._node = node
+
+    async def accept(self, spec: BatchSpec, route: Route) -> bool:
+        """
+        Keep a batch, once.
+
+        Parameters
+        ----------
+        spec : BatchSpec
+            The batch.
+        route : Route
+            Its route.
+
+        Returns
+        -------
+        bool
+            Whether it is new; it is kept in either case.
+
+        Raises
+        ------
+        StoreUnavailableError
+            Nothing was kept.
+        StoreOutcomeUnknownError
+            The batch may be kept, now or later.
+
+        """
+        pieces = split_pieces(msgspec.json.encode(spec).decode())
+        if len(pieces) > _MAX_PIECES:
+            name = f'{_OBJECT_PREFIX}{spec.batch_id}'
+            await self._objects.put(name, msgspec.json.encode(spec))
+            pieces = []
+        shard = find_shard(spec.batch_id)
+        head = BatchHead(
+            total=len(spec.tasks),
+            pieces=len(pieces),
+            accepted_at=int(time.time() * _MILLISECONDS),
+            node=self._node,
+            step_seconds=route.step_seconds,
+            retention_seconds=route.retention_seconds,
+        )
+        writes = [
+            Write(BATCHES_TABLE, spec.batch_id, _encode(head), shard),
+            *(
+                Write(
+                    TASKS_TABLE, f'{spec.batch_id}/{number:03d}', piece, shard
+                )
+                for number, piece in enumerate(pieces)
+            ),
+        ]
+        condition = Condition(BATCHES_TABLE, spec.batch_id, 0, shard)
+        outcome = await self._table.commit(
+            Transaction(uuid.uuid4().hex, (condition,), tuple(writes)),
+        )
+        return outcome.committed
+
+    async def find_head(self, batch_id: str) -> BatchHead | None:
+        """
+        Return the acceptance of a batch, or None if there is none.
+
+        Raises
+        ------
+        StoreUnavailableError
+            The table service does not answer.
+
+        """
+        shard = find_shard(batch_id)
+        row = await self._table.read_part(BATCHES_TABLE, shard, batch_id)
+        return msgspec.json.decode(row.body, type=BatchHead) if row else None
+
+    async def is_ended(self, batch_id: str) -> bool:
+        """
+        Return whether a batch was ended.
+
+        Raises
+        ------
+        StoreUnavailableError
+            The table service does not answer.
+
+        """
+        shard = find_shard(batch_id)
+        key = make_end_key(batch_id)
+        row = await self._table.read_part(BATCHES_TABLE, shard, key)
+        return row is not None
+
+    async def end(self, batch_id: str) -> None:
+        """
+        Keep the end of a batch; a repetition changes nothing.
+
+        Raises
+        ------
+        StoreUnavailableError
+            The end is not kept.
+        StoreOutcomeUnknownError
+            The end may be kept, now or later.
+
+        """
+        shard = find_shard(batch_id)
+        write = Write(BATCHES_TABLE, make_end_key(batch_id), self._node, shard)
+        await self._table.commit(
+            Transaction(uuid.uuid4().hex, (), (write,)),
+        )
+
+    async def read_spec(self, batch_id: str, head: BatchHead) -> BatchSpec:
+        """
+        Return a batch's tasks.
+
+        Raises
+        ------
+        StoreUnavailableError
+            The platform does not answer, or not with the whole batch.
+
+        """
+        if head.pieces:
+            rows = await self._table.scan_part(
+                TASKS_TABLE,
+                find_shard(batch_id),
+                f'{batch_id}/',
+            )
+            body = ''.join(row.body for row in rows).encode()
+        else:
+            name = f'{_OBJECT_PREFIX}{batch_id}'
+            body = await self._objects.get(name) or b''
+        try:
+            return msgspec.json.decode(body, type=BatchSpec)
+        except msgspec.DecodeError as error:
+            raise StoreUnavailableError(
+                f'the tasks of batch {batch_id} are not there as a whole',
+                remedy='read them again',
+                retry_after=1,
+            ) from error
+
+    async def read_results(
+        self,
+        batch_id: str,
+        start: int,
+        total: int,
+    ) -> ResultPage:
+        """
+        Return results from a position on, as far as they are there.
+
+        Raises
+        ------
+        StoreUnavailableError
+            The table service does not answer.
+
+        """
+        rows = await self._table.scan_part(
+            RESULTS_TABLE,
+            find_shard(batch_id),
+            f'{batch_id}/',
+            make_result_key(batch_id, start),
+            _PAGE_ROWS,
+        )
+        results = _join_results(rows)
+        return ResultPage(total, start + len(results), tuple(results))
+
+    async def list_listed(self, batch_id: str) -> list[TaskResult]:
+        """
+        Return all results of a batch.
+
+        Raises
+        ------
+        StoreUnavailableError
+            The table service does not answer.
+
+        """
+        results: list[TaskResult] = []
+        while True:
+            page = await self.read_results(batch_id, len(results), 0)
+            if not page.results:
+                return results
+            results += page.results
+
+    def make_result_writes(
+        self,
+        batch_id: str,
+        start: int,
+        results: Sequence[TaskResult],
+    ) -> list[Write]:
+        """Return the writes of results from a position on."""
+        shard = find_shard(batch_id)
+        writes = [
+            Write(
+                RESULTS_TABLE,
+                make_result_key(batch_id, start + offset, number),
+                piece,
+                shard,
+            )
+            for offset, result in enumerate(results)
+            for number, piece in enumerate(split_pieces(_encode(result)))
+        ]
+        count = str(start + len(results))
+        writes.append(Write(POSITIONS_TABLE, batch_id, count, shard))
+        return writes
+
+
+def _join_results(rows: Sequence[Row]) -> list[TaskResult]:
+    """Join the pieces of results; a last one that may be cut is left out."""
+    bodies: dict[int, list[str]] = {}
+    for row in rows:
+        bodies.setdefault(parse_position(row.key), []).append(row.body)
+    if len(rows) >= _PAGE_ROWS and len(bodies) > 1:
+        bodies.popitem()
+    results: list[TaskResult] = []
+    size = 0
+    for pieces in bodies.values():
+        body = ''.join(pieces)
+        size += len(body)
+        if results and size > _PAGE_CHARACTERS:
+            break
+        results.append(msgspec.json.decode(body, type=TaskResult))
+    return results
+
+
+def _encode(content: msgspec.Struct) -> str:
+    return msgspec.json.encode(content).decode()
--- a/packages/node/ladder_node/entry/parts.py
+++ b/packages/node/ladder_node/entry/parts.py
@@ -12,9 +12,9 @@
     KeyedDispatcher,
     PlainDispatcher,
 )
-from ladder_node.entry.drain import Drain
 from ladder_node.leases import LeaseKeeper
 from ladder_node.peers import Gossip, NodeDirectory
+from ladder_node.serving import Drain
 from ladder_node.steps import StepRegistry
 from ladder_node.targets import TargetTable
 
--- /dev/null
+++ b/packages/node/ladder_node/feeds/follower.py
@@ -0,0 +1,162 @@
+"""Follow the changes of a table, with a full read whenever there is doubt."""
+
+import asyncio
+import contextlib
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+
+from loguru import logger
+from prometheus_client import Counter, Gauge
+
+from ladder_clients.table import (
+    Changes,
+    HistoryLostError,
+    PartitionedTable,
+    Row,
+)
+from ladder_core.errors import StoreUnavailableError
+from ladder_core.supervision import Service
+from ladder_core.timeline import TimeLine
+from ladder_core.timers import TimerService
+
+# A connection that fell silent is noticed after this wait and the limit of
+# the call, so both together stay under the times in which a change has to be
+# known.
+_WAIT_SECONDS = 1.2
+_RETRY_SECONDS = 0.25
+
+_full_reads_counter = Counter(
+    'ladder_feed_full_reads_total',
+    'Full reads of a followed table',
+    ('table',),
+)
+_age_gauge = Gauge(
+    'ladder_feed_confirmed_seconds',
+    'Time by the timer service at which a followed table was last confirmed',
+    ('table',),
+)
+
+
+class FeedListener(ABC):
+    """Takes the rows of a followed table."""
+
+    @abstractmethod
+    def replace(self, rows: Sequence[Row], outage_seconds: float) -> None:
+        """
+        Take all rows as they are.
+
+        Parameters
+        ----------
+        rows : sequence of Row
+            All rows of the unnamed partition.
+        outage_seconds : float
+            Time for which the table could not be read before.
+
+        """
+
+    @abstractmethod
+    def change(self, rows: Sequence[Row], removed: Sequence[Row]) -> None:
+        """Take the rows that changed, and those that are gone."""
+
+
+class TableFollower(Service):
+    """
+    Keep a listener up to date with one table.
+
+    Parameters
+    ----------
+    table : PartitionedTable
+        The table service.
+    name : str
+        Name of the table.
+    listener : FeedListener
+        Takes the rows.
+    timers : TimerService
+        Source of time.
+    timeline : TimeLine
+        Takes the loss and the return of the table.
+
+    """
+
+    def __init__(
+        self,
+        table: PartitionedTable,
+        name: str,
+        listener: FeedListener,
+        timers: TimerService,
+        timeline: TimeLine,
+    ) -> None:
+        self._table = table
+        self._name = name
+        self._listener = listener
+        self._timers = timers
+        self._timeline = timeline
+        self._confirmed_at: float | None = None
+        self._is_lost = False
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def age(self) -> float | None:
+        """Seconds since the table was last known to be as it is here."""
+        if self._confirmed_at is None:
+            return None
+        return self._timers.now() - self._confirmed_at
+
+    async def start(self) -> None:
+        """Begin to follow."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop following."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._task
+        self._task = None
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._read_and_follow()
+            except HistoryLostError:
+                self._timeline.record('feed-history-lost', self._name)
+            except StoreUnavailableError as error:
+                self._note_lost(error)
+                await self._timers.sleep(_RETRY_SECONDS)
+            except Exception:
+                logger.exception('following table {} failed', self._name)
+                await self._timers.sleep(_RETRY_SECONDS)
+
+    async def _read_and_follow(self) -> None:
+        changes = await self._table.snapshot(self._name)
+        _full_reads_counter.labels(self._name).inc()
+        outage = self.age or 0
+        self._confirm()
+        self._listener.replace(changes.rows, outage)
+        while True:
+            changes = await self._watch(changes.revision)
+            if changes.rows or changes.removed:
+                self._listener.change(changes.rows, changes.removed)
+
+    async def _watch(self, revision: int) -> Changes:
+        changes = await self._table.watch(self._name, revision, _WAIT_SECONDS)
+        self._confirm()
+        return changes
+
+    def _confirm(self) -> None:
+        self._confirmed_at = self._timers.now()
+        _age_gauge.labels(self._name).set(self._confirmed_at)
+        if self._is_lost:
+            self._is_lost = False
+            self._timeline.record('dependency-regained', f'feed/{self._name}')
+
+    def _note_lost(self, error: StoreUnavailableError) -> None:
+        if not self._is_lost:
+            self._is_lost = True
+            self._timeline.record(
+                'dependency-lost',
+                f'feed/{self._name}',
+                error=error.message,
+                age=self.age,
+            )
--- /dev/null
+++ b/packages/node/ladder_node/forwarding/forwarder.py
@@ -0,0 +1,415 @@
+"""
+Pass a request on, and try again elsewhere where that is allowed.
+
+Explanation
+-----------
+A request that did not run may go to another replica whatever its kind. One
+that may have run goes on only if its route is idempotent. The number of
+replicas, the caller's time and the route's time limit bound all tries.
+
+"""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Iterator
+from dataclasses import dataclass, field
+
+from prometheus_client import Counter, Histogram
+
+from ladder_clients.exchanges import Header, OpenAnswer
+from ladder_clients.replicas import CallerRequest, ReplicaClient
+from ladder_core.errors import (
+    DeadlineError,
+    LadderError,
+    TargetChangedError,
+    TargetFullError,
+    TargetTimeoutError,
+    TargetUnavailableError,
+)
+from ladder_core.timeline import TimeLine
+from ladder_core.timers import TimerService
+from ladder_core.values import Route, RouteKind
+from ladder_node.forwarding.selection import ReplicaSelection
+from ladder_node.replicas import ReplicaRecord
+
+_SERVER_ERROR = 500
+# A first try that takes this many times the objective is given up while
+# there is another replica to try.
+_TRY_OBJECTIVES = 2
+_MIN_TRY_SECONDS = 0.4
+# Time for which a replica that was full gets no request of this node.
+_FULL_REST_SECONDS = 0.1
+_PAUSE_SECONDS = 0.05
+_RETRY_AFTER_SECONDS = 0.3
+# Refusals do not count as tries, so they are bounded by themselves.
+_MAX_REFUSALS = 8
+
+_forwarded_histogram = Histogram(
+    'ladder_forward_seconds',
+    'Time from a request to the end of its answer, by service and outcome',
+    ('service', 'outcome'),
+    buckets=(0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8),
+)
+_tries_counter = Counter(
+    'ladder_forward_tries_total',
+    'Requests sent to replicas of plain services, by what came of them',
+    ('service', 'outcome'),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """
+    A replica's answer.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    headers : tuple of Header
+        Header fields as the replica sent them.
+    body : bytes
+        The whole body.
+    replica : str
+        Name of the replica.
+    proof : str
+        The replica's proof that it made the answer; empty if it has none.
+    failures : int
+        Answers to this request that said that a run failed.
+
+    """
+
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+    replica: str
+    proof: str = ''
+    failures: int = 0
+
+
+@dataclass(slots=True)
+class _Tries:
+    """
+    What has been tried for one request.
+
+    Attributes
+    ----------
+    service : str
+        Service that it goes to.
+    began, deadline : float
+        Times by the timer service at which the request came, and at which
+        the caller has an answer.
+    sent_to : set of str
+        Replicas that may have run it.
+    refused_by : set of str
+        Replicas that did not run it.
+    refusals : int
+        Number of refusals.
+    failures : int
+        Answers that said that a run failed.
+
+    """
+
+    service: str
+    began: float
+    deadline: float
+    sent_to: set[str] = field(default_factory=set)
+    refused_by: set[str] = field(default_factory=set)
+    refusals: int = 0
+    failures: int = 0
+
+    @property
+    def seen(self) -> set[str]:
+        """All replicas that were tried."""
+        return self.sent_to | self.refused_by
+
+
+class Forwarder:
+    """
+    Pass requests on to replicas.
+
+    Parameters
+    ----------
+    selection : ReplicaSelection
+        Selects replicas.
+    client : ReplicaClient
+        Sends requests.
+    timers : TimerService
+        Source of time.
+    timeline : TimeLine
+        Takes one event for each request.
+
+    """
+
+    def __init__(
+        self,
+        selection: ReplicaSelection,
+        client: ReplicaClient,
+        timers: TimerService,
+        timeline: TimeLine,
+    ) -> None:
+        self._selection = selection
+        self._client = client
+        self._timers = timers
+        self._timeline = timeline
+
+    async def forward(
+        self,
+        route: Route,
+        request: CallerRequest,
+        seconds: float,
+    ) -> WholeAnswer:
+        """
+        Pass a request on and return the whole answer.
+
+        Parameters
+        ----------
+        route : Route
+            Its route.
+        request : CallerRequest
+            The request.
+        seconds : float
+            Time that the caller waits; the route's time limit is kept too.
+
+        Raises
+        ------
+        TargetUnavailableError
+            The request has not run and will not.
+        DeadlineError
+            The time passed; the request may have run.
+        TargetLostError, TargetTimeoutError, AnswerCorruptError
+            The request may have run, and must not be sent again.
+
+        """
+        began = self._timers.now()
+        limit = min(seconds, route.timeout_seconds)
+        service = self._selection.choose_service(route)
+        tries = _Tries(service, began, began + limit)
+        outcome = 'cancelled'
+        try:
+            async with asyncio.timeout(limit):
+                answer = await self._try_replicas(route, request, tries)
+            outcome = str(answer.status)
+        except TimeoutError as error:
+            outcome = 'deadline'
+            raise _make_deadline_error(tries, limit) from error
+        except LadderError as error:
+            outcome = error.kind
+            raise
+        finally:
+            self._note_end(route, request, tries, outcome)
+        return answer
+
+    @contextlib.asynccontextmanager
+    async def stream(
+        self,
+        route: Route,
+        request: CallerRequest,
+        seconds: float,
+    ) -> AsyncIterator[OpenAnswer]:
+        """
+        Pass a request on and hand out its answer while it arrives.
+
+        Raises
+        ------
+        TargetUnavailableError
+            The request has not run and will not.
+        TargetLostError, TargetTimeoutError, AnswerCorruptError
+            The request may have run.
+
+        """
+        service = self._selection.choose_service(route)
+        began = self._timers.now()
+        tries = _Tries(service, began, began + seconds)
+        while True:
+            record = await self._select(tries)
+            try:
+                async with self._open(record, request, tries) as answer:
+                    yield answer
+                    return
+            except TargetUnavailableError as error:
+                self._note_refusal(record, tries, error)
+
+    def _note_end(
+        self,
+        route: Route,
+        request: CallerRequest,
+        tries: _Tries,
+        outcome: str,
+    ) -> None:
+        took = self._timers.now() - tries.began
+        _forwarded_histogram.labels(tries.service, outcome).observe(took)
+        self._timeline.record(
+            'request-ended',
+            request.request_id,
+            route=route.name,
+            service=tries.service,
+            outcome=outcome,
+            seconds=round(took, 4),
+            limit=round(tries.deadline - tries.began, 3),
+            sent_to=','.join(sorted(tries.sent_to)),
+            refused_by=','.join(sorted(tries.refused_by)),
+        )
+
+    async def _try_replicas(
+        self,
+        route: Route,
+        request: CallerRequest,
+        tries: _Tries,
+    ) -> WholeAnswer:
+        answer = None
+        while answer is None:
+            record = await self._select(tries)
+            try:
+                answer = await self._try_one(route, request, record, tries)
+            except TargetUnavailableError as error:
+                self._note_refusal(record, tries, error)
+            except LadderError as error:
+                self._note_failure(record, tries, error)
+                if not self._may_repeat(route, tries):
+                    raise
+        return answer
+
+    async def _select(self, tries: _Tries) -> ReplicaRecord:
+        record = self._selection.select(tries.service, tries.seen)
+        if record is not None and tries.refusals < _MAX_REFUSALS:
+            if record.name in tries.seen:
+                await self._timers.sleep(_PAUSE_SECONDS)
+            return record
+        if tries.sent_to:
+            raise TargetTimeoutError(
+                f'no replica of {tries.service} is left to try',
+                remedy='read back whether the request took effect',
+            )
+        raise TargetUnavailableError(
+            f'no replica of {tries.service} takes requests now',
+            remedy='send the request again later',
+            retry_after=_RETRY_AFTER_SECONDS,
+        )
+
+    async def _try_one(
+        self,
+        route: Route,
+        request: CallerRequest,
+        record: ReplicaRecord,
+        tries: _Tries,
+    ) -> WholeAnswer | None:
+        """Return the answer, or None if another replica shall be tried."""
+        began = self._timers.now()
+        limit = self._limit_try(route, tries, record)
+        try:
+            async with asyncio.timeout(limit):
+                async with self._open(record, request, tries) as answer:
+                    body = await answer.read()
+        except TimeoutError as error:
+            raise TargetTimeoutError(
+                f'{record.name} did not answer within {limit:.2f} s',
+                remedy='send the request to another replica',
+            ) from error
+        if answer.status < _SERVER_ERROR:
+            record.note_success(self._timers.now() - began)
+            _tries_counter.labels(tries.service, 'answered').inc()
+        else:
+            record.note_failure(self._timers.now())
+            _tries_counter.labels(tries.service, 'failed').inc()
+            tries.failures += 1
+            if self._may_repeat(route, tries):
+                return None
+        return WholeAnswer(
+            answer.status,
+            answer.headers,
+            body,
+            record.name,
+            self._client.find_proof(answer),
+            tries.failures,
+        )
+
+    @contextlib.asynccontextmanager
+    async def _open(
+        self,
+        record: ReplicaRecord,
+        request: CallerRequest,
+        tries: _Tries,
+    ) -> AsyncIterator[OpenAnswer]:
+        left = tries.deadline - self._timers.now()
+        with _count(record):
+            tries.sent_to.add(record.name)
+            try:
+                async with self._client.open(
+                    record.replica,
+                    request,
+                    max(left, 0),
+                ) as answer:
+                    yield answer
+            except TargetUnavailableError:
+                tries.sent_to.discard(record.name)
+                raise
+
+    def _limit_try(
+        self,
+        route: Route,
+        tries: _Tries,
+        record: ReplicaRecord,
+    ) -> float | None:
+        """Return the seconds for one try; None for all that is left."""
+        is_last = len(tries.sent_to) + 1 >= route.max_attempts
+        if is_last or route.kind is not RouteKind.idempotent:
+            return None
+        others = {*tries.seen, record.name}
+        if not self._selection.has_other(tries.service, others):
+            return None
+        usual = _TRY_OBJECTIVES * route.objective_seconds
+        return max(usual, _MIN_TRY_SECONDS)
+
+    def _may_repeat(self, route: Route, tries: _Tries) -> bool:
+        return (
+            route.kind is RouteKind.idempotent
+            and len(tries.sent_to) < route.max_attempts
+            and self._selection.has_other(tries.service, tries.seen)
+        )
+
+    def _note_refusal(
+        self,
+        record: ReplicaRecord,
+        tries: _Tries,
+        error: LadderError,
+    ) -> None:
+        now = self._timers.now()
+        tries.refusals += 1
+        tries.refused_by.add(record.name)
+        _tries_counter.labels(tries.service, error.kind).inc()
+        if isinstance(error, TargetFullError):
+            record.rest(now + _FULL_REST_SECONDS)
+        elif not isinstance(error, TargetChangedError):
+            record.note_failure(now, is_down=True)
+
+    def _note_failure(
+        self,
+        record: ReplicaRecord,
+        tries: _Tries,
+        error: LadderError,
+    ) -> None:
+        record.note_failure(self._timers.now())
+        _tries_counter.labels(tries.service, error.kind).inc()
+
+
+@contextlib.contextmanager
+def _count(record: ReplicaRecord) -> Iterator[None]:
+    record.in_flight += 1
+    try:
+        yield
+    finally:
+        record.in_flight -= 1
+
+
+def _make_deadline_error(tries: _Tries, limit: float) -> LadderError:
+    if not tries.sent_to:
+        return TargetUnavailableError(
+            f'no replica of {tries.service} took the request in {limit:.2f} s',
+            remedy='send the request again later',
+            retry_after=_RETRY_AFTER_SECONDS,
+        )
+    return DeadlineError(
+        f'no answer within {limit:.2f} s',
+        remedy='allow more time, or read back whether it took effect',
+    )
--- /dev/null
+++ b/packages/node/ladder_node/forwarding/selection.py
@@ -0,0 +1,108 @@
+"""Select the replica that a request goes to next."""
+
+import random
+from collections.abc import Mapping
+
+from ladder_clients.replicas import ReplicaClient
+from ladder_core.timers import TimerService
+from ladder_core.values import Route
+from ladder_node.replicas import ReplicaBoard, ReplicaRecord
+from ladder_policy.routing import ForwardCandidate, choose_forward_target
+
+_OWN_REGION = 1
+_BEYOND = 2
+
+
+class ReplicaSelection:
+    """
+    Select replicas of the services of a route.
+
+    Parameters
+    ----------
+    board : ReplicaBoard
+        The replicas.
+    client : ReplicaClient
+        Tells which connections are kept.
+    data_centre : str
+        Where this node stands.
+    regions : mapping of str to str
+        Region of each data centre.
+    timers : TimerService
+        Source of time.
+
+    """
+
+    def __init__(
+        self,
+        board: ReplicaBoard,
+        client: ReplicaClient,
+        data_centre: str,
+        regions: Mapping[str, str],
+        timers: TimerService,
+    ) -> None:
+        self._board = board
+        self._client = client
+        self._data_centre = data_centre
+        self._regions = regions
+        self._timers = timers
+        self._random = random.Random()  # noqa: S311 no secret is drawn
+
+    def choose_service(self, route: Route) -> str:
+        """Draw one of a route's services by their weights."""
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        weights = [share.weight for share in route.shares]
+        return self._random.choices(route.shares, weights)[0].service
+
+    def select(self, service: str, tried: set[str]) -> ReplicaRecord | None:
+        """
+        Return the replica to send to, or None if there is none.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        tried : set of str
+            Names of replicas that the request was sent to; they are used
+            again only if there is no other.
+
+        """
+        now = self._timers.now()
+        allowed = {
+            record.name: record
+            for record in self._board.list_service(service)
+            if record.allows(now)
+        }
+        names = set(allowed) - tried or set(allowed)
+        chosen = choose_forward_target(
+            self._describe(allowed[name]) for name in names
+        )
+        return allowed[chosen.name] if chosen else None
+
+    def has_other(self, service: str, tried: set[str]) -> bool:
+        """Return whether a replica is left that was not tried."""
+        now = self._timers.now()
+        return any(
+            record.name not in tried and record.allows(now)
+            for record in self._board.list_service(service)
+        )
+
+    def _describe(self, record: ReplicaRecord) -> ForwardCandidate:
+        replica = record.replica
+        return ForwardCandidate(
+            name=record.name,
+            in_flight=record.in_flight,
+            slots=replica.slots,
+            distance=self._measure(replica.data_centre),
+            idle_connections=self._client.count_idle(replica),
+            seconds=record.seconds,
+            is_sound=record.is_sound,
+        )
+
+    def _measure(self, data_centre: str) -> int:
+        if data_centre == self._data_centre:
+            return 0
+        own = self._regions.get(self._data_centre)
+        if self._regions.get(data_centre) == own:
+            return _OWN_REGION
+        return _BEYOND
--- a/packages/node/ladder_node/leases/seeker.py
+++ b/packages/node/ladder_node/leases/seeker.py
@@ -22,6 +22,8 @@
         Returns the names of the live nodes.
     timers : TimerService
         Source of time.
+    unit_seconds : float, optional
+        Period of the first rank.
 
     """
 
@@ -31,11 +33,13 @@
         node: str,
         list_nodes: Callable[[], Iterable[str]],
         timers: TimerService,
+        unit_seconds: float = 1,
     ) -> None:
         self._leases = leases
         self._node = node
         self._list_nodes = list_nodes
         self._timers = timers
+        self._unit_seconds = unit_seconds
         self._nodes: tuple[str, ...] = ()
         self._periods: dict[str, float] = {}
         self._tried_at: dict[str, float] = {}
@@ -61,7 +65,8 @@
         now = self._timers.now()
         period = self._find_period(name)
         # The first rank tries at once, each other one a period later.
-        first = now if period > 1 else now - period
+        is_first = period <= self._unit_seconds
+        first = now - period if is_first else now
         if now < self._tried_at.setdefault(name, first) + period:
             return None
         self._tried_at[name] = now
@@ -75,5 +80,6 @@
             self._periods.clear()
         if name not in self._periods:
             rank = rank_node(name, self._node, nodes)
-            self._periods[name] = choose_period(name, self._node, rank)
+            period = choose_period(name, self._node, rank)
+            self._periods[name] = self._unit_seconds * period
         return self._periods[name]
--- /dev/null
+++ b/packages/node/ladder_node/members/membership.py
@@ -0,0 +1,213 @@
+"""Say that this node lives, and tell which others do."""
+
+import uuid
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import msgspec
+from loguru import logger
+from prometheus_client import Gauge
+
+from ladder_clients.table import (
+    Row,
+    StoreOutcomeUnknownError,
+    TableClient,
+    Transaction,
+)
+from ladder_core.errors import StoreUnavailableError
+from ladder_core.supervision import Service
+from ladder_core.timeline import TimeLine
+from ladder_core.timers import Subscription, TimerService
+from ladder_node.members.rows import (
+    MEMBERS_TABLE,
+    Member,
+    decode_member,
+    make_member_write,
+)
+
+_STORE_ERRORS = (StoreUnavailableError, StoreOutcomeUnknownError)
+_BEAT_SECONDS = 0.8
+# Three beats may be lost or late before a node counts as gone.
+_ALIVE_SECONDS = 3
+# Largest number of nodes for which every node writes each beat; with more of
+# them each writes less often, so that the writes of all stay the same.
+_FULL_RATE_NODES = 100
+_FORGET_SECONDS = 60
+
+_alive_gauge = Gauge('ladder_members_alive', 'Nodes that live')
+
+
+@dataclass(slots=True)
+class _Sight:
+    """When a row was first seen as it is now."""
+
+    member: Member
+    revision: int
+    since: float
+
+
+class Membership(Service):
+    """
+    Write this node's row, and read those of the others.
+
+    Parameters
+    ----------
+    table : TableClient
+        The table service.
+    member : Member
+        This node.
+    timers : TimerService
+        Source of time.
+    timeline : TimeLine
+        Takes the nodes that come and go.
+
+    Notes
+    -----
+    A node counts as alive while its row changes. The time in which the table
+    can't be read does not count, since nobody could write either.
+
+    """
+
+    def __init__(
+        self,
+        table: TableClient,
+        member: Member,
+        timers: TimerService,
+        timeline: TimeLine,
+    ) -> None:
+        self._table = table
+        self._own = msgspec.structs.replace(
+            member,
+            incarnation=uuid.uuid4().hex,
+        )
+        self._timers = timers
+        self._timeline = timeline
+        self._sights: dict[str, _Sight] = {}
+        self._alive: frozenset[str] = frozenset()
+        self._read_at: float | None = None
+        self._wrote_at: float | None = None
+        self._next_beat: float = 0
+        self._subscription: Subscription | None = None
+
+    @property
+    def own(self) -> Member:
+        """Row of this node."""
+        return self._own
+
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the table took this node's row a short time ago."""
+        if self._wrote_at is None:
+            return False
+        limit = _ALIVE_SECONDS * self._stretch()
+        return self._timers.now() - self._wrote_at < limit
+
+    async def start(self) -> None:
+        """Begin to write and to read."""
+        self._subscription = self._timers.subscribe(_BEAT_SECONDS, self.beat)
+
+    async def close(self) -> None:
+        """Stop writing and reading."""
+        if self._subscription is not None:
+            await self._subscription.close()
+            self._subscription = None
+
+    async def leave(self) -> None:
+        """Tell the others that callers shall use them instead."""
+        self._own = msgspec.structs.replace(self._own, is_leaving=True)
+        self._next_beat = 0
+        await self.beat()
+
+    async def beat(self) -> None:
+        """Write this node's row if it is due, and read the others'."""
+        now = self._timers.now()
+        if now >= self._next_beat:
+            self._next_beat = now + _BEAT_SECONDS * (self._stretch() - 0.5)
+            await self._write()
+        await self._read()
+
+    def list_alive(self) -> Sequence[Member]:
+        """Return the nodes that live, this one included if it is known."""
+        return [
+            sight.member
+            for name, sight in self._sights.items()
+            if name in self._alive
+        ]
+
+    def list_open(self) -> Sequence[Member]:
+        """
+        Return the nodes that take callers.
+
+        Explanation
+        -----------
+        A node that cannot write its row names itself only if it knows no
+        other: it can't accept batches.
+
+        """
+        others = [
+            member
+            for member in self.list_alive()
+            if not member.is_leaving and member.name != self._own.name
+        ]
+        takes_callers = not self._own.is_leaving
+        if takes_callers and (self.is_confirmed or not others):
+            return (self._own, *others)
+        return others
+
+    def _stretch(self) -> float:
+        return max(len(self._alive) / _FULL_RATE_NODES, 1)
+
+    async def _write(self) -> None:
+        self._own = msgspec.structs.replace(
+            self._own,
+            beats=self._own.beats + 1,
+        )
+        write = make_member_write(self._own)
+        sent = self._timers.now()
+        try:
+            await self._table.commit(
+                Transaction(uuid.uuid4().hex, (), (write,)),
+            )
+        except _STORE_ERRORS as error:
+            logger.debug('row of this node not written: {}', error.message)
+            return
+        self._wrote_at = sent
+
+    async def _read(self) -> None:
+        try:
+            rows = await self._table.scan(MEMBERS_TABLE)
+        except _STORE_ERRORS as error:
+            logger.debug('rows of nodes not read: {}', error.message)
+            return
+        self._observe(rows)
+
+    def _observe(self, rows: Sequence[Row]) -> None:
+        now = self._timers.now()
+        gap = now - self._read_at if self._read_at is not None else 0
+        if gap > 2 * _BEAT_SECONDS:
+            # Nobody could write while the table was away.
+            for sight in self._sights.values():
+                sight.since += gap
+        self._read_at = now
+        self._sights = {row.key: self._see(row, now) for row in rows}
+        limit = _ALIVE_SECONDS * self._stretch()
+        alive = frozenset(
+            name
+            for name, sight in self._sights.items()
+            if now - sight.since < limit
+        )
+        self._note_changes(alive)
+
+    def _see(self, row: Row, now: float) -> _Sight:
+        sight = self._sights.get(row.key)
+        if sight is not None and sight.revision == row.revision:
+            return sight
+        return _Sight(decode_member(row), row.revision, now)
+
+    def _note_changes(self, alive: frozenset[str]) -> None:
+        for name in sorted(alive - self._alive):
+            self._timeline.record('member-alive', name)
+        for name in sorted(self._alive - alive):
+            self._timeline.record('member-gone', name)
+        self._alive = alive
+        _alive_gauge.set(len(alive))
--- /dev/null
+++ b/packages/node/ladder_node/members/rows.py
@@ -0,0 +1,56 @@
+"""Rows of the nodes."""
+
+import msgspec
+
+from ladder_clients.table import Row, Write
+
+MEMBERS_TABLE = 'members'
+
+
+class Member(msgspec.Struct, frozen=True):
+    """
+    One node, as it describes itself.
+
+    Attributes
+    ----------
+    name : str
+        Name of the node.
+    address : str
+        ``ip:port`` for callers.
+    data_centre, region : str
+        Where it stands.
+    incarnation : str
+        Another one after each start of its process.
+    beats : int
+        Counts its writes.
+    is_leaving : bool
+        Whether callers shall use other nodes.
+
+    """
+
+    name: str
+    address: str
+    data_centre: str
+    region: str
+    incarnation: str
+    beats: int = 0
+    is_leaving: bool = False
+
+
+def decode_member(row: Row) -> Member:
+    """
+    Return the content of a node's row.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        The row has another form.
+
+    """
+    return msgspec.json.decode(row.body, type=Member)
+
+
+def make_member_write(member: Member) -> Write:
+    """Return the write of a node's row."""
+    body = msgspec.json.encode(member).decode()
+    return Write(MEMBERS_TABLE, member.name, body)
--- /dev/null
+++ b/packages/node/ladder_node/replicas/board.py
@@ -0,0 +1,158 @@
+"""All replicas that a node knows."""
+
+from collections.abc import Callable, Iterable
+
+from prometheus_client import Gauge
+
+from ladder_core.timeline import TimeLine
+from ladder_core.timers import TimerService
+from ladder_core.values import Replica
+from ladder_node.replicas.record import ReplicaRecord
+
+# Entries that lapsed while the table was away are back within two seconds of
+# its return; the rest covers the time of the read.
+_LAPSE_SECONDS = 2.3
+
+_known_gauge = Gauge('ladder_replicas_known', 'Replicas that are listed')
+
+
+class ReplicaBoard:
+    """
+    Keep the replicas' own word and what this node has seen of them.
+
+    Parameters
+    ----------
+    timers : TimerService
+        Source of time.
+    timeline : TimeLine
+        Takes comings and goings.
+
+    """
+
+    def __init__(self, timers: TimerService, timeline: TimeLine) -> None:
+        self._timers = timers
+        self._timeline = timeline
+        self._records: dict[str, ReplicaRecord] = {}
+        self._missing: dict[str, float] = {}
+        self._listeners: list[Callable[[], None]] = []
+        self._has_read = False
+
+    @property
+    def has_read(self) -> bool:
+        """Whether the list of replicas was read at least once."""
+        return self._has_read
+
+    def listen(self, listener: Callable[[], None]) -> None:
+        """Call a listener after each change."""
+        self._listeners.append(listener)
+
+    def forget(self, listener: Callable[[], None]) -> None:
+        """Call a listener no more."""
+        self._listeners.remove(listener)
+
+    def find(self, name: str) -> ReplicaRecord | None:
+        """Return a replica, or None if it is not listed."""
+        return self._records.get(name)
+
+    def list_service(self, service: str) -> list[ReplicaRecord]:
+        """Return the replicas of a service."""
+        self._drop_missing()
+        return [
+            record
+            for record in self._records.values()
+            if record.replica.service == service
+        ]
+
+    def replace(
+        self,
+        replicas: Iterable[Replica],
+        outage_seconds: float,
+    ) -> None:
+        """
+        Take the whole list.
+
+        Parameters
+        ----------
+        replicas : iterable of Replica
+            All replicas that are listed.
+        outage_seconds : float
+            Time for which the list could not be read. A replica that is not
+            listed after an outage may be back shortly, so it is kept a
+            little longer.
+
+        """
+        self._has_read = True
+        listed = {replica.name: replica for replica in replicas}
+        for name in set(self._records) - set(listed):
+            if outage_seconds > _LAPSE_SECONDS:
+                until = self._timers.now() + _LAPSE_SECONDS
+                self._missing.setdefault(name, until)
+            else:
+                self._remove(name)
+        for replica in listed.values():
+            self._put(replica)
+        self._notify()
+
+    def change(
+        self,
+        replicas: Iterable[Replica],
+        removed: Iterable[str],
+    ) -> None:
+        """Take the replicas that changed, and the names of those gone."""
+        for replica in replicas:
+            self._put(replica)
+        for name in removed:
+            self._remove(name)
+        self._notify()
+
+    def note_state(self, replica: Replica) -> None:
+        """Take a replica's word that did not come through the list."""
+        record = self._records.get(replica.name)
+        if record is not None:
+            record.replica = replica
+            self._notify()
+
+    def _put(self, replica: Replica) -> None:
+        self._missing.pop(replica.name, None)
+        record = self._records.get(replica.name)
+        if record is None or _is_another_process(record.replica, replica):
+            self._records[replica.name] = ReplicaRecord(replica)
+            self._note('replica-listed', replica)
+        else:
+            if replica.is_leaving and not record.replica.is_leaving:
+                self._note('replica-leaving', replica)
+            record.replica = replica
+        _known_gauge.set(len(self._records))
+
+    def _remove(self, name: str) -> None:
+        self._missing.pop(name, None)
+        record = self._records.pop(name, None)
+        if record is not None:
+            self._note('replica-gone', record.replica)
+        _known_gauge.set(len(self._records))
+
+    def _drop_missing(self) -> None:
+        now = self._timers.now()
+        for name, until in tuple(self._missing.items()):
+            if now >= until:
+                self._remove(name)
+
+    def _note(self, kind: str, replica: Replica) -> None:
+        self._timeline.record(
+            kind,
+            replica.name,
+            service=replica.service,
+            address=replica.address,
+        )
+
+    def _notify(self) -> None:
+        for listener in self._listeners:
+            listener()
+
+
+def _is_another_process(known: Replica, replica: Replica) -> bool:
+    return (
+        known.address != replica.address
+        or known.started_at != replica.started_at
+        or known.service != replica.service
+    )
--- /dev/null
+++ b/packages/node/ladder_node/replicas/record.py
@@ -0,0 +1,77 @@
+"""One replica: its own word, and what this node has seen of it."""
+
+from ladder_core.values import Replica
+from ladder_policy.routing import FailureBackoff
+
+# Weight of the newest duration in the running mean.
+_NEWEST_SHARE = 0.2
+# Failures for less than this may be a single lost answer.
+_LOST_SECONDS = 0.8
+
+
+class ReplicaRecord:
+    """
+    State of one replica as this node sees it.
+
+    Parameters
+    ----------
+    replica : Replica
+        The replica's own word.
+
+    """
+
+    def __init__(self, replica: Replica) -> None:
+        self.replica = replica
+        self.in_flight = 0
+        self._backoff = FailureBackoff()
+        self._seconds: float | None = None
+        self._rests_until: float = 0
+        self._failing_since: float | None = None
+
+    @property
+    def name(self) -> str:
+        """Name of the replica."""
+        return self.replica.name
+
+    @property
+    def seconds(self) -> float | None:
+        """Running mean of the duration of answers; None before the first."""
+        return self._seconds
+
+    @property
+    def is_sound(self) -> bool:
+        """Whether its last request succeeded."""
+        return self._backoff.is_sound
+
+    def allows(self, now: float) -> bool:
+        """Return whether a new request may be sent to the replica."""
+        return (
+            not self.replica.is_leaving
+            and now >= self._rests_until
+            and self._backoff.allows(now)
+        )
+
+    def is_lost(self, now: float) -> bool:
+        """Return whether it has only failed for some time."""
+        if self._failing_since is None:
+            return False
+        return now - self._failing_since > _LOST_SECONDS
+
+    def rest(self, until: float) -> None:
+        """Send nothing before a time, since the replica was full."""
+        self._rests_until = max(self._rests_until, until)
+
+    def note_success(self, seconds: float) -> None:
+        """Note an answer and its duration in seconds."""
+        self._backoff.succeed()
+        self._failing_since = None
+        if self._seconds is None:
+            self._seconds = seconds
+        else:
+            self._seconds += _NEWEST_SHARE * (seconds - self._seconds)
+
+    def note_failure(self, now: float, is_down: bool = False) -> None:
+        """Note a request that failed, or that could not be sent at all."""
+        self._backoff.fail(now, is_down)
+        if self._failing_since is None:
+            self._failing_since = now
--- a/packages/node/ladder_node/entry/drain.py
+++ b/packages/node/ladder_node/serving/drain.py
@@ -9,7 +9,7 @@
 
 from ladder_core.timeline import TimeLine
 from ladder_core.timers import TimerService
-from ladder_node.entry.metrics import DRAINING, REQUESTS
+from ladder_node.serving.metrics import DRAINING, REQUESTS
 
 # The other nodes hear within this time that this one leaves.
 SPREAD_SECONDS = 2
@@ -31,6 +31,8 @@
         Source of time.
     timeline : TimeLine
         Takes the steps of the drain.
+    spread_seconds : float, optional
+        Time in which the other nodes hear that this one leaves.
 
     """
 
@@ -40,7 +42,9 @@
         keep_seconds: float,
         timers: TimerService,
         timeline: TimeLine,
+        spread_seconds: float = SPREAD_SECONDS,
     ) -> None:
+        self._spread_seconds = spread_seconds
         self._leave = leave
         self._keep_seconds = keep_seconds
         self._timers = timers
@@ -86,7 +90,9 @@
         DRAINING.set(1)
         self._timeline.record('drain-begun', 'node', requests=self._requests)
         self._leave()
-        await self._timers.sleep(SPREAD_SECONDS + self._keep_seconds)
+        await self._timers.sleep(
+            self._spread_seconds + self._keep_seconds,
+        )
         self._finishing.set()
         self._timeline.record('drain-kept', 'node', requests=self._requests)
         await self._idle.wait()
@@ -158,7 +164,7 @@
         The routes.
     drain : Drain
         Counts the requests.
-    ensure_fresh : callable
+    ensure_fresh : callable, optional
         Awaited before each request; returns late after a pause.
 
     """
@@ -167,7 +173,7 @@
         self,
         app: ASGIApp,
         drain: Drain,
-        ensure_fresh: Callable[[], Awaitable[None]],
+        ensure_fresh: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
         self._app = app
         self._drain = drain
@@ -182,7 +188,8 @@
         """Handle one request."""
         self._drain.begin_request()
         try:
-            await self._ensure_fresh()
+            if self._ensure_fresh is not None:
+                await self._ensure_fresh()
             await self._app(scope, receive, self._mark_closing(send))
         finally:
             self._drain.end_request()
--- a/packages/node/ladder_node/entry/server.py
+++ b/packages/node/ladder_node/serving/server.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Iterator
 
 import uvicorn
 from starlette.types import ASGIApp
+from uvicorn.protocols.http.h11_impl import H11Protocol
 
 from ladder_core.supervision import Service
 
@@ -44,7 +46,12 @@
             log_config=None,
             access_log=False,
             lifespan='off',
+            loop='asyncio',
+            http='h11',
+            server_header=False,
+            date_header=False,
         )
+        self._config = config
         self._server = _Server(config)
         self._task: asyncio.Task[None] | None = None
 
@@ -57,6 +64,22 @@
                 raise RuntimeError('the entry server ended at its start')
             await asyncio.sleep(_POLL_SECONDS)
 
+    def keep_idle(self, seconds: float) -> None:
+        """
+        Keep connections open between requests for a time.
+
+        Parameters
+        ----------
+        seconds : float
+            For connections that are open already, too.
+
+        """
+        wanted = math.ceil(seconds)
+        self._config.timeout_keep_alive = wanted
+        for connection in self._server.server_state.connections:
+            if isinstance(connection, H11Protocol):
+                connection.timeout_keep_alive = wanted
+
     async def close(self) -> None:
         """Accept no more and finish the requests in progress."""
         if self._task is None:
--- a/packages/node/ladder_node/entry/tests/test_drain.py
+++ b/packages/node/ladder_node/serving/tests/test_drain.py
@@ -4,8 +4,8 @@
 
 from ladder_core.timeline import HybridClock, TimeLine
 from ladder_core.timers import ManualTimerService
-from ladder_node.entry import Drain, EntryMiddleware
-from ladder_node.entry.drain import SPREAD_SECONDS
+from ladder_node.serving import Drain, EntryMiddleware
+from ladder_node.serving.drain import SPREAD_SECONDS
 
 KEEP_SECONDS = 10
 
--- /dev/null
+++ b/packages/policy/ladder_policy/rollouts/engines.py
@@ -0,0 +1,82 @@
+"""Choose the engine that runs a task."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+# An engine that needs this many times as long for a token as the quickest
+# one is left free while the task can still be in time on a quicker one.
+_SLOW_RATIO = 2
+# What reading a prompt again costs against a run where its group has run.
+_PREFIX_SECONDS = 0.03
+
+
+@dataclass(frozen=True, slots=True)
+class EngineView:
+    """
+    An engine that can run a task now.
+
+    Attributes
+    ----------
+    name : str
+        Name of the engine.
+    token_seconds : float
+        Time that it needs for a token.
+    free_slots : int
+        Tasks that it can take at once.
+    has_prefix : bool
+        Whether a task of the same group has run there.
+
+    """
+
+    name: str
+    token_seconds: float
+    free_slots: int
+    has_prefix: bool = False
+
+
+def choose_engine(
+    engines: Iterable[EngineView],
+    tokens: float,
+    seconds_left: float,
+    quickest: float,
+) -> EngineView | None:
+    """
+    Choose the engine on which a task is ready first, or None to wait.
+
+    Parameters
+    ----------
+    engines : iterable of EngineView
+        Engines with a free slot that may run the task.
+    tokens : float
+        Expected number of tokens still to be generated.
+    seconds_left : float
+        Time until the result is wanted.
+    quickest : float
+        Seconds for a token at the quickest engine of the service, which may
+        have no free slot now.
+
+    Examples
+    --------
+    >>> quick = EngineView('quick', 0.001, free_slots=1)
+    >>> slow = EngineView('slow', 0.004, free_slots=8)
+    >>> choose_engine([slow, quick], 1000, 7, quickest=0.001).name
+    'quick'
+    >>> choose_engine([slow], 1000, 3, quickest=0.001) is None
+    True
+    >>> choose_engine([slow], 500, 3, quickest=0.001).name
+    'slow'
+
+    """
+
+    def estimate(engine: EngineView) -> tuple[float, int, str]:
+        prefix = 0 if engine.has_prefix else _PREFIX_SECONDS
+        seconds = tokens * engine.token_seconds + prefix
+        return (seconds, -engine.free_slots, engine.name)
+
+    best = min(engines, key=estimate, default=None)
+    if best is None:
+        return None
+    is_slow = best.token_seconds > _SLOW_RATIO * quickest
+    if is_slow and tokens * best.token_seconds > seconds_left:
+        return None
+    return best
--- /dev/null
+++ b/packages/policy/ladder_policy/rollouts/loads.py
@@ -0,0 +1,184 @@
+"""When an engine loads the next weight version of a model."""
+
+import math
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+
+# Share of the engines that load at the same time without slowing each other
+# down; by the deployments' sheets about two in five.
+_LOADING_SHARE = 0.4
+
+
+@dataclass(frozen=True, slots=True)
+class EngineHoldings:
+    """
+    What an engine holds and does.
+
+    Attributes
+    ----------
+    name : str
+        Name of the engine.
+    versions : mapping of str to int
+        Version of each model.
+    running : mapping of str to int
+        Tasks of each model that run.
+    free_slots : int
+        Tasks that it can take at once.
+    loading : str
+        Model whose next version is being loaded; empty for none.
+
+    """
+
+    name: str
+    versions: Mapping[str, int]
+    running: Mapping[str, int] = field(default_factory=dict)
+    free_slots: int = 0
+    loading: str = ''
+
+    def can_run(self, need: 'ModelNeed') -> bool:
+        """Whether it can take a waiting task of a model now."""
+        return (
+            self.free_slots > 0
+            and self.loading != need.name
+            and self.versions.get(need.name, 0) >= need.min_version
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class ModelNeed:
+    """
+    What is needed of a model.
+
+    Attributes
+    ----------
+    name : str
+        Name of the model.
+    version : int
+        The newest version.
+    min_version : int
+        Oldest version that the waiting tasks allow.
+    waiting : int
+        Tasks that wait for a slot.
+    homes : sequence of str
+        Engines that are kept at the newest version.
+
+    """
+
+    name: str
+    version: int
+    min_version: int = 0
+    waiting: int = 0
+    homes: Sequence[str] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class LoadDecision:
+    """
+    An order to give.
+
+    Attributes
+    ----------
+    engine, model : str
+        Who loads what.
+    version : int
+        The version.
+    reason : str
+        Why now.
+
+    """
+
+    engine: str
+    model: str
+    version: int
+    reason: str
+
+
+def plan_loads(
+    engines: Sequence[EngineHoldings],
+    needs: Sequence[ModelNeed],
+) -> list[LoadDecision]:
+    """
+    Return the loads to order now.
+
+    Explanation
+    -----------
+    A load makes an engine refuse the model's tasks for about a second and
+    halts those that run. So a home loads while it runs none of the model's
+    tasks. A busy home loads when tasks wait that no engine may run at its
+    present version. If all homes are lost, the freest engine stands in.
+
+    Parameters
+    ----------
+    engines : sequence of EngineHoldings
+        Engines that can be used.
+    needs : sequence of ModelNeed
+        The models, the most urgent first.
+
+    Examples
+    --------
+    >>> idle = EngineHoldings('idle', {'m': 1}, free_slots=8)
+    >>> busy = EngineHoldings('busy', {'m': 1}, {'m': 4}, free_slots=4)
+    >>> need = ModelNeed('m', 2, min_version=1, homes=['idle', 'busy'])
+    >>> [load.engine for load in plan_loads([idle, busy], [need])]
+    ['idle']
+    >>> need = ModelNeed('m', 2, min_version=2, waiting=3, homes=['busy'])
+    >>> [load.engine for load in plan_loads([busy], [need])]
+    ['busy']
+
+    """
+    limit = max(math.ceil(len(engines) * _LOADING_SHARE), 1)
+    free = limit - sum(bool(engine.loading) for engine in engines)
+    taken: set[str] = set()
+    decisions: list[LoadDecision] = []
+    for need in needs:
+        for decision in _plan_model(engines, need):
+            if len(decisions) < free and decision.engine not in taken:
+                taken.add(decision.engine)
+                decisions.append(decision)
+    return decisions
+
+
+def _plan_model(
+    engines: Sequence[EngineHoldings],
+    need: ModelNeed,
+) -> list[LoadDecision]:
+    homes = [engine for engine in engines if engine.name in need.homes]
+    behind = [
+        engine
+        for engine in homes or engines
+        if not engine.loading
+        and engine.versions.get(need.name, 0) < need.version
+    ]
+    idle = [engine for engine in behind if not engine.running.get(need.name)]
+    if homes and idle and not _would_block(engines, need, idle):
+        return [_decide(engine, need, 'idle') for engine in idle]
+    if not need.waiting or _can_run(engines, need):
+        return []
+    behind.sort(key=lambda engine: (-engine.free_slots, engine.name))
+    reason = 'needed' if homes else 'no-home'
+    return [_decide(engine, need, reason) for engine in behind[:1]]
+
+
+def _would_block(
+    engines: Sequence[EngineHoldings],
+    need: ModelNeed,
+    idle: Sequence[EngineHoldings],
+) -> bool:
+    """Return whether waiting tasks could run on the idle engines alone."""
+    if not need.waiting:
+        return False
+    names = {engine.name for engine in idle}
+    others = [engine for engine in engines if engine.name not in names]
+    return _can_run(idle, need) and not _can_run(others, need)
+
+
+def _can_run(engines: Sequence[EngineHoldings], need: ModelNeed) -> bool:
+    return any(engine.can_run(need) for engine in engines)
+
+
+def _decide(
+    engine: EngineHoldings,
+    need: ModelNeed,
+    reason: str,
+) -> LoadDecision:
+    return LoadDecision(engine.name, need.name, need.version, reason)
--- a/packages/policy/ladder_policy/routing/__init__.py
+++ b/packages/policy/ladder_policy/routing/__init__.py
@@ -1,7 +1,12 @@
 """Which target gets a request."""
 
+from ladder_policy.routing.backoff import FailureBackoff
 from ladder_policy.routing.base import Candidate, TargetChooser
 from ladder_policy.routing.circuit import Circuit
+from ladder_policy.routing.forward import (
+    ForwardCandidate,
+    choose_forward_target,
+)
 from ladder_policy.routing.least_loaded import LeastLoadedChooser
 from ladder_policy.routing.prefix import PrefixAffinityChooser
 from ladder_policy.routing.round_robin import RoundRobinChooser
@@ -9,8 +14,11 @@
 __all__ = (
     'Candidate',
     'Circuit',
+    'FailureBackoff',
+    'ForwardCandidate',
     'LeastLoadedChooser',
     'PrefixAffinityChooser',
     'RoundRobinChooser',
     'TargetChooser',
+    'choose_forward_target',
 )
--- a/standins/ladder_standins/trainer.py
+++ b/standins/ladder_standins/trainer.py
@@ -225,8 +225,14 @@
         await self._open(request)
 
     async def close_step(self, step: int) -> None:
-        """Tell the service that a step is done."""
-        await self._send('DELETE', f'/{step}', None)
+        """Tell the service that a step is done; each node is asked once."""
+        for _ in tuple(self._addresses):
+            try:
+                await self._send('DELETE', f'/{step}', None)
+            except (aiohttp.ClientError, TimeoutError):
+                self._leave_address()
+            else:
+                return
 
     async def _open(self, request: StepRequest) -> None:
         body = {
