--- /dev/null
+++ b/packages/node/ladder_node/detours/carrier.py
@@ -0,0 +1,80 @@
+"""Make calls to the store for other nodes."""
+
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from prometheus_client import Counter
+from starlette.types import Message, Receive, Scope, Send
+
+from ladder_clients.table import StoreOutcomeUnknownError
+from ladder_core.errors import StoreUnavailableError
+from ladder_node.detours.messages import CarriedAnswer, CarriedCall
+
+_OK = 200
+_BAD_REQUEST = 400
+_BODY_BYTES = 2_000_000
+
+_carried_counter = Counter(
+    'ladder_store_calls_carried_total',
+    'Calls to the store that were made for other nodes',
+)
+
+Carry = Callable[[CarriedCall], Awaitable[CarriedAnswer]]
+
+
+class DetourApp:
+    """
+    Take calls from other nodes and make them directly.
+
+    Parameters
+    ----------
+    carry : callable
+        Makes a call; it never goes on to a third node.
+
+    """
+
+    def __init__(self, carry: Carry) -> None:
+        self._carry = carry
+
+    async def __call__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Handle one call."""
+        body = await _read(receive)
+        try:
+            call = msgspec.msgpack.decode(body, type=CarriedCall)
+        except msgspec.DecodeError:
+            await _answer(send, _BAD_REQUEST, b'')
+            return
+        _carried_counter.inc()
+        answer = await self._make(call)
+        await _answer(send, _OK, msgspec.msgpack.encode(answer))
+
+    async def _make(self, call: CarriedCall) -> CarriedAnswer:
+        try:
+            return await self._carry(call)
+        except StoreUnavailableError:
+            return CarriedAnswer(0, is_undone=True)
+        except StoreOutcomeUnknownError:
+            return CarriedAnswer(0, is_undone=False)
+
+
+async def _read(receive: Receive) -> bytes:
+    parts: list[bytes] = []
+    while True:
+        message: Message = await receive()
+        parts.append(message.get('body', b''))
+        size = sum(len(part) for part in parts)
+        if not message.get('more_body', False) or size > _BODY_BYTES:
+            return b''.join(parts)
+
+
+async def _answer(send: Send, status: int, body: bytes) -> None:
+    headers = [(b'content-length', str(len(body)).encode())]
+    await send(
+        {'type': 'http.response.start', 'status': status, 'headers': headers},
+    )
+    await send({'type': 'http.response.body', 'body': body})
--- /dev/null
+++ b/packages/node/ladder_node/detours/sender.py
@@ -0,0 +1,158 @@
+"""Hand calls to a node that still reaches the store."""
+
+from collections.abc import Callable, Sequence
+
+import msgspec
+from prometheus_client import Counter
+
+from ladder_clients.exchanges import (
+    ConnectionPool,
+    OutgoingRequest,
+    Timeouts,
+    TransportError,
+    UnreachableError,
+)
+from ladder_core.errors import NotRunError, OverloadedError
+from ladder_core.timeline import TimeLine
+from ladder_core.timers import TimerService
+from ladder_node.detours.messages import CarriedAnswer, CarriedCall
+from ladder_policy.routing import DetourSwitch
+
+DETOUR_PATH = b'/v1/detour'
+_OK = 200
+_CALL_SECONDS = 1.2
+_CONNECT_SECONDS = 0.3
+_PEERS = 2
+# Time for which the peers are left alone after none of them could help.
+_REST_SECONDS = 1
+
+_carried_counter = Counter(
+    'ladder_store_detours_total',
+    'Calls to the store that were handed to another node, by outcome',
+    ('outcome',),
+)
+
+
+class DetourError(NotRunError):
+    """No other node could carry the call, which had no effect."""
+
+    kind = 'detour'
+
+
+class Detour:
+    """
+    The way to the store through other nodes.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+        Connections.
+    list_peers : callable
+        Returns the ``ip:port`` of other nodes, the best ones first.
+    timers : TimerService
+        Source of time.
+    timeline : TimeLine
+        Takes the changes of the way.
+
+    """
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        list_peers: Callable[[], Sequence[str]],
+        timers: TimerService,
+        timeline: TimeLine,
+    ) -> None:
+        self._pool = pool
+        self._list_peers = list_peers
+        self._timers = timers
+        self._timeline = timeline
+        self._switch = DetourSwitch()
+        self._rests_until: float = 0
+        self._failed: dict[str, float] = {}
+
+    def is_wanted(self) -> bool:
+        """Return whether the next call goes through a peer."""
+        now = self._timers.now()
+        return now >= self._rests_until and not self._switch.goes_direct(now)
+
+    def note_success(self) -> None:
+        """Note a direct call that was answered."""
+        if self._switch.is_open:
+            self._timeline.record('dependency-regained', 'store')
+        self._switch.succeed()
+
+    def note_failure(self, is_hard: bool, reason: str) -> None:
+        """Note a direct call that failed."""
+        was_open = self._switch.is_open
+        self._switch.fail(self._timers.now(), is_hard)
+        if self._switch.is_open and not was_open:
+            self._timeline.record('dependency-lost', 'store', reason=reason)
+
+    async def carry(self, call: CarriedCall) -> CarriedAnswer:
+        """
+        Have another node make a call.
+
+        Raises
+        ------
+        DetourError
+            The call had no effect.
+        TransportError
+            The call may have had an effect.
+
+        """
+        for peer in self._choose_peers():
+            try:
+                answer = await self._ask(peer, call)
+            except (UnreachableError, OverloadedError):
+                _carried_counter.labels('unreachable').inc()
+                self._failed[peer] = self._timers.now()
+                continue
+            except TransportError:
+                _carried_counter.labels('lost').inc()
+                self._failed[peer] = self._timers.now()
+                if call.is_read:
+                    continue
+                raise
+            if answer.status:
+                _carried_counter.labels('answered').inc()
+                return answer
+            _carried_counter.labels('not-answered').inc()
+            self._failed[peer] = self._timers.now()
+            if not answer.is_undone:
+                return answer
+        self._rests_until = self._timers.now() + _REST_SECONDS
+        raise DetourError(
+            'no other node reaches the store either',
+            remedy='wait until it has recovered',
+        )
+
+    def _choose_peers(self) -> list[str]:
+        """Return the peers to ask; those that failed lately come last."""
+        now = self._timers.now()
+        self._failed = {
+            peer: at
+            for peer, at in self._failed.items()
+            if now - at < 2 * _REST_SECONDS
+        }
+        peers = sorted(
+            self._list_peers(),
+            key=lambda peer: self._failed.get(peer, 0),
+        )
+        return peers[:_PEERS]
+
+    async def _ask(self, peer: str, call: CarriedCall) -> CarriedAnswer:
+        request = OutgoingRequest(
+            b'POST',
+            DETOUR_PATH,
+            ((b'Host', peer.encode()),),
+            msgspec.msgpack.encode(call),
+        )
+        total = _CALL_SECONDS + call.wait_seconds
+        limits = Timeouts(total, total, _CONNECT_SECONDS)
+        async with self._pool.exchange(peer, request, limits) as answer:
+            body = await answer.read()
+            if answer.status != _OK:
+                return CarriedAnswer(0, is_undone=True)
+            return msgspec.msgpack.decode(body, type=CarriedAnswer)
+        raise AssertionError('the exchange either yields or raises')
--- a/packages/node/ladder_node/leases/keeper.py
+++ b/packages/node/ladder_node/leases/keeper.py
@@ -15,6 +15,8 @@
 from ladder_node.leases.term import LeaseTerm
 from ladder_node.leases.watch import ExpiryWatch
 
+# Share of the time between renewals after which a failed one is repeated.
+_RETRY_SHARE = 0.2
 _STORE_ERRORS = (StoreUnavailableError, StoreOutcomeUnknownError)
 
 _held_gauge = Gauge('ladder_leases_held', 'Leases held by this node')
@@ -157,7 +159,12 @@
             except _STORE_ERRORS as error:
                 _failed_renewals_counter.inc()
                 logger.warning('leases not renewed: {}', error)
-                return
+                if not any(lease.is_valid() for lease in leases):
+                    return
+                await self._timers.sleep(
+                    _RETRY_SHARE * self._term.renewal,
+                )
+                continue
             if outcome.committed:
                 self._extend(leases, sent)
                 return
--- a/packages/node/ladder_node/members/membership.py
+++ b/packages/node/ladder_node/members/membership.py
@@ -9,9 +9,9 @@
 from prometheus_client import Gauge
 
 from ladder_clients.table import (
+    PartitionedTable,
     Row,
     StoreOutcomeUnknownError,
-    TableClient,
     Transaction,
 )
 from ladder_core.errors import StoreUnavailableError
@@ -19,6 +19,7 @@
 from ladder_core.timeline import TimeLine
 from ladder_core.timers import Subscription, TimerService
 from ladder_node.members.rows import (
+    MEMBERS_PART,
     MEMBERS_TABLE,
     Member,
     decode_member,
@@ -32,7 +33,8 @@
 # Largest number of nodes for which every node writes each beat; with more of
 # them each writes less often, so that the writes of all stay the same.
 _FULL_RATE_NODES = 100
-_FORGET_SECONDS = 60
+# Beats are this many times as far apart as the table takes for one.
+_TIMES_SLOW = 4
 
 _alive_gauge = Gauge('ladder_members_alive', 'Nodes that live')
 
@@ -52,7 +54,7 @@
 
     Parameters
     ----------
-    table : TableClient
+    table : PartitionedTable
         The table service.
     member : Member
         This node.
@@ -70,7 +72,7 @@
 
     def __init__(
         self,
-        table: TableClient,
+        table: PartitionedTable,
         member: Member,
         timers: TimerService,
         timeline: TimeLine,
@@ -122,8 +124,11 @@
         """Write this node's row if it is due, and read the others'."""
         now = self._timers.now()
         if now >= self._next_beat:
-            self._next_beat = now + _BEAT_SECONDS * (self._stretch() - 0.5)
             await self._write()
+            # A slow table gets fewer writes, so that they don't pile up.
+            took = self._timers.now() - now
+            pause = max(_BEAT_SECONDS * self._stretch(), _TIMES_SLOW * took)
+            self._next_beat = now + pause - _BEAT_SECONDS / 2
         await self._read()
 
     def list_alive(self) -> Sequence[Member]:
@@ -154,6 +159,18 @@
             return (self._own, *others)
         return others
 
+    def list_peers(self) -> Sequence[str]:
+        """Return where other nodes listen to nodes, the nearest first."""
+        others = sorted(
+            (one for one in self.list_alive() if one.name != self._own.name),
+            key=lambda one: (
+                one.data_centre != self._own.data_centre,
+                one.region != self._own.region,
+                one.name,
+            ),
+        )
+        return [one.peer_address for one in others if one.peer_address]
+
     def _stretch(self) -> float:
         return max(len(self._alive) / _FULL_RATE_NODES, 1)
 
@@ -175,7 +192,7 @@
 
     async def _read(self) -> None:
         try:
-            rows = await self._table.scan(MEMBERS_TABLE)
+            rows = await self._table.scan_part(MEMBERS_TABLE, MEMBERS_PART)
         except _STORE_ERRORS as error:
             logger.debug('rows of nodes not read: {}', error.message)
             return
--- a/packages/node/ladder_node/members/rows.py
+++ b/packages/node/ladder_node/members/rows.py
@@ -5,6 +5,9 @@
 from ladder_clients.table import Row, Write
 
 MEMBERS_TABLE = 'members'
+# A partition of their own, so that leases do not wait behind the rows of
+# many nodes when the table is slow.
+MEMBERS_PART = 'members'
 
 
 class Member(msgspec.Struct, frozen=True):
@@ -25,6 +28,8 @@
         Counts its writes.
     is_leaving : bool
         Whether callers shall use other nodes.
+    peer_address : str
+        ``ip:port`` for other nodes.
 
     """
 
@@ -35,6 +40,7 @@
     incarnation: str
     beats: int = 0
     is_leaving: bool = False
+    peer_address: str = ''
 
 
 def decode_member(row: Row) -> Member:
@@ -53,4 +59,4 @@
 def make_member_write(member: Member) -> Write:
     """Return the write of a node's row."""
     body = msgspec.json.encode(member).decode()
-    return Write(MEMBERS_TABLE, member.name, body)
+    return Write(MEMBERS_TABLE, member.name, body, MEMBERS_PART)
--- a/packages/policy/ladder_policy/admission/__init__.py
+++ b/packages/policy/ladder_policy/admission/__init__.py
@@ -2,5 +2,10 @@
 
 from ladder_policy.admission.bucket import TokenBucket
 from ladder_policy.admission.budget import RetryBudget
+from ladder_policy.admission.patience import Patience
 
-__all__ = ('RetryBudget', 'TokenBucket')
+__all__ = (
+    'Patience',
+    'RetryBudget',
+    'TokenBucket',
+)
--- a/packages/policy/ladder_policy/routing/__init__.py
+++ b/packages/policy/ladder_policy/routing/__init__.py
@@ -3,6 +3,7 @@
 from ladder_policy.routing.backoff import FailureBackoff
 from ladder_policy.routing.base import Candidate, TargetChooser
 from ladder_policy.routing.circuit import Circuit
+from ladder_policy.routing.detour import DetourSwitch
 from ladder_policy.routing.forward import (
     ForwardCandidate,
     choose_forward_target,
@@ -14,6 +15,7 @@
 __all__ = (
     'Candidate',
     'Circuit',
+    'DetourSwitch',
     'FailureBackoff',
     'ForwardCandidate',
     'LeastLoadedChooser',
