--- a/packages/node/ladder_node/batches/book.py
+++ b/packages/node/ladder_node/batches/book.py
@@ -1,7 +1,7 @@
 """The open batches of a tenure."""
 
 from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from ladder_core.timers import TimerService
 from ladder_node.batches.archive import DraftArchive
@@ -10,6 +10,7 @@
 from ladder_node.batches.spec import BatchSpec
 from ladder_node.batches.work import (
     BatchWork,
+    Draft,
     Stage,
     TaskWork,
     make_batch_work,
@@ -119,6 +120,11 @@
                 self._archive.put(work.task_id, work.draft)
         return batch
 
+    def keep(self, drafts: Mapping[str, Draft]) -> None:
+        """Keep texts by their tasks, for batches that are opened later."""
+        for task_id, draft in drafts.items():
+            self._archive.put(task_id, draft)
+
     def close(self, batch_id: str) -> None:
         """Close a batch whose results are all durable."""
         self._batches.pop(batch_id, None)
--- /dev/null
+++ b/packages/node/ladder_node/batches/cleaner.py
@@ -0,0 +1,126 @@
+"""Remove batches whose results need not be kept any longer."""
+
+import time
+import uuid
+
+import msgspec
+from prometheus_client import Counter
+
+from ladder_clients.objects import ObjectStore
+from ladder_clients.table import (
+    PartitionedTable,
+    StoreOutcomeUnknownError,
+    Transaction,
+    Write,
+)
+from ladder_core.errors import StoreUnavailableError
+from ladder_core.timeline import TimeLine
+from ladder_node.batches.records import (
+    BATCHES_TABLE,
+    DRAFTS_TABLE,
+    OBJECT_PREFIX,
+    POSITIONS_TABLE,
+    RESULTS_TABLE,
+    TASKS_TABLE,
+    BatchHead,
+    list_shards,
+    make_end_key,
+    split_end_key,
+)
+
+_MILLISECONDS = 1000
+# A transaction has at most 100 entries.
+_MAX_REMOVALS = 90
+_ROW_TABLES = (TASKS_TABLE, RESULTS_TABLE, DRAFTS_TABLE)
+
+_removed_counter = Counter(
+    'ladder_batches_removed_total',
+    'Batches that were removed from the table',
+)
+
+
+class BatchCleaner:
+    """
+    Remove old batches with all of their rows.
+
+    Parameters
+    ----------
+    table : PartitionedTable
+        The table service.
+    objects : ObjectStore
+        Holds the tasks of large batches.
+    keep_seconds : float
+        Time after its acceptance for which a batch is kept at least.
+    timeline : TimeLine
+        Takes each removal.
+
+    """
+
+    def __init__(
+        self,
+        table: PartitionedTable,
+        objects: ObjectStore,
+        keep_seconds: float,
+        timeline: TimeLine,
+    ) -> None:
+        self._table = table
+        self._objects = objects
+        self._keep_seconds = keep_seconds
+        self._timeline = timeline
+
+    async def clean(self) -> None:
+        """Remove what is due; what fails is removed at a later call."""
+        now = time.time()
+        for shard in list_shards():
+            try:
+                await self._clean_shard(shard, now)
+            except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
+                self._timeline.record(
+                    'clean-up-postponed',
+                    shard,
+                    error=error.message,
+                )
+
+    async def _clean_shard(self, shard: str, now: float) -> None:
+        for row in await self._table.scan_part(BATCHES_TABLE, shard):
+            batch_id, is_end = split_end_key(row.key)
+            if is_end:
+                continue
+            head = msgspec.json.decode(row.body, type=BatchHead)
+            keep = max(self._keep_seconds, head.retention_seconds)
+            if now - head.accepted_at / _MILLISECONDS > 2 * keep:
+                await self._remove(shard, batch_id, head)
+
+    async def _remove(
+        self,
+        shard: str,
+        batch_id: str,
+        head: BatchHead,
+    ) -> None:
+        """Remove a batch's rows; its head goes last, so none is left over."""
+        if not head.pieces:
+            await self._objects.delete(f'{OBJECT_PREFIX}{batch_id}')
+        keys = [
+            (table, row.key)
+            for table in _ROW_TABLES
+            for row in await self._table.scan_part(
+                table,
+                shard,
+                f'{batch_id}/',
+            )
+        ]
+        keys += [
+            (POSITIONS_TABLE, batch_id),
+            (BATCHES_TABLE, make_end_key(batch_id)),
+            (BATCHES_TABLE, batch_id),
+        ]
+        for start in range(0, len(keys), _MAX_REMOVALS):
+            writes = tuple(
+                Write(table, key, None, shard)
+                for table, key in keys[start : start + _MAX_REMOVALS]
+            )
+            await self._table.commit(
+                Transaction(uuid.uuid4().hex, (), writes),
+            )
+        _removed_counter.inc()
+        self._timeline.record('batch-removed', batch_id)
--- /dev/null
+++ b/packages/node/ladder_node/batches/drafts.py
@@ -0,0 +1,213 @@
+"""Keep texts in the making, so that the next holder can go on with them."""
+
+import uuid
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import msgspec
+from prometheus_client import Counter
+
+from ladder_clients.table import (
+    PartitionedTable,
+    Row,
+    StoreOutcomeUnknownError,
+    Transaction,
+    Write,
+)
+from ladder_core.errors import StoreUnavailableError
+from ladder_node.batches.fence import Fence
+from ladder_node.batches.records import DRAFTS_TABLE, find_shard
+from ladder_node.batches.work import BatchWork, Draft, Stage, TaskWork
+
+# A transaction has at most 100 entries and 1 MB, a row 64 KiB.
+_MAX_ROWS = 80
+_MAX_CHARACTERS = 400_000
+_ROW_CHARACTERS = 14_000
+
+_saved_counter = Counter(
+    'ladder_draft_events_saved_total',
+    'Events of texts in the making that were written to the table',
+)
+_failed_counter = Counter(
+    'ladder_draft_saves_failed_total',
+    'Transactions of texts in the making that were not confirmed',
+)
+
+
+class _Piece(msgspec.Struct, frozen=True, array_like=True):
+    """
+    Consecutive events of a text.
+
+    Attributes
+    ----------
+    first : int
+        Number of the first event, from one.
+    parts : list of str
+        Text of each event.
+    versions : list of int
+        Weight version of each event.
+
+    """
+
+    first: int
+    parts: list[str]
+    versions: list[int]
+
+
+@dataclass(frozen=True, slots=True)
+class _Mark:
+    """How much of a text is saved."""
+
+    generation: int
+    events: int
+
+
+class DraftSaver:
+    """
+    Write what was generated since the last time.
+
+    Parameters
+    ----------
+    table : PartitionedTable
+        The table service.
+    fence : Fence
+        This node's right to write.
+
+    Notes
+    -----
+    A save that is not confirmed is made again with the same rows, which then
+    have the same content. A text that was begun anew gets another
+    generation, so that pieces of two runs are never joined.
+
+    """
+
+    def __init__(self, table: PartitionedTable, fence: Fence) -> None:
+        self._table = table
+        self._fence = fence
+        self._marks: dict[str, _Mark] = {}
+
+    async def save(self, batch: BatchWork) -> None:
+        """Write the new events of a batch's unfinished tasks."""
+        writes: list[Write] = []
+        marks: dict[str, _Mark] = {}
+        size = 0
+        for work in batch.tasks.values():
+            if work.stage is Stage.done:
+                self._marks.pop(batch.make_key(work), None)
+                continue
+            piece = self._cut_piece(batch, work)
+            if piece is None:
+                continue
+            size += sum(len(part) for part in piece.parts)
+            if len(writes) >= _MAX_ROWS or size > _MAX_CHARACTERS:
+                break
+            writes.append(_make_write(batch, work, piece))
+            events = piece.first - 1 + len(piece.parts)
+            marks[batch.make_key(work)] = _Mark(work.draft.generation, events)
+        if writes:
+            await self._write(find_shard(batch.batch_id), writes, marks)
+
+    def forget(self, batch: BatchWork) -> None:
+        """Drop what is known of a batch."""
+        for work in batch.tasks.values():
+            self._marks.pop(batch.make_key(work), None)
+
+    def _cut_piece(self, batch: BatchWork, work: TaskWork) -> _Piece | None:
+        draft = work.draft
+        mark = self._marks.get(batch.make_key(work), _Mark(0, 0))
+        start = mark.events if mark.generation == draft.generation else 0
+        end = start
+        size = 0
+        while end < len(draft.parts) and size < _ROW_CHARACTERS:
+            size += len(draft.parts[end])
+            end += 1
+        if end == start:
+            return None
+        return _Piece(
+            start + 1,
+            draft.parts[start:end],
+            draft.versions[start:end],
+        )
+
+    async def _write(
+        self,
+        shard: str,
+        writes: list[Write],
+        marks: dict[str, _Mark],
+    ) -> None:
+        conditions = (self._fence.guard(shard),)
+        try:
+            outcome = await self._table.commit(
+                Transaction(uuid.uuid4().hex, conditions, tuple(writes)),
+            )
+        except (StoreUnavailableError, StoreOutcomeUnknownError):
+            _failed_counter.inc()
+            return
+        if not outcome.committed:
+            self._fence.note_conflicts(shard, outcome.conflicts)
+            return
+        _saved_counter.inc(len(writes))
+        self._marks.update(marks)
+
+
+async def load_drafts(
+    table: PartitionedTable,
+    batch_id: str,
+) -> dict[str, Draft]:
+    """
+    Return the saved texts of a batch's tasks.
+
+    Raises
+    ------
+    StoreUnavailableError
+        The table service does not answer.
+
+    """
+    rows = await table.scan_part(
+        DRAFTS_TABLE,
+        find_shard(batch_id),
+        f'{batch_id}/',
+    )
+    return join_pieces(rows)
+
+
+def join_pieces(rows: Iterable[Row]) -> dict[str, Draft]:
+    """
+    Join the pieces of texts, each as far as there is no gap.
+
+    Parameters
+    ----------
+    rows : iterable of Row
+        Rows of one batch in the order of their keys.
+
+    Returns
+    -------
+    dict of str to Draft
+        The newest generation of each task's text.
+
+    """
+    drafts: dict[str, Draft] = {}
+    for row in rows:
+        _, task_id, generation, _ = row.key.rsplit('/', 3)
+        draft = drafts.get(task_id)
+        if draft is None or draft.generation < int(generation):
+            draft = Draft(generation=int(generation))
+            drafts[task_id] = draft
+        piece = msgspec.json.decode(row.body, type=_Piece)
+        if piece.first == len(draft.parts) + 1:
+            draft.parts += piece.parts
+            draft.versions += piece.versions
+    return drafts
+
+
+def _make_write(batch: BatchWork, work: TaskWork, piece: _Piece) -> Write:
+    key = '/'.join(
+        (
+            batch.batch_id,
+            work.task_id,
+            f'{work.draft.generation:04d}',
+            f'{piece.first:06d}',
+        ),
+    )
+    body = msgspec.json.encode(piece).decode()
+    return Write(DRAFTS_TABLE, key, body, find_shard(batch.batch_id))
--- a/packages/node/ladder_node/batches/intake.py
+++ b/packages/node/ladder_node/batches/intake.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 import msgspec
 
@@ -10,6 +11,7 @@
 from ladder_core.errors import StoreUnavailableError
 from ladder_node.batches.book import BatchBook
 from ladder_node.batches.crew import Crew
+from ladder_node.batches.drafts import load_drafts
 from ladder_node.batches.fence import Fence
 from ladder_node.batches.ledger import Ledger
 from ladder_node.batches.parts import OwnerParts
@@ -20,11 +22,23 @@
     list_shards,
     split_end_key,
 )
-from ladder_node.batches.work import BatchWork, Stage
+from ladder_node.batches.spec import BatchSpec
+from ladder_node.batches.work import BatchWork, Draft, Stage
 
 _WATCH_SECONDS = 1.2
 _RETRY_SECONDS = 0.25
 _MILLISECONDS = 1000
+# Groups of a step that ended longer ago do not come again.
+_CARRIED_SECONDS = 30
+
+
+@dataclass(frozen=True, slots=True)
+class _Found:
+    """What the table holds of a batch."""
+
+    spec: BatchSpec
+    listed: list[TaskResult]
+    drafts: dict[str, Draft]
 
 
 class BatchIntake:
@@ -110,21 +124,23 @@
         for batch_id, row in heads.items():
             if batch_id not in self._known:
                 self._known.add(batch_id)
+                head = msgspec.json.decode(row.body, type=BatchHead)
                 if not self._book.is_ended(batch_id):
-                    head = msgspec.json.decode(row.body, type=BatchHead)
                     crew.spawn(self._open(batch_id, head, crew))
+                elif _find_age(head) < _CARRIED_SECONDS:
+                    crew.spawn(self._keep_drafts(batch_id))
 
     async def _open(self, batch_id: str, head: BatchHead, crew: Crew) -> None:
         """Read a batch that was accepted, and hand it out."""
-        wall = time.time() * _MILLISECONDS
-        age = max((wall - head.accepted_at) / _MILLISECONDS, 0)
+        age = _find_age(head)
         if age > head.retention_seconds + head.step_seconds:
             return
         ledger = self._make_ledger(batch_id)
-        listed = await self._read(batch_id, ledger)
-        spec = await self._parts.store.read_spec(batch_id, head)
+        found = await self._read(batch_id, head, ledger)
         if self._book.is_ended(batch_id):
             return
+        spec, listed = found.spec, found.listed
+        self._book.keep(found.drafts)
         batch = self._book.add(spec, head, ledger, age, listed)
         self._parts.timeline.record(
             'batch-opened',
@@ -143,13 +159,38 @@
         crew.spawn(ledger.run())
         self._on_open(batch)
 
-    async def _read(self, batch_id: str, ledger: Ledger) -> list[TaskResult]:
+    async def _read(
+        self,
+        batch_id: str,
+        head: BatchHead,
+        ledger: Ledger,
+    ) -> _Found:
+        store, table = self._parts.store, self._parts.table
         while True:
             try:
-                return await ledger.load()
+                listed, spec, drafts = await asyncio.gather(
+                    ledger.load(),
+                    store.read_spec(batch_id, head),
+                    load_drafts(table, batch_id),
+                )
             except StoreUnavailableError:
                 self._fence.check()
                 await self._parts.timers.sleep(_RETRY_SECONDS)
+            else:
+                return _Found(spec, listed, drafts)
+
+    async def _keep_drafts(self, batch_id: str) -> None:
+        """Keep the texts of an ended batch, whose groups may come again."""
+        try:
+            drafts = await load_drafts(self._parts.table, batch_id)
+        except StoreUnavailableError as error:
+            self._parts.timeline.record(
+                'drafts-not-read',
+                batch_id,
+                error=error.message,
+            )
+            return
+        self._book.keep(drafts)
 
     def _make_ledger(self, batch_id: str) -> Ledger:
         return Ledger(
@@ -194,3 +235,9 @@
         if batch is not None and batch.ledger.count >= batch.head.total:
             self._book.close(batch_id)
             batch.ledger.close()
+
+
+def _find_age(head: BatchHead) -> float:
+    """Return the seconds since a batch was accepted, by the time of day."""
+    wall = time.time() * _MILLISECONDS
+    return max((wall - head.accepted_at) / _MILLISECONDS, 0)
--- a/packages/node/ladder_node/batches/parts.py
+++ b/packages/node/ladder_node/batches/parts.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from ladder_clients.objects import ObjectStore
 from ladder_clients.replicas import ReplicaClient
 from ladder_clients.table import PartitionedTable
 from ladder_core.timeline import TimeLine
@@ -25,6 +26,10 @@
         Keeps the batches.
     table : PartitionedTable
         The table service.
+    objects : ObjectStore
+        The object store.
+    keep_seconds : float
+        Time for which results are kept after a batch was accepted.
     client : ReplicaClient
         Speaks to engines.
     forwarder : Forwarder
@@ -45,6 +50,8 @@
     node: str
     store: BatchStore
     table: PartitionedTable
+    objects: ObjectStore
+    keep_seconds: float
     client: ReplicaClient
     forwarder: Forwarder
     board: ReplicaBoard
--- a/packages/node/ladder_node/batches/records.py
+++ b/packages/node/ladder_node/batches/records.py
@@ -9,7 +9,7 @@
 `batches` holds a row for the acceptance of each batch and one for its end;
 nodes follow this table. `batch_tasks` holds the tasks in pieces,
 `batch_results` the results by position, `batch_positions` how many there are,
-`batch_progress` texts that are not yet complete, and `batch_owners` the node
+`batch_drafts` texts that are not yet complete, and `batch_owners` the node
 that may write results.
 """
 
@@ -22,6 +22,7 @@
 TASKS_TABLE = 'batch_tasks'
 RESULTS_TABLE = 'batch_results'
 POSITIONS_TABLE = 'batch_positions'
+DRAFTS_TABLE = 'batch_drafts'
 OWNERS_TABLE = 'batch_owners'
 
 SHARDS = 8
@@ -29,6 +30,9 @@
 # four bytes.
 PIECE_CHARACTERS = 16_000
 
+# Name of the object that holds the tasks of a large batch.
+OBJECT_PREFIX = 'batch-'
+
 _END_SUFFIX = '/end'
 
 
--- a/packages/node/ladder_node/batches/store.py
+++ b/packages/node/ladder_node/batches/store.py
@@ -19,6 +19,7 @@
 from ladder_core.values import Route
 from ladder_node.batches.records import (
     BATCHES_TABLE,
+    OBJECT_PREFIX,
     POSITIONS_TABLE,
     RESULTS_TABLE,
     TASKS_TABLE,
@@ -38,7 +39,6 @@
 # Bytes of results in one answer to a reader.
 _PAGE_CHARACTERS = 700_000
 _PAGE_ROWS = 200
-_OBJECT_PREFIX = 'batch-'
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,7 +113,7 @@
         """
         pieces = split_pieces(msgspec.json.encode(spec).decode())
         if len(pieces) > _MAX_PIECES:
-            name = f'{_OBJECT_PREFIX}{spec.batch_id}'
+            name = f'{OBJECT_PREFIX}{spec.batch_id}'
             await self._objects.put(name, msgspec.json.encode(spec))
             pieces = []
         shard = find_shard(spec.batch_id)
@@ -205,7 +205,7 @@
             )
             body = ''.join(row.body for row in rows).encode()
         else:
-            name = f'{_OBJECT_PREFIX}{batch_id}'
+            name = f'{OBJECT_PREFIX}{batch_id}'
             body = await self._objects.get(name) or b''
         try:
             return msgspec.json.decode(body, type=BatchSpec)
--- a/packages/node/ladder_node/batches/tenure.py
+++ b/packages/node/ladder_node/batches/tenure.py
@@ -15,8 +15,10 @@
 
 from ladder_core.values import RouteKind
 from ladder_node.batches.book import BatchBook
+from ladder_node.batches.cleaner import BatchCleaner
 from ladder_node.batches.crew import Crew
 from ladder_node.batches.dispatch import TaskDispatch
+from ladder_node.batches.drafts import DraftSaver
 from ladder_node.batches.engines import EngineTable
 from ladder_node.batches.fence import Fence, OwnershipLostError
 from ladder_node.batches.intake import BatchIntake
@@ -29,6 +31,9 @@
 from ladder_policy.rollouts import LoadDecision
 
 _TICK_SECONDS = 0.1
+# What a holder that dies loses at most of each text.
+_SAVE_SECONDS = 0.5
+_CLEAN_SECONDS = 30
 
 _open_gauge = Gauge('ladder_batches_open', 'Batches that this node runs')
 _tasks_gauge = Gauge('ladder_tasks', 'Tasks of open batches', ('stage',))
@@ -119,6 +124,8 @@
                 runs.cancel_batch,
             )
             crew.spawn(intake.run(crew))
+            crew.spawn(self._save_drafts())
+            crew.spawn(self._clean())
             crew.spawn(self._plan(runs, crew))
 
     async def _plan(self, runs: TaskRuns, crew: Crew) -> None:
@@ -132,6 +139,25 @@
             self._show_gauges()
             await self._wait_for_news()
 
+    async def _save_drafts(self) -> None:
+        saver = DraftSaver(self._parts.table, self._fence)
+        while True:
+            await self._timers.sleep(_SAVE_SECONDS)
+            await asyncio.gather(
+                *(saver.save(batch) for batch in self._book.batches),
+            )
+
+    async def _clean(self) -> None:
+        cleaner = BatchCleaner(
+            self._parts.table,
+            self._parts.objects,
+            self._parts.keep_seconds,
+            self._parts.timeline,
+        )
+        while True:
+            await self._timers.sleep(_CLEAN_SECONDS)
+            await cleaner.clean()
+
     async def _wait_for_news(self) -> None:
         waiting = asyncio.ensure_future(self._wake.wait())
         tick = asyncio.ensure_future(self._timers.sleep(_TICK_SECONDS))
--- a/packages/node/ladder_node/batches/work.py
+++ b/packages/node/ladder_node/batches/work.py
@@ -32,12 +32,15 @@
         Weight version of each event.
     is_complete : bool
         Whether the text has ended.
+    generation : int
+        Counts the beginnings of the text.
 
     """
 
     parts: list[str] = field(default_factory=list)
     versions: list[int] = field(default_factory=list)
     is_complete: bool = False
+    generation: int = 0
 
     def append(self, event: TextEvent) -> None:
         """Add the next event."""
@@ -49,6 +52,7 @@
         self.parts.clear()
         self.versions.clear()
         self.is_complete = False
+        self.generation += 1
 
     def fits(self, min_version: int) -> bool:
         """Return whether all of the text is new enough."""
--- a/packages/policy/ladder_policy/rollouts/loads.py
+++ b/packages/policy/ladder_policy/rollouts/loads.py
@@ -7,6 +7,9 @@
 # Share of the engines that load at the same time without slowing each other
 # down; by the deployments' sheets about two in five.
 _LOADING_SHARE = 0.4
+# Free slots for which a load is worth its price; fewer are free again before
+# it is done.
+_WORTH_SLOTS = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,8 +107,9 @@
     -----------
     A load makes an engine refuse the model's tasks for about a second and
     halts those that run. So a home loads while it runs none of the model's
-    tasks. A busy home loads when tasks wait that no engine may run at its
-    present version. If all homes are lost, the freest engine stands in.
+    tasks. When tasks wait and every engine that may run them is full, an
+    engine loads that has free slots and only its version against it: a home
+    first, then any other.
 
     Parameters
     ----------
@@ -124,6 +128,10 @@
     >>> need = ModelNeed('m', 2, min_version=2, waiting=3, homes=['busy'])
     >>> [load.engine for load in plan_loads([busy], [need])]
     ['busy']
+    >>> full = EngineHoldings('full', {'m': 2}, {'m': 8})
+    >>> need = ModelNeed('m', 3, min_version=2, waiting=9, homes=['full'])
+    >>> [load.engine for load in plan_loads([full], [need])]
+    []
 
     """
     limit = max(math.ceil(len(engines) * _LOADING_SHARE), 1)
@@ -142,21 +150,37 @@
     engines: Sequence[EngineHoldings],
     need: ModelNeed,
 ) -> list[LoadDecision]:
-    homes = [engine for engine in engines if engine.name in need.homes]
     behind = [
         engine
-        for engine in homes or engines
+        for engine in engines
         if not engine.loading
         and engine.versions.get(need.name, 0) < need.version
     ]
-    idle = [engine for engine in behind if not engine.running.get(need.name)]
-    if homes and idle and not _would_block(engines, need, idle):
+    homes = [engine for engine in behind if engine.name in need.homes]
+    idle = [engine for engine in homes if not engine.running.get(need.name)]
+    if idle and not _would_block(engines, need, idle):
         return [_decide(engine, need, 'idle') for engine in idle]
     if not need.waiting or _can_run(engines, need):
         return []
-    behind.sort(key=lambda engine: (-engine.free_slots, engine.name))
-    reason = 'needed' if homes else 'no-home'
-    return [_decide(engine, need, reason) for engine in behind[:1]]
+    for candidates, reason in ((homes, 'needed'), (behind, 'crowded')):
+        chosen = _choose_barred(candidates, need)
+        if chosen is not None:
+            return [_decide(chosen, need, reason)]
+    return []
+
+
+def _choose_barred(
+    candidates: Sequence[EngineHoldings],
+    need: ModelNeed,
+) -> EngineHoldings | None:
+    """Return the freest engine that only its version keeps from the tasks."""
+    barred = [
+        engine
+        for engine in candidates
+        if engine.versions.get(need.name, 0) < need.min_version
+        and engine.free_slots >= min(need.waiting, _WORTH_SLOTS)
+    ]
+    return max(barred, key=lambda engine: engine.free_slots, default=None)
 
 
 def _would_block(
