--- a/packages/clients/ladder_clients/configuration/rows.py
+++ b/packages/clients/ladder_clients/configuration/rows.py
@@ -7,6 +7,7 @@
 from ladder_clients.table import (
     Condition,
     Outcome,
+    Row,
     TableClient,
     Transaction,
     Write,
@@ -80,10 +81,7 @@
             The service does not answer.
 
         """
-        row = await self._table.read(_TABLE, _LISTS)
-        if row is None:
-            return Lists()
-        return msgspec.json.decode(row.body, type=Lists)
+        return _decode(await self._table.read(_TABLE, _LISTS))
 
     async def read_newer(self, revision: int) -> Lists | None:
         """
@@ -144,12 +142,16 @@
             The edit may have taken effect.
 
         """
-        present = await self.read_lists()
+        row = await self._table.read(_TABLE, _LISTS)
+        present = _decode(row)
         if present.token == lists.token:
             return
         if present.revision != lists.revision - 1:
             raise await self._explain_conflict(lists)
-        outcome = await self._commit(_make_transaction(present, lists))
+        condition = Condition(_TABLE, _LISTS, row.revision if row else 0)
+        outcome = await self._commit(
+            _make_transaction(condition, present, lists),
+        )
         if not outcome.committed:
             raise await self._explain_conflict(lists)
 
@@ -188,7 +190,18 @@
         )
 
 
-def _make_transaction(old: Lists, new: Lists) -> Transaction:
+def _decode(row: Row | None) -> Lists:
+    """Return the lists of a row; empty ones for an absent row."""
+    if row is None:
+        return Lists()
+    return msgspec.json.decode(row.body, type=Lists)
+
+
+def _make_transaction(
+    condition: Condition,
+    old: Lists,
+    new: Lists,
+) -> Transaction:
     change = Change(new.revision, new.author, compare_lists(old, new))
     writes = [
         Write(_TABLE, _LISTS, _encode(new)),
@@ -198,7 +211,6 @@
     dropped = new.revision - _KEPT_CHANGES
     if dropped > 0:
         writes.append(Write(_TABLE, _name_change(dropped), None))
-    condition = Condition(_TABLE, _LISTS, old.revision)
     return Transaction(new.token, (condition,), tuple(writes))
 
 
--- a/packages/clients/ladder_clients/configuration/tests/test_rows.py
+++ b/packages/clients/ladder_clients/configuration/tests/test_rows.py
@@ -3,7 +3,11 @@
 from hypothesis import strategies as st
 
 from ladder_clients.configuration import ConfigurationRows
-from ladder_clients.table.errors import StoreOutcomeUnknownError
+from ladder_clients.table import (
+    StoreOutcomeUnknownError,
+    Transaction,
+    Write,
+)
 from ladder_core.errors import ConflictError, LadderError
 from ladder_core.values import Allowance, Lists, Plan, Weighing
 from ladder_standins.memory_table import MemoryTable, TableFault
@@ -29,6 +33,16 @@
     assert await rows.read_newer(1) is None
 
 
+async def test_edit_after_writes_of_other_rows_is_accepted():
+    table = MemoryTable()
+    rows = ConfigurationRows(table)
+    await rows.edit(make_lists(1, 'ada', 'notes'))
+    table.apply(Transaction('other', (), (Write('leases', 'a', 'b'),)))
+    second = make_lists(2, 'ada', 'notes', 'offers')
+    await rows.edit(second)
+    assert await rows.read_lists() == second
+
+
 async def test_loser_of_a_race_is_told_who_changed_what():
     rows = ConfigurationRows(MemoryTable())
     first = make_lists(1, 'ada', 'notes')
--- /dev/null
+++ b/packages/clients/ladder_clients/exchanges/tests/test_pool.py
@@ -0,0 +1,220 @@
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from ladder_clients.exchanges import (
+    ConnectionPool,
+    OutgoingRequest,
+    PoolLimits,
+    SilentConnectionError,
+    Timeouts,
+    TransportBrokenError,
+    UnreachableError,
+)
+from ladder_core.errors import OverloadedError
+from ladder_core.timers import ManualTimerService
+from ladder_standins.scripted import ScriptedTarget, format_answer
+
+GET = OutgoingRequest(b'GET', b'/kegs?full=%20', ((b'Host', b'pub'),))
+
+
+async def answer_whole(request, writer):
+    writer.write(format_answer(request.path.encode()))
+    await writer.drain()
+
+
+class Bench:
+    def __init__(self, limits=None):
+        self.timers = ManualTimerService()
+        self.pool = ConnectionPool(self.timers, limits)
+        self.targets = []
+
+    async def serve(self, script):
+        target = ScriptedTarget(script, keeps_connections=True)
+        await target.start()
+        self.targets.append(target)
+        return target
+
+    async def fetch(self, target, **options):
+        async with self.pool.exchange(
+            target.address,
+            GET,
+            Timeouts(1, 0.2),
+            **options,
+        ) as answer:
+            return answer.status, await answer.read()
+
+    async def close(self):
+        await self.pool.close()
+        for target in self.targets:
+            await target.close()
+
+
+@pytest.fixture
+async def bench():
+    made = Bench()
+    await made.pool.start()
+    yield made
+    await made.close()
+
+
+async def test_connection_is_kept_after_a_whole_answer(bench):
+    target = await bench.serve(answer_whole)
+    for _ in range(3):
+        assert await bench.fetch(target) == (200, b'/kegs?full=%20')
+    assert target.connections == 1
+
+
+async def test_request_that_may_run_once_gets_a_new_connection(bench):
+    target = await bench.serve(answer_whole)
+    await bench.fetch(target)
+    await bench.fetch(target, is_fresh=True)
+    assert target.connections == 2
+
+
+async def test_connection_with_bytes_of_no_request_is_dropped(bench):
+    async def answer_twice(request, writer):
+        writer.write(format_answer(b'own') + format_answer(b'late'))
+        await writer.drain()
+
+    target = await bench.serve(answer_twice)
+    assert await bench.fetch(target) == (200, b'own')
+    assert await bench.fetch(target) == (200, b'own')
+    assert target.connections == 2
+
+
+async def test_connection_on_which_a_late_answer_arrives_is_dropped(bench):
+    async def answer_again_later(request, writer):
+        writer.write(format_answer(b'own'))
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        writer.write(format_answer(b'late'))
+        await writer.drain()
+
+    target = await bench.serve(answer_again_later)
+    await bench.fetch(target)
+    await asyncio.sleep(0.05)
+    assert bench.pool.count_idle(target.address) == 0
+    assert await bench.fetch(target) == (200, b'own')
+
+
+async def test_connection_of_a_cancelled_request_is_dropped(bench):
+    async def answer_late(request, writer):
+        await asyncio.sleep(0.1)
+        writer.write(format_answer(b'late'))
+        await writer.drain()
+
+    target = await bench.serve(answer_late)
+    request = asyncio.create_task(bench.fetch(target))
+    await asyncio.sleep(0.05)
+    request.cancel()
+    await asyncio.gather(request, return_exceptions=True)
+    assert bench.pool.count_idle(target.address) == 0
+
+
+async def test_short_answer_does_not_look_complete(bench):
+    async def answer_half(request, writer):
+        writer.write(format_answer(b'half', {'content-length': '9'}))
+        await writer.drain()
+        writer.close()
+
+    target = await bench.serve(answer_half)
+    with pytest.raises(TransportBrokenError):
+        await bench.fetch(target)
+    assert bench.pool.count_idle(target.address) == 0
+
+
+async def test_answer_without_length_that_is_reset_is_not_complete(bench):
+    async def answer_and_reset(request, writer):
+        writer.write(b'HTTP/1.1 200 OK\r\n\r\npart')
+        await writer.drain()
+        await asyncio.sleep(0.01)
+        connection = writer.get_extra_info('socket')
+        # Closing without waiting resets the connection.
+        no_wait = struct.pack('ii', 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_wait)
+        writer.transport.abort()
+
+    target = await bench.serve(answer_and_reset)
+    with pytest.raises(TransportBrokenError):
+        await bench.fetch(target)
+
+
+async def test_bytes_that_are_no_answer_are_an_error(bench):
+    async def babble(request, writer):
+        writer.write(b'\x00\x01\x02 what\r\n\r\n')
+        await writer.drain()
+
+    target = await bench.serve(babble)
+    with pytest.raises(TransportBrokenError):
+        await bench.fetch(target)
+
+
+async def test_nothing_is_sent_twice(bench):
+    async def close_without_answer(request, writer):
+        writer.close()
+
+    target = await bench.serve(close_without_answer)
+    with pytest.raises(TransportBrokenError):
+        await bench.fetch(target)
+    assert len(target.received) == 1
+
+
+async def test_connection_is_dropped_before_the_other_end_closes_it(bench):
+    async def answer_with_limit(request, writer):
+        writer.write(format_answer(b'', {'keep-alive': 'timeout=2'}))
+        await writer.drain()
+
+    target = await bench.serve(answer_with_limit)
+    await bench.fetch(target)
+    await bench.timers.advance(1.4)
+    assert bench.pool.count_idle(target.address) == 1
+    await bench.timers.advance(0.2)
+    assert bench.pool.count_idle(target.address) == 0
+
+
+async def test_connection_that_shall_close_is_not_kept(bench):
+    async def answer_and_leave(request, writer):
+        writer.write(format_answer(b'', {'connection': 'close'}))
+        await writer.drain()
+
+    target = await bench.serve(answer_and_leave)
+    await bench.fetch(target)
+    assert bench.pool.count_idle(target.address) == 0
+
+
+async def test_silence_is_told_from_a_broken_connection(bench):
+    async def stay_silent(request, writer):
+        await asyncio.sleep(3600)
+
+    target = await bench.serve(stay_silent)
+    with pytest.raises(SilentConnectionError):
+        await bench.fetch(target)
+
+
+async def test_refused_connection_sent_nothing(bench):
+    with pytest.raises(UnreachableError):
+        async with bench.pool.exchange('127.0.0.1:1', GET):
+            raise AssertionError('nothing listens there')
+
+
+async def test_connections_to_one_address_are_bounded():
+    bench = Bench(PoolLimits(per_address=2))
+    released = asyncio.Event()
+
+    async def wait(request, writer):
+        await released.wait()
+        writer.write(format_answer(b''))
+        await writer.drain()
+
+    target = await bench.serve(wait)
+    requests = [asyncio.create_task(bench.fetch(target)) for _ in range(2)]
+    await asyncio.sleep(0.05)
+    with pytest.raises(OverloadedError):
+        await bench.fetch(target)
+    released.set()
+    await asyncio.gather(*requests)
+    await bench.close()
+    assert target.connections == 2
--- a/packages/node/ladder_node/batches/archive.py
+++ b/packages/node/ladder_node/batches/archive.py
@@ -24,8 +24,8 @@
 
     def put(self, task_id: str, draft: Draft) -> None:
         """Keep a text."""
-        known = self._drafts.get(task_id)
-        if len(draft.parts) <= (len(known.parts) if known else 0):
+        known = self._drafts.get(task_id, Draft())
+        if len(draft.parts) <= len(known.parts):
             return
         self._drafts[task_id] = draft
         self._drafts.move_to_end(task_id)
--- a/packages/node/ladder_node/batches/drafts.py
+++ b/packages/node/ladder_node/batches/drafts.py
@@ -1,7 +1,7 @@
 """Keep texts in the making, so that the next holder can go on with them."""
 
 import uuid
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 import msgspec
@@ -91,13 +91,7 @@
         writes: list[Write] = []
         marks: dict[str, _Mark] = {}
         size = 0
-        for work in batch.tasks.values():
-            if work.stage is Stage.done:
-                self._marks.pop(batch.make_key(work), None)
-                continue
-            piece = self._cut_piece(batch, work)
-            if piece is None:
-                continue
+        for work, piece in self._cut_pieces(batch):
             size += sum(len(part) for part in piece.parts)
             if len(writes) >= _MAX_ROWS or size > _MAX_CHARACTERS:
                 break
@@ -112,6 +106,17 @@
         for work in batch.tasks.values():
             self._marks.pop(batch.make_key(work), None)
 
+    def _cut_pieces(
+        self,
+        batch: BatchWork,
+    ) -> Iterator[tuple[TaskWork, _Piece]]:
+        for work in batch.tasks.values():
+            if work.stage is Stage.done:
+                continue
+            piece = self._cut_piece(batch, work)
+            if piece is not None:
+                yield work, piece
+
     def _cut_piece(self, batch: BatchWork, work: TaskWork) -> _Piece | None:
         draft = work.draft
         mark = self._marks.get(batch.make_key(work), _Mark(0, 0))
--- a/packages/node/ladder_node/batches/runner.py
+++ b/packages/node/ladder_node/batches/runner.py
@@ -152,7 +152,8 @@
                 watch.engine.note_speed(gap / work.tokens_per_event, now)
             work.draft.append(event)
         work.draft.is_complete = True
-        watch.engine.record.note_success(watch.last_at - watch.began_at)
+        took = watch.last_at - watch.began_at
+        watch.engine.record.note_success(took, watch.last_at)
 
     def _note_error(
         self,
@@ -164,6 +165,7 @@
         record = watch.engine.record
         if isinstance(error, RunFailedError):
             work.failed_runs += 1
+            record.note_failed_answer(now)
         elif isinstance(error, TargetFullError):
             record.rest(now + _FULL_REST_SECONDS)
         elif isinstance(error, TargetChangedError):
--- /dev/null
+++ b/packages/node/ladder_node/batches/tests/fakes.py
@@ -0,0 +1,365 @@
+"""A deployment in memory on a manual clock."""
+
+import contextlib
+import uuid
+from dataclasses import replace
+
+from ladder_clients.objects import ObjectStore
+from ladder_clients.replicas import OrderOutcome, ReplicaClient, TextEvent
+from ladder_core.errors import (
+    RunFailedError,
+    TargetLostError,
+    TargetUnavailableError,
+    TaskRejectedError,
+)
+from ladder_core.timeline import HybridClock, HybridTime, TimeLine
+from ladder_core.timers import ManualTimerService
+from ladder_core.values import (
+    CallerLimits,
+    Replica,
+    Route,
+    RouteKind,
+    RouteTable,
+    ServiceEntry,
+    ServiceShare,
+)
+from ladder_node.batches import (
+    BatchDesk,
+    BatchOwner,
+    BatchSpec,
+    BatchStore,
+    OwnerParts,
+    ScorerSpec,
+    TaskSpec,
+)
+from ladder_node.forwarding import Forwarder, ReplicaSelection
+from ladder_node.leases import DutySeeker, Holder, LeaseKeeper, LeaseTerm
+from ladder_node.replicas import ReplicaBoard
+from ladder_node.routes import ModelVersions, RouteKeeper
+from ladder_standins.memory_table import MemoryTable
+
+HOST = 'pub.example'
+PREFIX = '/notes/'
+MODEL = 'cask'
+EVENT_SECONDS = 0.04
+EVENT_TOKENS = 50
+TERM = LeaseTerm(2, 0.3, 0.5, trusts_name=True)
+
+
+class FakeAnswer:
+    def __init__(self, status):
+        self.status = status
+        self.headers = ()
+
+    async def read(self):
+        return b'scored'
+
+
+class FakeEngines(ReplicaClient):
+    """
+    Engines that write ``task.number`` for each event.
+
+    `lengths` holds the number of events of a task, `faults` what befalls its
+    next runs: an error, or the number of events after which the run is lost.
+    """
+
+    def __init__(self, timers, board):
+        self.timers = timers
+        self.board = board
+        self.lengths = {}
+        self.faults = {}
+        self.scores = {}
+        self.seconds = {}
+        self.orders = []
+        self.runs = []
+        self.running = set()
+        self.accepted = {}
+        self.load_seconds = 1
+        self.is_cut = False
+
+    def count_idle(self, replica):
+        return 0
+
+    def find_proof(self, answer):
+        return 'proof'
+
+    @contextlib.asynccontextmanager
+    async def open(self, replica, request, seconds, *, is_fresh=False):
+        statuses = self.scores.get(request.request_id, [])
+        yield FakeAnswer(statuses.pop(0) if statuses else 200)
+
+    async def generate(self, replica, task):
+        run = (replica.name, task.task_id, task.last_event)
+        self.runs.append(run)
+        self.running.add(run)
+        try:
+            fault = self.take_fault(task.task_id)
+            last = self.lengths.get(task.task_id, 3)
+            for number in range(task.last_event + 1, last + 1):
+                if fault is not None and number > fault:
+                    raise TargetLostError('lost', remedy='resume')
+                pace = self.seconds.get(replica.name, EVENT_SECONDS)
+                await self.timers.sleep(pace)
+                version = self.board.find(replica.name).replica.versions[MODEL]
+                yield TextEvent(number, f'{task.task_id}.{number}', version)
+        finally:
+            self.running.discard(run)
+
+    def take_fault(self, task_id):
+        faults = self.faults.get(task_id, [])
+        if self.is_cut:
+            raise TargetUnavailableError('cut', remedy='wait')
+        fault = faults.pop(0) if faults else None
+        if isinstance(fault, Exception):
+            raise fault
+        return fault
+
+    async def order_version(self, replica, order):
+        self.orders.append((replica.name, order.model, order.version))
+        fence, count = self.accepted.get(replica.name, (0, 0))
+        if order.fencing_token < fence:
+            return OrderOutcome.fenced_off
+        if order.orders_before != count:
+            return OrderOutcome.busy
+        self.accepted[replica.name] = (order.fencing_token, count + 1)
+        self.timers.load(replica.name, order, self)
+        return OrderOutcome.accepted
+
+    async def read_state(self, replica):
+        known = self.board.find(replica.name).replica
+        _, count = self.accepted.get(replica.name, (0, 0))
+        return replace(known, orders=count)
+
+
+class WorldTimers(ManualTimerService):
+    """A manual clock that also carries out loads."""
+
+    def __init__(self):
+        super().__init__(start=1000)
+        self.loads = []
+
+    def load(self, name, order, engines):
+        due = self.now() + engines.load_seconds
+        self.loads.append((due, name, order, engines))
+
+    def carry_out(self):
+        for load in tuple(self.loads):
+            due, name, order, engines = load
+            if due <= self.now():
+                self.loads.remove(load)
+                known = engines.board.find(name).replica
+                versions = {**known.versions, order.model: order.version}
+                engines.board.change([replace(known, versions=versions)], [])
+
+
+class MemoryObjects(ObjectStore):
+    def __init__(self):
+        self.bodies = {}
+
+    async def put(self, name, body):
+        self.bodies[name] = body
+
+    async def get(self, name):
+        return self.bodies.get(name)
+
+    async def delete(self, name):
+        self.bodies.pop(name, None)
+
+
+class Node:
+    """One node: its desk, its lease and its part in the duty."""
+
+    def __init__(self, name, world):
+        self.name = name
+        self.world = world
+        timers = world.timers
+        self.timeline = TimeLine(name, HybridClock(timers))
+        self.board = ReplicaBoard(timers, self.timeline)
+        self.routes = RouteKeeper(self.timeline)
+        self.versions = ModelVersions(self.timeline)
+        self.store = BatchStore(world.table, world.objects, name)
+        self.desk = BatchDesk(self.store, timers, self.timeline)
+        self.engines = FakeEngines(timers, self.board)
+        selection = ReplicaSelection(
+            self.board,
+            self.engines,
+            'leith',
+            {'leith': 'lowlands'},
+            timers,
+        )
+        forwarder = Forwarder(selection, self.engines, timers, self.timeline)
+        self.leases = LeaseKeeper(
+            world.table,
+            Holder(name, name),
+            timers,
+            self.timeline,
+            TERM,
+        )
+        seeker = DutySeeker(
+            self.leases,
+            name,
+            lambda: world.alive,
+            timers,
+            0.3,
+        )
+        parts = OwnerParts(
+            name,
+            self.store,
+            world.table,
+            world.objects,
+            120,
+            self.engines,
+            forwarder,
+            self.board,
+            self.routes,
+            self.versions,
+            timers,
+            self.timeline,
+        )
+        self.owner = BatchOwner(parts, seeker)
+
+    async def start(self):
+        await self.leases.start()
+        await self.owner.start()
+
+    async def kill(self):
+        """End all work without a release, as a power loss does."""
+        self.owner._lease = None
+        await self.owner.close()
+        self.leases._held.clear()
+        await self.leases.close()
+
+    def list_kinds(self):
+        return [one.kind for one in self.timeline.read(HybridTime(), 9999)]
+
+    def list_events(self, kind):
+        events = self.timeline.read(HybridTime(), 9999)
+        return [one for one in events if one.kind == kind]
+
+
+class World:
+    """Nodes, a table, engines and a scorer."""
+
+    def __init__(self, nodes=('a',), engines=2, slots=8):
+        self.timers = WorldTimers()
+        self.table = MemoryTable()
+        self.objects = MemoryObjects()
+        self.alive = list(nodes)
+        self.nodes = {name: Node(name, self) for name in nodes}
+        replicas = [
+            Replica(
+                f'e{number}',
+                'brewmind',
+                f'e{number}:1',
+                'leith',
+                slots,
+                versions={MODEL: 1},
+            )
+            for number in range(engines)
+        ]
+        replicas.append(Replica('s', 'taproom', 's:1', 'leith', 6))
+        for node in self.nodes.values():
+            node.board.replace(replicas, 0)
+            node.routes.offer(make_routes())
+
+    async def start(self):
+        for node in self.nodes.values():
+            await node.start()
+        await self.advance(1)
+
+    async def close(self):
+        for node in self.nodes.values():
+            await node.owner.close()
+            await node.leases.close()
+
+    async def advance(self, seconds):
+        for _ in range(round(seconds / 0.05)):
+            await self.timers.advance(0.05)
+            self.timers.carry_out()
+
+    async def submit(self, spec, node='a'):
+        chosen = self.nodes[node]
+        route = chosen.routes.require().find_route(HOST, PREFIX)
+        assert route is not None
+        await chosen.desk.accept(spec, route)
+
+    async def read(self, batch_id, start=0, node='a'):
+        page = await self.nodes[node].desk.read(batch_id, start, 0)
+        return page.results
+
+
+def make_routes(revision=1, **fields):
+    notes = {
+        'timeout_seconds': 10,
+        'max_attempts': 3,
+        'step_seconds': 7.5,
+        'retention_seconds': 40,
+        **fields,
+    }
+    routes = [
+        Route(
+            'notes',
+            HOST,
+            PREFIX,
+            RouteKind.batch,
+            (ServiceShare('brewmind'),),
+            **notes,
+        ),
+        Route(
+            'score',
+            HOST,
+            '/score/',
+            RouteKind.idempotent,
+            (ServiceShare('taproom'),),
+            max_attempts=4,
+        ),
+    ]
+    services = [
+        ServiceEntry('brewmind', slots=8, event_tokens=EVENT_TOKENS),
+        ServiceEntry('taproom'),
+    ]
+    return RouteTable(revision, routes, services, CallerLimits())
+
+
+def make_batch(batch_id='b', groups=1, size=4, **fields):
+    tasks = tuple(
+        make_task(f'{batch_id}-g{group}-{number}', f'{batch_id}-g{group}')
+        for group in range(groups)
+        for number in range(size)
+    )
+    settings = {
+        'step': 1,
+        'model': MODEL,
+        'min_version': 1,
+        'target_groups': groups,
+        'tasks': tasks,
+        **fields,
+    }
+    return BatchSpec(batch_id, HOST, PREFIX, **settings)
+
+
+def make_task(task_id, group, expected_tokens=150):
+    return TaskSpec(
+        task_id,
+        group,
+        f'{PREFIX}{task_id}',
+        (('Host', HOST),),
+        b'prompt',
+        MODEL,
+        100,
+        10000,
+        expected_tokens,
+        ScorerSpec(f'score-{task_id}', HOST, '/score/1', b''),
+    )
+
+
+def fail_run():
+    return RunFailedError('failed', remedy='run again')
+
+
+def reject():
+    return TaskRejectedError('rejected', remedy='submit another')
+
+
+def make_id():
+    return uuid.uuid4().hex
--- /dev/null
+++ b/packages/node/ladder_node/batches/tests/test_whole_batches.py
@@ -0,0 +1,321 @@
+"""Whole batches on a deployment in memory: what trainers and engines see."""
+
+import asyncio
+
+import pytest
+
+from ladder_clients.table import StoreOutcomeUnknownError, Transaction, Write
+from ladder_core.errors import StoreUnavailableError, UnknownNameError
+from ladder_node.batches import TaskState
+from ladder_node.batches.records import OWNERS_TABLE, find_shard
+from ladder_node.batches.tests.fakes import (
+    MODEL,
+    World,
+    fail_run,
+    make_batch,
+    make_routes,
+    reject,
+)
+from ladder_standins.memory_table import TableFault
+
+
+@pytest.fixture
+async def world():
+    made = World()
+    await made.start()
+    yield made
+    await made.close()
+
+
+def find(results, task_id):
+    return next(one for one in results if one.task_id == task_id)
+
+
+async def test_every_task_gets_its_whole_text_versions_and_score(world):
+    await world.submit(make_batch(groups=2))
+    await world.advance(2)
+    results = await world.read('b')
+    assert len({one.task_id for one in results}) == 8
+    for one in results:
+        parts = [f'{one.task_id}.{number}' for number in (1, 2, 3)]
+        assert one.text == '\n'.join(parts)
+        assert (one.versions, one.score) == ((1,), 'proof')
+
+
+async def test_positions_never_change(world):
+    await world.submit(make_batch(groups=2))
+    seen: dict[int, object] = {}
+    for _ in range(40):
+        await world.advance(0.05)
+        for position, result in enumerate(await world.read('b')):
+            assert seen.setdefault(position, result) == result
+    assert len(seen) == 8
+
+
+async def test_repeated_submission_is_accepted_and_runs_once(world):
+    for _ in range(2):
+        await world.submit(make_batch())
+    await world.advance(2)
+    assert len(world.nodes['a'].engines.runs) == 4
+
+
+async def test_broken_run_goes_on_after_its_last_whole_event(world):
+    engines = world.nodes['a'].engines
+    engines.lengths['b-g0-0'] = 10
+    engines.faults['b-g0-0'] = [4]
+    await world.submit(make_batch())
+    await world.advance(2)
+    starts = [run[2] for run in engines.runs if run[1] == 'b-g0-0']
+    assert starts == [0, 4]
+    text = find(await world.read('b'), 'b-g0-0').text
+    assert text.split('\n') == [f'b-g0-0.{number}' for number in range(1, 11)]
+
+
+async def test_failing_task_is_given_up_after_the_route_s_attempts(world):
+    engines = world.nodes['a'].engines
+    engines.faults['b-g0-0'] = [fail_run() for _ in range(9)]
+    await world.submit(make_batch())
+    await world.advance(3)
+    assert find(await world.read('b'), 'b-g0-0').state is TaskState.given_up
+    assert sum(run[1] == 'b-g0-0' for run in engines.runs) == 3
+
+
+async def test_rejected_task_is_given_up_at_once(world):
+    engines = world.nodes['a'].engines
+    engines.faults['b-g0-0'] = [reject()]
+    await world.submit(make_batch())
+    await world.advance(1)
+    assert find(await world.read('b'), 'b-g0-0').state is TaskState.given_up
+    assert sum(run[1] == 'b-g0-0' for run in engines.runs) == 1
+
+
+async def test_task_without_a_score_is_never_listed_as_completed(world):
+    engines = world.nodes['a'].engines
+    engines.scores['score-b-g0-0'] = [500 for _ in range(20)]
+    engines.scores['score-b-g0-1'] = [500, 500]
+    await world.submit(make_batch())
+    await world.advance(3)
+    results = await world.read('b')
+    assert find(results, 'b-g0-0').state is TaskState.given_up
+    assert find(results, 'b-g0-1').state is TaskState.completed
+
+
+async def test_ended_batch_stops_its_runs_and_keeps_its_results(world):
+    node = world.nodes['a']
+    for number in range(4):
+        node.engines.lengths[f'b-g0-{number}'] = 3 if number < 2 else 500
+    await world.submit(make_batch())
+    await world.advance(1)
+    before = await world.read('b')
+    await node.desk.end('b')
+    await node.desk.end('b')
+    await world.advance(0.2)
+    assert not node.engines.running
+    runs = len(node.engines.runs)
+    await world.advance(3)
+    assert len(node.engines.runs) == runs
+    assert (await world.read('b'))[:2] == before
+
+
+async def test_unfinished_group_goes_on_in_the_next_batch(world):
+    node = world.nodes['a']
+    node.engines.lengths['b-g0-0'] = 60
+    await world.submit(make_batch())
+    await world.advance(1)
+    await node.desk.end('b')
+    await world.advance(0.2)
+    await world.submit(make_batch('c', tasks=make_batch().tasks))
+    await world.advance(3)
+    starts = [run[2] for run in node.engines.runs if run[1] == 'b-g0-0']
+    assert starts[0] == 0
+    assert starts[1] > 10
+    assert len(await world.read('c')) == 4
+
+
+async def test_text_of_weights_too_old_is_not_used_again(world):
+    node = world.nodes['a']
+    node.engines.lengths['b-g0-0'] = 60
+    await world.submit(make_batch())
+    await world.advance(1)
+    await node.desk.end('b')
+    node.versions.offer(MODEL, 2)
+    await world.advance(2)
+    batch = make_batch('c', tasks=make_batch().tasks, min_version=2)
+    await world.submit(batch)
+    await world.advance(4)
+    results = await world.read('c')
+    assert len(results) == 4
+    assert {one.versions for one in results} == {(2,)}
+
+
+async def test_expired_tasks_are_given_up():
+    world = World(engines=0)
+    await world.start()
+    await world.submit(make_batch())
+    await world.advance(41)
+    states = [one.state for one in await world.read('b')]
+    await world.close()
+    assert states == [TaskState.given_up for _ in range(4)]
+
+
+async def test_task_whose_route_is_gone_is_given_up(world):
+    node = world.nodes['a']
+    node.engines.faults['b-g0-0'] = [3, 3]
+    node.engines.lengths['b-g0-0'] = 100
+    await world.submit(make_batch())
+    await world.advance(0.1)
+    table = make_routes(2)
+    routes = [one for one in table.list_routes() if one.name != 'notes']
+    node.routes.offer(type(table)(2, routes, (), table.limits))
+    await world.advance(1)
+    assert find(await world.read('b'), 'b-g0-0').state is TaskState.given_up
+
+
+async def test_unknown_batch_is_told_from_a_store_that_is_away(world):
+    node = world.nodes['a']
+    with pytest.raises(UnknownNameError):
+        await node.desk.read('nothing', 0, 0)
+    world.table.default = TableFault.down
+    with pytest.raises(StoreUnavailableError):
+        await node.desk.read('nothing', 0, 0)
+
+
+async def test_refused_batch_is_not_kept(world):
+    world.table.default = TableFault.down
+    accept = world.submit(make_batch())
+    with pytest.raises(StoreUnavailableError):
+        await run(world, accept)
+    world.table.default = TableFault.none
+    await world.advance(3)
+    assert not world.nodes['a'].engines.runs
+
+
+async def test_lost_answer_of_an_acceptance_is_no_refusal(world):
+    world.table.faults = [
+        TableFault.lost_answer,
+        *(TableFault.down for _ in range(20)),
+    ]
+    accept = world.submit(make_batch())
+    with pytest.raises(StoreOutcomeUnknownError):
+        await run(world, accept)
+
+
+async def test_lost_answer_of_an_acceptance_is_settled_by_a_repetition(world):
+    world.table.faults = [TableFault.lost_answer]
+    await run(world, world.submit(make_batch()))
+    await world.advance(2)
+    assert len(await world.read('b')) == 4
+
+
+async def test_lost_answers_of_results_double_no_position(world):
+    await world.submit(make_batch(groups=3))
+    for _ in range(60):
+        world.table.faults = [TableFault.lost_answer]
+        await world.advance(0.05)
+    world.table.faults = []
+    await world.advance(4)
+    results = await world.read('b')
+    assert len(results) == 12
+    assert len({one.task_id for one in results}) == 12
+
+
+async def test_next_holder_goes_on_from_the_saved_text():
+    world = World(nodes=('a', 'b'))
+    await world.start()
+    owner = next(n for n in world.nodes.values() if n.leases._held)
+    other = next(n for n in world.nodes.values() if n is not owner)
+    for node in world.nodes.values():
+        node.engines.lengths['b-g0-0'] = 80
+    await world.submit(make_batch())
+    await world.advance(2)
+    await owner.kill()
+    await world.advance(6)
+    starts = [run[2] for run in other.engines.runs if run[1] == 'b-g0-0']
+    results = await world.read('b')
+    await world.close()
+    assert starts[0] > 20
+    assert len(results) == 4
+    parts = find(results, 'b-g0-0').text.split('\n')
+    assert parts == [f'b-g0-0.{number}' for number in range(1, 81)]
+    assert len(other.engines.runs) == 1
+
+
+async def test_restarted_holder_takes_its_duty_back_at_once():
+    world = World()
+    await world.start()
+    await world.nodes['a'].kill()
+    again = type(world.nodes['a'])('a', world)
+    again.board.replace(
+        [record.replica for record in world.nodes['a'].board.list_all()],
+        0,
+    )
+    again.routes.offer(make_routes())
+    world.nodes['a'] = again
+    await again.start()
+    await world.advance(0.8)
+    kinds = again.list_kinds()
+    await world.close()
+    assert 'duty-begun' in kinds
+
+
+async def test_holder_that_was_fenced_off_writes_no_result(world):
+    await world.submit(make_batch())
+    shard = find_shard('b')
+    row = Write(OWNERS_TABLE, 'owner', '{"node":"z","epoch":99}', shard)
+    world.table.apply(Transaction('fence', (), (row,)))
+    await world.advance(2)
+    assert await world.read('b') == ()
+    assert 'duty-ended' in world.nodes['a'].list_kinds()
+
+
+async def test_holder_without_the_store_stops_its_runs(world):
+    node = world.nodes['a']
+    node.engines.lengths = {f'b-g0-{n}': 1000 for n in range(4)}
+    await world.submit(make_batch())
+    await world.advance(1)
+    world.table.default = TableFault.down
+    await world.advance(2.5)
+    assert not node.engines.running
+    world.table.default = TableFault.none
+
+
+async def test_large_batch_goes_through_the_object_store(world):
+    tasks = make_batch(size=200).tasks
+    large = tuple(
+        type(task)(
+            task.task_id,
+            task.group,
+            task.target,
+            task.headers,
+            b'x' * 4000,
+            task.model,
+            scorer=task.scorer,
+        )
+        for task in tasks
+    )
+    await world.submit(make_batch('big', tasks=large))
+    assert list(world.objects.bodies) == ['batch-big']
+    await world.advance(6)
+    listed = 0
+    while page := await world.read('big', listed):
+        listed += len(page)
+    assert listed == 200
+
+
+async def test_body_of_a_task_is_readable_until_the_batch_is_ended(world):
+    node = world.nodes['a']
+    await world.submit(make_batch())
+    assert (await node.desk.find_task('b', 'b-g0-1')).body == b'prompt'
+    with pytest.raises(UnknownNameError):
+        await node.desk.find_task('b', 'other')
+    await node.desk.end('b')
+    with pytest.raises(UnknownNameError):
+        await node.desk.find_task('b', 'b-g0-1')
+
+
+async def run(world, call):
+    """Await a call that sleeps on the manual clock."""
+    task = asyncio.ensure_future(call)
+    while not task.done():
+        await world.timers.advance(0.05)
+    return task.result()
--- a/packages/node/ladder_node/detours/sender.py
+++ b/packages/node/ladder_node/detours/sender.py
@@ -93,33 +93,21 @@
         """
         Have another node make a call.
 
+        Returns
+        -------
+        CarriedAnswer
+            The store's answer; without a status if the call may have had an
+            effect and the answer was lost.
+
         Raises
         ------
         DetourError
             The call had no effect.
-        TransportError
-            The call may have had an effect.
 
         """
         for peer in self._choose_peers():
-            try:
-                answer = await self._ask(peer, call)
-            except (UnreachableError, OverloadedError):
-                _carried_counter.labels('unreachable').inc()
-                self._failed[peer] = self._timers.now()
-                continue
-            except TransportError:
-                _carried_counter.labels('lost').inc()
-                self._failed[peer] = self._timers.now()
-                if call.is_read:
-                    continue
-                raise
-            if answer.status:
-                _carried_counter.labels('answered').inc()
-                return answer
-            _carried_counter.labels('not-answered').inc()
-            self._failed[peer] = self._timers.now()
-            if not answer.is_undone:
+            answer = await self._try_peer(peer, call)
+            if answer.status or not answer.is_undone:
                 return answer
         self._rests_until = self._timers.now() + _REST_SECONDS
         raise DetourError(
@@ -127,6 +115,20 @@
             remedy='wait until it has recovered',
         )
 
+    async def _try_peer(self, peer: str, call: CarriedCall) -> CarriedAnswer:
+        """Ask one peer; what a read leaves unanswered counts as undone."""
+        try:
+            answer = await self._ask(peer, call)
+        except (UnreachableError, OverloadedError):
+            answer = CarriedAnswer(0, is_undone=True)
+        except TransportError:
+            answer = CarriedAnswer(0, is_undone=call.is_read)
+        outcome = 'answered' if answer.status else 'not-answered'
+        _carried_counter.labels(outcome).inc()
+        if not answer.status:
+            self._failed[peer] = self._timers.now()
+        return answer
+
     def _choose_peers(self) -> list[str]:
         """Return the peers to ask; those that failed lately come last."""
         now = self._timers.now()
--- a/packages/node/ladder_node/forwarding/forwarder.py
+++ b/packages/node/ladder_node/forwarding/forwarder.py
@@ -307,10 +307,11 @@
                 remedy='send the request to another replica',
             ) from error
         if answer.status < _SERVER_ERROR:
-            record.note_success(self._timers.now() - began)
+            now = self._timers.now()
+            record.note_success(now - began, now)
             _tries_counter.labels(tries.service, 'answered').inc()
         else:
-            record.note_failure(self._timers.now())
+            record.note_failed_answer(self._timers.now())
             _tries_counter.labels(tries.service, 'failed').inc()
             tries.failures += 1
             if self._may_repeat(route, tries):
--- a/packages/node/ladder_node/forwarding/selection.py
+++ b/packages/node/ladder_node/forwarding/selection.py
@@ -96,7 +96,7 @@
             distance=self._measure(replica.data_centre),
             idle_connections=self._client.count_idle(replica),
             seconds=record.seconds,
-            is_sound=record.is_sound,
+            is_sound=record.is_sound(self._timers.now()),
         )
 
     def _measure(self, data_centre: str) -> int:
--- /dev/null
+++ b/packages/node/ladder_node/forwarding/tests/test_forwarder.py
@@ -0,0 +1,243 @@
+import asyncio
+import contextlib
+
+import pytest
+
+from ladder_clients.replicas import CallerRequest, ReplicaClient
+from ladder_core.errors import (
+    AnswerCorruptError,
+    DeadlineError,
+    Execution,
+    TargetFullError,
+    TargetLostError,
+    TargetTimeoutError,
+    TargetUnavailableError,
+)
+from ladder_core.timeline import HybridClock, HybridTime, TimeLine
+from ladder_core.timers import SystemTimerService
+from ladder_core.values import Replica, Route, RouteKind, ServiceShare
+from ladder_node.forwarding import Forwarder, ReplicaSelection
+from ladder_node.replicas import ReplicaBoard
+
+REQUEST = CallerRequest('r1', b'POST', b'/kegs/7', (), b'body')
+REGIONS = {'leith': 'lowlands', 'govan': 'lowlands', 'inverness': 'highlands'}
+
+
+class FakeAnswer:
+    def __init__(self, status=200, body=b'done'):
+        self.status = status
+        self.headers = ((b'proof', b'p'),)
+        self._body = body
+
+    async def read(self):
+        return self._body
+
+
+class FakeReplicas(ReplicaClient):
+    """Replicas that act by a script: an answer, an error or a wait."""
+
+    def __init__(self):
+        self.scripts = {}
+        self.sent = []
+
+    def count_idle(self, replica):
+        return 0
+
+    def find_proof(self, answer):
+        return 'p'
+
+    @contextlib.asynccontextmanager
+    async def open(self, replica, request, seconds, *, is_fresh=False):
+        self.sent.append((replica.name, round(seconds, 1)))
+        script = self.scripts.get(replica.name, [])
+        step = script.pop(0) if script else FakeAnswer()
+        if isinstance(step, Exception):
+            raise step
+        if isinstance(step, float):
+            await asyncio.sleep(step)
+            step = FakeAnswer()
+        yield step
+
+    def generate(self, replica, task):
+        raise NotImplementedError
+
+    async def order_version(self, replica, order):
+        raise NotImplementedError
+
+    async def read_state(self, replica):
+        raise NotImplementedError
+
+
+class Bench:
+    def __init__(self):
+        self.timers = SystemTimerService()
+        self.timeline = TimeLine('node', HybridClock(self.timers))
+        self.board = ReplicaBoard(self.timers, self.timeline)
+        self.replicas = FakeReplicas()
+        selection = ReplicaSelection(
+            self.board,
+            self.replicas,
+            'leith',
+            REGIONS,
+            self.timers,
+        )
+        self.forwarder = Forwarder(
+            selection,
+            self.replicas,
+            self.timers,
+            self.timeline,
+        )
+        self.board.replace(
+            [
+                Replica(centre, 'taproom', f'{centre}:1', centre, 6)
+                for centre in REGIONS
+            ],
+            0,
+        )
+
+    async def forward(self, kind=RouteKind.idempotent, attempts=3, seconds=2):
+        shares = (ServiceShare('taproom'),)
+        route = Route(
+            'kegs',
+            'pub',
+            '/kegs/',
+            kind,
+            shares,
+            timeout_seconds=1.5,
+            objective_seconds=0.05,
+            max_attempts=attempts,
+        )
+        return await self.forwarder.forward(route, REQUEST, seconds)
+
+    @property
+    def visited(self):
+        return [name for name, _ in self.replicas.sent]
+
+    def read_end(self):
+        events = self.timeline.read(HybridTime(), 99)
+        return [one for one in events if one.kind == 'request-ended'][-1]
+
+
+@pytest.fixture
+def bench():
+    return Bench()
+
+
+def refuse():
+    return TargetFullError('full', remedy='wait')
+
+
+def lose():
+    return TargetLostError('lost', remedy='read back')
+
+
+async def test_nearest_replica_answers(bench):
+    answer = await bench.forward()
+    assert (answer.status, answer.body, answer.proof) == (200, b'done', 'p')
+    assert bench.visited == ['leith']
+
+
+async def test_request_that_did_not_run_goes_elsewhere_whatever_its_kind(
+    bench,
+):
+    bench.replicas.scripts['leith'] = [refuse()]
+    answer = await bench.forward(RouteKind.non_idempotent, attempts=1)
+    assert answer.status == 200
+    assert bench.visited == ['leith', 'govan']
+
+
+async def test_non_idempotent_request_that_may_have_run_is_not_repeated(
+    bench,
+):
+    bench.replicas.scripts['leith'] = [lose()]
+    with pytest.raises(TargetLostError) as caught:
+        await bench.forward(RouteKind.non_idempotent)
+    assert caught.value.execution is Execution.may_have_run
+    assert bench.visited == ['leith']
+
+
+async def test_idempotent_request_goes_to_no_more_replicas_than_allowed(
+    bench,
+):
+    for centre in REGIONS:
+        bench.replicas.scripts[centre] = [lose()]
+    with pytest.raises(TargetLostError):
+        await bench.forward(attempts=2)
+    assert len(bench.visited) == 2
+
+
+async def test_answer_of_another_request_is_not_handed_out(bench):
+    error = AnswerCorruptError('another id', remedy='send again')
+    bench.replicas.scripts['leith'] = [error]
+    assert (await bench.forward()).status == 200
+    assert bench.visited == ['leith', 'govan']
+
+
+async def test_failure_of_a_replica_is_handed_on_when_tries_are_used_up(
+    bench,
+):
+    for centre in REGIONS:
+        bench.replicas.scripts[centre] = [FakeAnswer(500, b'broken')]
+    answer = await bench.forward()
+    assert (answer.status, answer.body, answer.failures) == (500, b'broken', 3)
+
+
+async def test_slow_replica_is_left_while_there_is_another(bench):
+    bench.replicas.scripts['leith'] = [5.0]
+    answer = await bench.forward()
+    assert answer.replica == 'govan'
+
+
+async def test_last_replica_gets_all_the_time_that_is_left(bench):
+    bench.replicas.scripts['leith'] = [0.6]
+    answer = await bench.forward(attempts=1)
+    assert answer.replica == 'leith'
+
+
+async def test_no_replica_is_a_true_refusal_with_a_time_to_come_back(bench):
+    bench.board.replace([], 0)
+    with pytest.raises(TargetUnavailableError) as caught:
+        await bench.forward()
+    assert caught.value.execution is Execution.not_run
+    assert caught.value.retry_after
+
+
+async def test_refusals_by_all_replicas_end_with_a_true_refusal(bench):
+    for centre in REGIONS:
+        bench.replicas.scripts[centre] = [refuse() for _ in range(9)]
+    with pytest.raises(TargetUnavailableError) as caught:
+        await bench.forward()
+    assert caught.value.execution is Execution.not_run
+
+
+async def test_deadline_after_a_send_promises_nothing(bench):
+    bench.replicas.scripts['leith'] = [5.0]
+    with pytest.raises(DeadlineError) as caught:
+        await bench.forward(RouteKind.non_idempotent, seconds=0.2)
+    assert caught.value.execution is Execution.may_have_run
+
+
+async def test_replicas_are_given_no_more_than_the_time_that_is_left(bench):
+    bench.replicas.scripts['leith'] = [lose()]
+    await bench.forward(seconds=30)
+    assert all(seconds <= 1.5 for _, seconds in bench.replicas.sent)
+
+
+async def test_end_of_a_request_tells_where_it_went(bench):
+    bench.replicas.scripts['leith'] = [refuse()]
+    bench.replicas.scripts['govan'] = [
+        TargetTimeoutError('silent', remedy='read back'),
+    ]
+    await bench.forward()
+    fields = bench.read_end().fields
+    assert fields['refused_by'] == 'leith'
+    assert fields['sent_to'] == 'govan,inverness'
+    assert fields['outcome'] == '200'
+
+
+async def test_unreachable_replica_is_rested(bench):
+    error = TargetUnavailableError('no connection', remedy='wait')
+    bench.replicas.scripts['leith'] = [error]
+    await bench.forward()
+    await bench.forward()
+    assert bench.visited == ['leith', 'govan', 'govan']
--- /dev/null
+++ b/packages/node/ladder_node/members/tests/test_membership.py
@@ -0,0 +1,111 @@
+import pytest
+
+from ladder_core.timeline import HybridClock, TimeLine
+from ladder_core.timers import ManualTimerService
+from ladder_node.members import Member, Membership, choose_addresses
+from ladder_standins.memory_table import MemoryTable, TableFault
+
+
+class SlowTable(MemoryTable):
+    def __init__(self):
+        super().__init__()
+        self.wait = None
+
+    async def commit(self, transaction):
+        if self.wait is not None:
+            await self.wait()
+        return await super().commit(transaction)
+
+
+class Fleet:
+    def __init__(self, *names):
+        self.timers = ManualTimerService()
+        self.table = SlowTable()
+        self.nodes = {name: self.make(name) for name in names}
+
+    def make(self, name):
+        member = Member(name, f'{name}:1', 'leith', 'lowlands', '')
+        timeline = TimeLine(name, HybridClock(self.timers))
+        return Membership(self.table, member, self.timers, timeline)
+
+    async def start(self):
+        for node in self.nodes.values():
+            await node.start()
+        await self.timers.advance(2)
+
+    async def close(self):
+        for node in self.nodes.values():
+            await node.close()
+
+    def seen_by(self, name):
+        return sorted(one.name for one in self.nodes[name].list_open())
+
+
+@pytest.fixture
+async def fleet():
+    made = Fleet('a', 'b', 'c')
+    await made.start()
+    yield made
+    await made.close()
+
+
+async def test_nodes_find_each_other_in_the_table(fleet):
+    assert fleet.seen_by('a') == ['a', 'b', 'c']
+
+
+async def test_killed_node_is_left_out_within_four_seconds(fleet):
+    await fleet.nodes['b'].close()
+    await fleet.timers.advance(4)
+    assert fleet.seen_by('a') == ['a', 'c']
+
+
+async def test_leaving_node_is_left_out_at_the_next_read(fleet):
+    await fleet.nodes['b'].leave()
+    await fleet.timers.advance(1)
+    assert fleet.seen_by('a') == ['a', 'c']
+    assert fleet.seen_by('b') == ['a', 'c']
+
+
+async def test_outage_of_the_table_takes_no_node_out(fleet):
+    fleet.table.default = TableFault.down
+    await fleet.timers.advance(30)
+    assert fleet.seen_by('a') == ['b', 'c']
+    fleet.table.default = TableFault.none
+    await fleet.timers.advance(1)
+    assert fleet.seen_by('a') == ['a', 'b', 'c']
+
+
+async def test_node_that_cannot_write_names_itself_if_it_is_alone():
+    fleet = Fleet('a')
+    fleet.table.default = TableFault.down
+    await fleet.start()
+    assert fleet.seen_by('a') == ['a']
+    await fleet.close()
+
+
+async def test_slow_table_gets_fewer_writes():
+    fleet = Fleet('a')
+    node = fleet.nodes['a']
+    fleet.table.wait = lambda: fleet.timers.sleep(1)
+    await fleet.start()
+    await fleet.timers.advance(18)
+    await fleet.close()
+    assert 0 < node.own.beats <= 6
+
+
+def test_callers_get_the_nearest_nodes_in_a_stable_order():
+    members = [
+        Member(f'{centre}-{number}', f'{centre}:{number}', centre, region, '')
+        for centre, region in (
+            ('leith', 'lowlands'),
+            ('govan', 'lowlands'),
+            ('inverness', 'highlands'),
+        )
+        for number in range(3)
+    ]
+    chosen = choose_addresses(members, 'govan', 'lowlands', 2)
+    assert all(address.startswith('govan') for address in chosen)
+    others = [one for one in members if one.address != chosen[0]]
+    assert choose_addresses(others, 'govan', 'lowlands', 1) == [chosen[1]]
+    near = choose_addresses(members, 'govan', 'lowlands', 6)
+    assert {address[:5] for address in near} == {'govan', 'leith'}
--- a/packages/node/ladder_node/replicas/board.py
+++ b/packages/node/ladder_node/replicas/board.py
@@ -54,12 +54,16 @@
         """Return a replica, or None if it is not listed."""
         return self._records.get(name)
 
+    def list_all(self) -> list[ReplicaRecord]:
+        """Return all replicas."""
+        self._drop_missing()
+        return list(self._records.values())
+
     def list_service(self, service: str) -> list[ReplicaRecord]:
         """Return the replicas of a service."""
-        self._drop_missing()
         return [
             record
-            for record in self._records.values()
+            for record in self.list_all()
             if record.replica.service == service
         ]
 
--- a/packages/node/ladder_node/replicas/record.py
+++ b/packages/node/ladder_node/replicas/record.py
@@ -1,7 +1,7 @@
 """One replica: its own word, and what this node has seen of it."""
 
 from ladder_core.values import Replica
-from ladder_policy.routing import FailureBackoff
+from ladder_policy.routing import FailureBackoff, SuccessRate
 
 # Weight of the newest duration in the running mean.
 _NEWEST_SHARE = 0.2
@@ -24,6 +24,7 @@
         self.replica = replica
         self.in_flight = 0
         self._backoff = FailureBackoff()
+        self._rate = SuccessRate()
         self._seconds: float | None = None
         self._rests_until: float = 0
         self._failing_since: float | None = None
@@ -38,10 +39,9 @@
         """Running mean of the duration of answers; None before the first."""
         return self._seconds
 
-    @property
-    def is_sound(self) -> bool:
-        """Whether its last request succeeded."""
-        return self._backoff.is_sound
+    def is_sound(self, now: float) -> bool:
+        """Return whether it fails no more than other replicas may."""
+        return self._backoff.is_sound and not self._rate.is_outlier(now)
 
     def allows(self, now: float) -> bool:
         """Return whether a new request may be sent to the replica."""
@@ -61,9 +61,15 @@
         """Send nothing before a time, since the replica was full."""
         self._rests_until = max(self._rests_until, until)
 
-    def note_success(self, seconds: float) -> None:
+    def note_failed_answer(self, now: float) -> None:
+        """Note an answer that said that a run failed."""
+        self._backoff.succeed()
+        self._rate.note(is_success=False, now=now)
+
+    def note_success(self, seconds: float, now: float) -> None:
         """Note an answer and its duration in seconds."""
         self._backoff.succeed()
+        self._rate.note(is_success=True, now=now)
         self._failing_since = None
         if self._seconds is None:
             self._seconds = seconds
@@ -73,5 +79,6 @@
     def note_failure(self, now: float, is_down: bool = False) -> None:
         """Note a request that failed, or that could not be sent at all."""
         self._backoff.fail(now, is_down)
+        self._rate.note(is_success=False, now=now)
         if self._failing_since is None:
             self._failing_since = now
--- a/packages/policy/ladder_policy/routing/__init__.py
+++ b/packages/policy/ladder_policy/routing/__init__.py
@@ -11,6 +11,7 @@
 from ladder_policy.routing.least_loaded import LeastLoadedChooser
 from ladder_policy.routing.prefix import PrefixAffinityChooser
 from ladder_policy.routing.round_robin import RoundRobinChooser
+from ladder_policy.routing.success import SuccessRate
 
 __all__ = (
     'Candidate',
@@ -21,6 +22,7 @@
     'LeastLoadedChooser',
     'PrefixAffinityChooser',
     'RoundRobinChooser',
+    'SuccessRate',
     'TargetChooser',
     'choose_forward_target',
 )
--- a/standins/ladder_standins/scripted.py
+++ b/standins/ladder_standins/scripted.py
@@ -38,17 +38,26 @@
     """
     Record each request that arrives, then act as the script says.
 
+    Each request of a connection is served unless the connection is to be
+    closed after the first one.
+
     Attributes
     ----------
     script : Script
-        Called with each request; the connection is closed after it.
+        Called with each request.
+    keeps_connections : bool
+        Whether a connection is kept open for further requests.
     received : list of Received
         Ground truth: every request that was executed, in order.
+    connections : int
+        Number of connections that were accepted.
 
     """
 
     script: Script
+    keeps_connections: bool = False
     received: list[Received] = field(default_factory=list)
+    connections: int = 0
     _server: asyncio.Server | None = None
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -85,6 +94,7 @@
         if task is not None:
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
+        self.connections += 1
         try:
             await self._serve(reader, writer)
         except (ConnectionError, asyncio.IncompleteReadError):
@@ -108,6 +118,8 @@
         request = Received(method, path, headers, body)
         self.received.append(request)
         await self.script(request, writer)
+        if self.keeps_connections:
+            await self._serve(reader, writer)
 
 
 def format_answer(
