--- /dev/null
+++ b/packages/cli/ladder_cli/explain.py
@@ -0,0 +1,126 @@
+"""Gather what the logs of many processes tell of one id."""
+
+import sys
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+
+import msgspec
+
+from ladder_core.errors import SettingsError
+from ladder_core.logs import LogLine
+
+# Kinds that may have caused what befell any request at their time.
+_CONTEXT = frozenset(
+    (
+        'dependency-lost',
+        'dependency-regained',
+        'duty-begun',
+        'duty-ended',
+        'lease-lost',
+        'member-gone',
+        'replica-gone',
+        'replica-leaving',
+        'routes-in-force',
+        'started',
+        'stopping',
+        'version-order-ended',
+    ),
+)
+_ROW = '{:<26} {:<22} {:<20} {:<18} {}\n'
+_TIME_CHARACTERS = 26
+
+
+def explain(subject: str, *logs: Path, context: bool = False) -> None:
+    """
+    Show what all processes logged about a request, a task or a batch.
+
+    :param subject: Id of the request, task, batch or replica.
+    :param logs: Files with the logs of processes, in any order.
+    :param context: Also show what befell the nodes in that time.
+    """
+    lines = sorted(_read_all(logs), key=lambda line: line.time)
+    related = find_related(lines, subject)
+    if not related:
+        sys.stdout.write(f'no line names {subject}\n')
+        return
+    first, last = related[0].time, related[-1].time
+    for line in lines:
+        is_context = (
+            context and line.message in _CONTEXT and first <= line.time <= last
+        )
+        if line in related or is_context:
+            sys.stdout.write(_format(line))
+
+
+def find_related(lines: Iterable[LogLine], subject: str) -> list[LogLine]:
+    """
+    Return the lines that name an id, or a batch that one of them names.
+
+    Parameters
+    ----------
+    lines : iterable of LogLine
+        Lines in order of time.
+    subject : str
+        The id.
+
+    Examples
+    --------
+    >>> run = LogLine('1', 'INFO', 'task-run-ended', {
+    ...     'subject': 'task', 'batch': 'b'})
+    >>> opened = LogLine('0', 'INFO', 'batch-opened', {'subject': 'b'})
+    >>> other = LogLine('0', 'INFO', 'batch-opened', {'subject': 'c'})
+    >>> found = find_related([opened, other, run], 'task')
+    >>> [line.message for line in found]
+    ['batch-opened', 'task-run-ended']
+
+    """
+    found = list(lines)
+    named = [line for line in found if _names(line, subject)]
+    batches = {line.fields['batch'] for line in named if 'batch' in line.fields}
+    return [
+        line
+        for line in found
+        if _names(line, subject) or line.fields.get('subject') in batches
+    ]
+
+
+def _names(line: LogLine, subject: str) -> bool:
+    return any(subject in field.split(',') for field in line.fields.values())
+
+
+def _read_all(paths: Iterable[Path]) -> Iterator[LogLine]:
+    for path in paths:
+        try:
+            content = path.read_bytes()
+        except OSError as error:
+            raise SettingsError(
+                f'{path}: {error.strerror}',
+                remedy='name files with the logs of processes',
+            ) from error
+        for raw in content.splitlines():
+            start = raw.find(b'{')
+            if start >= 0:
+                yield from _decode(raw[start:])
+
+
+def _decode(raw: bytes) -> Iterator[LogLine]:
+    """Yield a line; what another program has written is left out."""
+    try:
+        yield msgspec.json.decode(raw, type=LogLine)
+    except msgspec.DecodeError:
+        return
+
+
+def _format(line: LogLine) -> str:
+    details = ' '.join(
+        f'{name}={text}'
+        for name, text in line.fields.items()
+        if name not in {'node', 'subject'}
+    )
+    return _ROW.format(
+        line.time[:_TIME_CHARACTERS],
+        line.fields.get('node', ''),
+        line.message,
+        line.fields.get('subject', ''),
+        f'{details} {line.error}'.strip(),
+    )
--- a/packages/cli/ladder_cli/main.py
+++ b/packages/cli/ladder_cli/main.py
@@ -4,6 +4,7 @@
 
 import defopt
 
+from ladder_cli.explain import explain
 from ladder_cli.lists import apply, check, diff, show
 from ladder_cli.nodes import drain, status, timeline
 from ladder_core.errors import LadderError
@@ -14,7 +15,7 @@
 def main() -> None:
     """Run the command that the arguments name."""
     try:
-        defopt.run([check, diff, apply, show, status, drain, timeline])
+        defopt.run([check, diff, apply, show, status, drain, timeline, explain])
     except LadderError as error:
         sys.stderr.write(f'{error.message}\n{error.remedy}\n')
         sys.exit(_FAILED)
--- a/packages/core/ladder_core/logs/__init__.py
+++ b/packages/core/ladder_core/logs/__init__.py
@@ -1,6 +1,7 @@
 """Logs as JSON lines on standard output."""
 
 from ladder_core.logs.events import EventLog
-from ladder_core.logs.setup import configure_logs
+from ladder_core.logs.setup import LogLine, configure_logs
+from ladder_core.logs.writer import LineWriter
 
-__all__ = ('EventLog', 'configure_logs')
+__all__ = ('EventLog', 'LineWriter', 'LogLine', 'configure_logs')
