--- a/packages/node/ladder_node/batches/fence.py
+++ b/packages/node/ladder_node/batches/fence.py
@@ -12,7 +12,7 @@
 
 import asyncio
 import uuid
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -31,6 +31,9 @@
 
 _KEY = 'owner'
 _RETRY_SECONDS = 0.15
+# Time in which the other nodes tell whether they reach the table service, and
+# in which the lease is renewed after its return.
+_DOUBT_SECONDS = 1.2
 
 
 class OwnershipLostError(NotRunError):
@@ -53,6 +56,8 @@
         Name of this node.
     timers : TimerService
         Source of time.
+    is_outage_shared : callable
+        Tells whether other nodes do not reach the table service either.
 
     """
 
@@ -62,13 +67,21 @@
         lease: Lease,
         node: str,
         timers: TimerService,
+        is_outage_shared: Callable[[], bool],
     ) -> None:
+        self._is_outage_shared = is_outage_shared
+        self._doubt_since: float | None = None
         self._table = table
         self._lease = lease
         self._own = OwnerRow(node, lease.epoch)
         self._timers = timers
         self._revisions: dict[str, int] = {}
 
+    @property
+    def is_held(self) -> bool:
+        """Whether the lease is valid now, so that orders may be given."""
+        return self._lease.is_valid()
+
     @property
     def epoch(self) -> int:
         """Fencing token of the lease."""
@@ -88,15 +101,28 @@
 
     def check(self) -> None:
         """
-        Make sure that the lease is valid.
+        Make sure that nobody else runs the batches.
+
+        Explanation
+        -----------
+        While the table service is away for all nodes, none can take a lapsed
+        lease, so the work goes on. Writes and orders wait. A node that is
+        alone without the service can't know, and stops.
 
         Raises
         ------
         OwnershipLostError
-            It has run out.
+            The lease has run out, and another node may have taken it.
 
         """
-        if not self._lease.is_valid():
+        if self._lease.is_valid():
+            self._doubt_since = None
+            return
+        now = self._timers.now()
+        if self._doubt_since is None or self._is_outage_shared():
+            self._doubt_since = now
+        is_over = now - self._doubt_since > _DOUBT_SECONDS
+        if self._lease.is_ended or is_over:
             raise OwnershipLostError(
                 f'lease {self._lease.name} has run out',
                 remedy='acquire it again',
--- a/packages/node/ladder_node/batches/parts.py
+++ b/packages/node/ladder_node/batches/parts.py
@@ -1,5 +1,6 @@
 """What the holder of the duty works with."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from ladder_clients.objects import ObjectStore
@@ -40,6 +41,8 @@
         The configuration.
     versions : ModelVersions
         The newest versions of models.
+    is_outage_shared : callable
+        Tells whether other nodes do not reach the table service either.
     timers : TimerService
         Source of time.
     timeline : TimeLine
@@ -57,5 +60,6 @@
     board: ReplicaBoard
     routes: RouteKeeper
     versions: ModelVersions
+    is_outage_shared: Callable[[], bool]
     timers: TimerService
     timeline: TimeLine
--- a/packages/node/ladder_node/batches/tenure.py
+++ b/packages/node/ladder_node/batches/tenure.py
@@ -55,7 +55,13 @@
     def __init__(self, parts: OwnerParts, lease: Lease) -> None:
         self._parts = parts
         self._timers = parts.timers
-        self._fence = Fence(parts.table, lease, parts.node, parts.timers)
+        self._fence = Fence(
+            parts.table,
+            lease,
+            parts.node,
+            parts.timers,
+            parts.is_outage_shared,
+        )
         self._book = BatchBook(parts.timers)
         self._engines = EngineTable(parts.board)
         self._dispatch = TaskDispatch(
@@ -185,6 +191,8 @@
     def _plan_service(self, service: str, runs: TaskRuns, crew: Crew) -> None:
         now = self._timers.now()
         left = self._dispatch.dispatch(service, runs.start)
+        if not self._fence.is_held:
+            return
         loads = self._placement.plan(
             self._engines.list_lasting(service, now),
             [
--- a/packages/node/ladder_node/detours/sender.py
+++ b/packages/node/ladder_node/detours/sender.py
@@ -25,6 +25,9 @@
 _PEERS = 2
 # Time for which the peers are left alone after none of them could help.
 _REST_SECONDS = 1
+# The word of another node on the store counts for this time; calls that ask
+# again are made about once a second.
+_SHARED_SECONDS = 3
 
 _carried_counter = Counter(
     'ladder_store_detours_total',
@@ -70,6 +73,18 @@
         self._switch = DetourSwitch()
         self._rests_until: float = 0
         self._failed: dict[str, float] = {}
+        self._shared_at: float | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the direct way fails."""
+        return self._switch.is_open
+
+    def is_outage_shared(self) -> bool:
+        """Return whether another node lately said that it fails there too."""
+        if self._shared_at is None or not self._switch.is_open:
+            return False
+        return self._timers.now() - self._shared_at < _SHARED_SECONDS
 
     def is_wanted(self) -> bool:
         """Return whether the next call goes through a peer."""
@@ -123,6 +138,9 @@
             answer = CarriedAnswer(0, is_undone=True)
         except TransportError:
             answer = CarriedAnswer(0, is_undone=call.is_read)
+        else:
+            if not answer.status:
+                self._shared_at = self._timers.now()
         outcome = 'answered' if answer.status else 'not-answered'
         _carried_counter.labels(outcome).inc()
         if not answer.status:
--- a/packages/node/ladder_node/leases/keeper.py
+++ b/packages/node/ladder_node/leases/keeper.py
@@ -17,6 +17,8 @@
 
 # Share of the time between renewals after which a failed one is repeated.
 _RETRY_SHARE = 0.2
+# A table that can't be read for this many renewals counts as away.
+_OUTAGE_RENEWALS = 2
 _STORE_ERRORS = (StoreUnavailableError, StoreOutcomeUnknownError)
 
 _held_gauge = Gauge('ladder_leases_held', 'Leases held by this node')
@@ -57,7 +59,8 @@
     A lease is valid for its term less a margin, counted from before its
     renewal was sent. Another node takes it after it has seen the lease's and
     the heartbeat's rows unchanged for a term, under the condition that both
-    still are.
+    still are. A lease that lapsed is valid again when its renewal succeeds,
+    since that requires that nobody has taken it.
 
     """
 
@@ -75,6 +78,7 @@
         self._timers = timers
         self._timeline = timeline
         self._watch = ExpiryWatch(timers)
+        self._failures: list[float] = []
         self._held: dict[str, Lease] = {}
         self._acquiring: set[str] = set()
         self._subscription: Subscription | None = None
@@ -128,6 +132,7 @@
             return await self._acquire(name)
         except _STORE_ERRORS as error:
             logger.warning('lease {} not acquired: {}', name, error)
+            self._failures.append(self._timers.now())
             return None
         finally:
             self._acquiring.discard(name)
@@ -173,6 +178,7 @@
 
     async def _acquire(self, name: str) -> Lease | None:
         reading = await self._store.read(name)
+        self._note_reached()
         if reading.is_foreign and not self._is_own_predecessor(reading):
             unchanged = self._watch.observe(name, reading.conditions)
             if unchanged < self._term.seconds:
@@ -210,6 +216,17 @@
         )
         return lease
 
+    def _note_reached(self) -> None:
+        """Leave out a time in which no holder could renew either."""
+        if not self._failures:
+            return
+        # Not counted to the present: this node itself may have been paused.
+        outage = self._failures[-1] - self._failures[0]
+        self._failures.clear()
+        is_long = outage > _OUTAGE_RENEWALS * self._term.renewal
+        if is_long and self._term.spares_outages:
+            self._watch.postpone(outage)
+
     def _is_own_predecessor(self, reading: LeaseReading) -> bool:
         return self._term.trusts_name and reading.content.holder == self._name
 
--- a/packages/node/ladder_node/leases/lease.py
+++ b/packages/node/ladder_node/leases/lease.py
@@ -66,6 +66,11 @@
         """Revision of the lease's row while this acquisition lasts."""
         return self._revision
 
+    @property
+    def is_ended(self) -> bool:
+        """Whether it was released, or is known to be another holder's."""
+        return self._is_ended
+
     def is_valid(self) -> bool:
         """Whether the lease is held now, by this node's own clock."""
         return self.remaining() > 0
--- a/packages/node/ladder_node/leases/term.py
+++ b/packages/node/ladder_node/leases/term.py
@@ -27,6 +27,9 @@
         Whether a lease that is held under this node's own name by another
         process is taken at once: the platform starts a node's process only
         after its predecessor has ended.
+    spares_outages : bool
+        Whether a time in which the table can't be read counts for nobody,
+        because holders go on with their work through it.
 
     """
 
@@ -34,3 +37,4 @@
     margin: float = _MARGIN_SECONDS
     renewal: float = _RENEWAL_SECONDS
     trusts_name: bool = False
+    spares_outages: bool = False
--- a/packages/node/ladder_node/leases/watch.py
+++ b/packages/node/ladder_node/leases/watch.py
@@ -51,6 +51,13 @@
             self._sights[name] = sight
         return now - sight.since
 
+    def postpone(self, seconds: float) -> None:
+        """Leave out a time in which the rows could not change."""
+        self._sights = {
+            name: _Sight(sight.revisions, sight.since + seconds)
+            for name, sight in self._sights.items()
+        }
+
     def forget(self, name: str) -> None:
         """Stop watching a lease."""
         self._sights.pop(name, None)
--- a/packages/node/ladder_node/serving/drain.py
+++ b/packages/node/ladder_node/serving/drain.py
@@ -96,8 +96,32 @@
         self._finishing.set()
         self._timeline.record('drain-kept', 'node', requests=self._requests)
         await self._idle.wait()
-        self._done.set()
-        self._timeline.record('drain-done', 'node')
+        self._finish()
+
+    async def run_within(self, seconds: float) -> None:
+        """
+        Drain the node, and end after a time whatever is in progress.
+
+        Parameters
+        ----------
+        seconds : float
+            Time until the process would be killed anyway.
+
+        """
+        draining = asyncio.ensure_future(self.run())
+        limit = asyncio.ensure_future(self._timers.sleep(seconds))
+        await asyncio.wait(
+            (draining, limit),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        await _end(draining, limit)
+        if not self.is_done:
+            self._timeline.record(
+                'drain-cut',
+                'node',
+                requests=self._requests,
+                seconds=seconds,
+            )
 
     async def shorten(
         self,
@@ -146,6 +170,10 @@
         if not self._requests:
             self._idle.set()
 
+    def _finish(self) -> None:
+        self._done.set()
+        self._timeline.record('drain-done', 'node')
+
 
 async def _end(*tasks: asyncio.Task[Any]) -> None:
     """Cancel tasks and wait for their ends."""
--- a/packages/node/ladder_node/serving/server.py
+++ b/packages/node/ladder_node/serving/server.py
@@ -33,10 +33,18 @@
         The application.
     address : str
         ``ip:port`` to listen on.
+    close_seconds : int or None, optional
+        Time at the close after which requests in progress are cut off; by
+        default they are waited for.
 
     """
 
-    def __init__(self, app: ASGIApp, address: str) -> None:
+    def __init__(
+        self,
+        app: ASGIApp,
+        address: str,
+        close_seconds: int | None = None,
+    ) -> None:
         host, _, port = address.rpartition(':')
         config = uvicorn.Config(
             app,
@@ -48,6 +56,7 @@
             lifespan='off',
             loop='asyncio',
             http='h11',
+            timeout_graceful_shutdown=close_seconds,
             server_header=False,
             date_header=False,
         )
