--- a/packages/node/ladder_node/batches/desk.py
+++ b/packages/node/ladder_node/batches/desk.py
@@ -20,6 +20,8 @@
 _ACCEPT_SECONDS = 1
 _PAUSE_SECONDS = 0.15
 _POLL_SECONDS = 0.12
+# Polls are this many times as far apart as the table takes for one.
+_TIMES_SLOW = 3
 _KEPT_HEADS = 512
 
 _accepted_counter = Counter(
@@ -108,12 +110,15 @@
         head = await self._require_head(batch_id)
         until = self._timers.now() + wait_seconds
         while True:
+            began = self._timers.now()
             page = await self._store.read_results(batch_id, start, head.total)
             if page.results or start >= head.total:
                 return page
-            if self._timers.now() + _POLL_SECONDS > until:
+            now = self._timers.now()
+            pause = max(_POLL_SECONDS, _TIMES_SLOW * (now - began))
+            if now + pause > until:
                 return page
-            await self._timers.sleep(_POLL_SECONDS)
+            await self._timers.sleep(pause)
 
     async def find_task(self, batch_id: str, task_id: str) -> TaskSpec:
         """
--- /dev/null
+++ b/packages/node/ladder_node/batches/tests/test_slow_table.py
@@ -0,0 +1,47 @@
+"""
+A table that is slow for all nodes gets less work, not more.
+
+Incident inc-1fbe on cellarwatch: answers took seconds from 18 s to 28 s of
+the day; polls at the usual pace and repeated reads kept the table overloaded.
+"""
+
+import asyncio
+
+from ladder_node.batches.tests.fakes import World, make_batch
+from ladder_standins.memory_table import MemoryTable
+
+
+class SlowTable(MemoryTable):
+    def __init__(self, timers):
+        super().__init__()
+        self.timers = timers
+        self.seconds = 0
+        self.reads = 0
+
+    async def scan_part(self, table, part, prefix='', start='', limit=None):
+        self.reads += 1
+        await self.timers.sleep(self.seconds)
+        return await super().scan_part(table, part, prefix, start, limit)
+
+
+async def count_polls(seconds):
+    world = World()
+    table = SlowTable(world.timers)
+    node = world.nodes['a']
+    node.store._table = table
+    route = node.routes.require().find_route('pub.example', '/notes/')
+    assert route is not None
+    await node.desk.accept(make_batch(), route)
+    table.seconds = seconds
+    task = asyncio.ensure_future(node.desk.read('b', 0, 1))
+    while not task.done():
+        await world.timers.advance(0.02)
+    return table.reads
+
+
+async def test_quick_table_is_polled_often():
+    assert await count_polls(0.004) >= 6
+
+
+async def test_slow_table_is_polled_rarely():
+    assert await count_polls(0.3) <= 2
--- a/packages/node/ladder_node/leases/seeker.py
+++ b/packages/node/ladder_node/leases/seeker.py
@@ -7,6 +7,9 @@
 from ladder_node.leases.lease import Lease
 from ladder_node.leases.spread import choose_period, rank_node
 
+# Looks are this many times as far apart as the table takes for one.
+_TIMES_SLOW = 2
+
 
 class DutySeeker:
     """
@@ -69,8 +72,11 @@
         first = now - period if is_first else now
         if now < self._tried_at.setdefault(name, first) + period:
             return None
-        self._tried_at[name] = now
-        return await self._leases.acquire(name)
+        lease = await self._leases.acquire(name)
+        # A slow table is asked less often.
+        took = self._timers.now() - now
+        self._tried_at[name] = now + _TIMES_SLOW * took
+        return lease
 
     def _find_period(self, name: str) -> float:
         """Rank this node again only when the live nodes have changed."""
--- a/packages/node/ladder_node/members/membership.py
+++ b/packages/node/ladder_node/members/membership.py
@@ -89,6 +89,7 @@
         self._read_at: float | None = None
         self._wrote_at: float | None = None
         self._next_beat: float = 0
+        self._next_read: float = 0
         self._subscription: Subscription | None = None
 
     @property
@@ -129,7 +130,10 @@
             took = self._timers.now() - now
             pause = max(_BEAT_SECONDS * self._stretch(), _TIMES_SLOW * took)
             self._next_beat = now + pause - _BEAT_SECONDS / 2
-        await self._read()
+        if now >= self._next_read:
+            await self._read()
+            took = self._timers.now() - now
+            self._next_read = now + _TIMES_SLOW * took
 
     def list_alive(self) -> Sequence[Member]:
         """Return the nodes that live, this one included if it is known."""
--- a/packages/policy/ladder_policy/admission/patience.py
+++ b/packages/policy/ladder_policy/admission/patience.py
@@ -1,6 +1,9 @@
 """
 How long to wait for an answer, by how long the last ones took.
 
+Calls that are given up still cost the service its time, so a limit that is
+too short makes a slow service slower.
+
 References
 ----------
 RFC 6298, "Computing TCP's Retransmission Timer", section 2.
@@ -8,10 +11,10 @@
 """
 
 _LEAST_SECONDS = 0.7
-_MOST_SECONDS = 3
+_MOST_SECONDS = 5
 _TIMES_USUAL = 4
 _NEWEST_SHARE = 0.25
-_GROWTH = 1.6
+_GROWTH = 2
 
 
 class Patience:
@@ -25,7 +28,7 @@
     0.7
     >>> patience.note_silence()
     >>> patience.seconds
-    1.12
+    1.4
     >>> patience.note_answer(0.01)
     >>> patience.seconds
     0.7
