--- a/packages/node/ladder_node/batches/runs.py
+++ b/packages/node/ladder_node/batches/runs.py
@@ -176,7 +176,18 @@
         self._crew.spawn(self._score(batch, work))
 
     async def _score(self, batch: BatchWork, work: TaskWork) -> None:
+        began = self._timers.now()
         score = await self._scorer.score(work)
+        scorer = work.spec.scorer
+        self._parts.timeline.record(
+            'task-scored',
+            work.task_id,
+            batch=batch.batch_id,
+            call=scorer.call_id if scorer else '',
+            outcome='failed' if score is None else 'scored',
+            failures=work.failed_scorings,
+            seconds=round(self._timers.now() - began, 3),
+        )
         if self._is_closed(batch):
             return
         if score is None:
--- a/packages/node/ladder_node/batches/tenure.py
+++ b/packages/node/ladder_node/batches/tenure.py
@@ -33,6 +33,9 @@
 _TICK_SECONDS = 0.1
 # What a holder that dies loses at most of each text.
 _SAVE_SECONDS = 0.5
+# Saves are this many times as far apart as the table takes for one, so that
+# they do not hold up results.
+_TIMES_SLOW = 4
 _CLEAN_SECONDS = 30
 
 _open_gauge = Gauge('ladder_batches_open', 'Batches that this node runs')
@@ -147,11 +150,15 @@
 
     async def _save_drafts(self) -> None:
         saver = DraftSaver(self._parts.table, self._fence)
+        pause: float = _SAVE_SECONDS
         while True:
-            await self._timers.sleep(_SAVE_SECONDS)
+            await self._timers.sleep(pause)
+            began = self._timers.now()
             await asyncio.gather(
                 *(saver.save(batch) for batch in self._book.batches),
             )
+            took = self._timers.now() - began
+            pause = max(_SAVE_SECONDS, _TIMES_SLOW * took)
 
     async def _clean(self) -> None:
         cleaner = BatchCleaner(
