--- a/packages/node/ladder_node/batches/intake.py
+++ b/packages/node/ladder_node/batches/intake.py
@@ -24,8 +24,8 @@
 )
 from ladder_node.batches.spec import BatchSpec
 from ladder_node.batches.work import BatchWork, Draft, Stage
+from ladder_node.feeds import WAIT_SECONDS
 
-_WATCH_SECONDS = 1.2
 _RETRY_SECONDS = 0.25
 _MILLISECONDS = 1000
 # Groups of a step that ended longer ago do not come again.
@@ -108,7 +108,7 @@
             changes = await table.watch(
                 BATCHES_TABLE,
                 revision,
-                _WATCH_SECONDS,
+                WAIT_SECONDS,
             )
             revision = changes.revision
             self._take_rows(changes.rows, crew)
--- a/packages/node/ladder_node/feeds/follower.py
+++ b/packages/node/ladder_node/feeds/follower.py
@@ -22,8 +22,8 @@
 # A connection that fell silent is noticed after this wait and the limit of
 # the call, so both together stay under the times in which a change has to be
 # known.
-_WAIT_SECONDS = 1.2
-_RETRY_SECONDS = 0.25
+WAIT_SECONDS = 1
+RETRY_SECONDS = 0.25
 
 _full_reads_counter = Counter(
     'ladder_feed_full_reads_total',
@@ -123,10 +123,10 @@
                 self._timeline.record('feed-history-lost', self._name)
             except StoreUnavailableError as error:
                 self._note_lost(error)
-                await self._timers.sleep(_RETRY_SECONDS)
+                await self._timers.sleep(RETRY_SECONDS)
             except Exception:
                 logger.exception('following table {} failed', self._name)
-                await self._timers.sleep(_RETRY_SECONDS)
+                await self._timers.sleep(RETRY_SECONDS)
 
     async def _read_and_follow(self) -> None:
         changes = await self._table.snapshot(self._name)
@@ -140,7 +140,7 @@
                 self._listener.change(changes.rows, changes.removed)
 
     async def _watch(self, revision: int) -> Changes:
-        changes = await self._table.watch(self._name, revision, _WAIT_SECONDS)
+        changes = await self._table.watch(self._name, revision, WAIT_SECONDS)
         self._confirm()
         return changes
 
--- a/packages/policy/ladder_policy/admission/patience.py
+++ b/packages/policy/ladder_policy/admission/patience.py
@@ -11,10 +11,12 @@
 """
 
 _LEAST_SECONDS = 0.7
-_MOST_SECONDS = 5
+# A call that fell silent just before the service came back holds up what
+# follows it for this time.
+_MOST_SECONDS = 2
 _TIMES_USUAL = 4
 _NEWEST_SHARE = 0.25
-_GROWTH = 2
+_GROWTH = 1.6
 
 
 class Patience:
@@ -28,7 +30,7 @@
     0.7
     >>> patience.note_silence()
     >>> patience.seconds
-    1.4
+    1.12
     >>> patience.note_answer(0.01)
     >>> patience.seconds
     0.7
