--- a/packages/node/ladder_node/members/membership.py
+++ b/packages/node/ladder_node/members/membership.py
@@ -206,9 +206,10 @@
         now = self._timers.now()
         gap = now - self._read_at if self._read_at is not None else 0
         if gap > 2 * _BEAT_SECONDS:
-            # Nobody could write while the table was away.
+            # Nobody could write while the table was away; all have their
+            # whole time again.
             for sight in self._sights.values():
-                sight.since += gap
+                sight.since = max(sight.since, now)
         self._read_at = now
         self._sights = {row.key: self._see(row, now) for row in rows}
         limit = _ALIVE_SECONDS * self._stretch()
