--- a/packages/node/ladder_node/members/membership.py
+++ b/packages/node/ladder_node/members/membership.py
@@ -131,13 +131,15 @@
         now = self._timers.now()
         if now >= self._next_beat:
             await self._write()
+            # The pause that the row has named, not the one that comes next.
+            pause = self._own.pause_seconds
+            self._next_beat = now + pause - _BEAT_SECONDS / 2
             # A slow table gets fewer writes, so that they don't pile up.
             took = self._timers.now() - now
             self._pause = min(
                 max(_BEAT_SECONDS * self._stretch(), _TIMES_SLOW * took),
                 _MOST_PAUSE_SECONDS,
             )
-            self._next_beat = now + self._pause - _BEAT_SECONDS / 2
         if now >= self._next_read:
             await self._read()
             took = self._timers.now() - now
