--- a/packages/node/ladder_node/batches/engines.py
+++ b/packages/node/ladder_node/batches/engines.py
@@ -140,6 +140,7 @@
 
     def list_lasting(self, service: str, now: float) -> list[EngineState]:
         """Return the engines of a service that are neither lost nor leave."""
+        self._forget_gone()
         return [
             self._track(record)
             for record in self._board.list_service(service)
@@ -150,6 +151,11 @@
         """Return the engines that run tasks, listed or not."""
         return [state for state in self._states.values() if state.running]
 
+    def _forget_gone(self) -> None:
+        for name, state in tuple(self._states.items()):
+            if not state.running and self._board.find(name) is None:
+                self._states.pop(name)
+
     def _track(self, record: ReplicaRecord) -> EngineState:
         state = self._states.get(record.name)
         if state is None or state.record is not record:
--- a/packages/node/ladder_node/batches/intake.py
+++ b/packages/node/ladder_node/batches/intake.py
@@ -72,6 +72,7 @@
         self._on_open = on_open
         self._on_end = on_end
         self._known: set[str] = set()
+        self._confirmed_at: float | None = None
 
     async def run(self, crew: Crew) -> None:
         """
@@ -103,7 +104,8 @@
         shards = await asyncio.gather(
             *(table.scan_part(BATCHES_TABLE, part) for part in list_shards()),
         )
-        self._take_rows((row for rows in shards for row in rows), crew)
+        rows = [row for rows in shards for row in rows]
+        self._take_rows(rows, self._find_gap(), crew)
         while True:
             changes = await table.watch(
                 BATCHES_TABLE,
@@ -111,9 +113,35 @@
                 WAIT_SECONDS,
             )
             revision = changes.revision
-            self._take_rows(changes.rows, crew)
+            self._confirmed_at = self._parts.timers.now()
+            self._take_rows(changes.rows, 0, crew)
 
-    def _take_rows(self, rows: Iterable[Row], crew: Crew) -> None:
+    def _find_gap(self) -> float | None:
+        """Return the seconds for which rows may have been missed."""
+        if self._confirmed_at is None:
+            return None
+        return self._parts.timers.now() - self._confirmed_at
+
+    def _take_rows(
+        self,
+        rows: Iterable[Row],
+        oldest: float | None,
+        crew: Crew,
+    ) -> None:
+        """
+        Take rows of batches.
+
+        Parameters
+        ----------
+        rows : iterable of Row
+            The rows.
+        oldest : float or None
+            Largest age in seconds of a row that was not known; None if only
+            the times of day tell, which may differ between hosts.
+        crew : Crew
+            Takes the work.
+
+        """
         heads: dict[str, Row] = {}
         for row in rows:
             batch_id, is_end = split_end_key(row.key)
@@ -125,14 +153,20 @@
             if batch_id not in self._known:
                 self._known.add(batch_id)
                 head = msgspec.json.decode(row.body, type=BatchHead)
+                age = _find_age(head, oldest)
                 if not self._book.is_ended(batch_id):
-                    crew.spawn(self._open(batch_id, head, crew))
-                elif _find_age(head) < _CARRIED_SECONDS:
+                    crew.spawn(self._open(batch_id, head, age, crew))
+                elif age < _CARRIED_SECONDS:
                     crew.spawn(self._keep_drafts(batch_id))
 
-    async def _open(self, batch_id: str, head: BatchHead, crew: Crew) -> None:
+    async def _open(
+        self,
+        batch_id: str,
+        head: BatchHead,
+        age: float,
+        crew: Crew,
+    ) -> None:
         """Read a batch that was accepted, and hand it out."""
-        age = _find_age(head)
         if age > head.retention_seconds + head.step_seconds:
             return
         ledger = self._make_ledger(batch_id)
@@ -237,7 +271,10 @@
             batch.ledger.close()
 
 
-def _find_age(head: BatchHead) -> float:
-    """Return the seconds since a batch was accepted, by the time of day."""
+def _find_age(head: BatchHead, oldest: float | None) -> float:
+    """Return the seconds since a batch was accepted, as far as known."""
+    if oldest == 0:
+        return 0
     wall = time.time() * _MILLISECONDS
-    return max((wall - head.accepted_at) / _MILLISECONDS, 0)
+    age = max((wall - head.accepted_at) / _MILLISECONDS, 0)
+    return age if oldest is None else min(age, oldest)
--- a/packages/node/ladder_node/batches/tests/test_whole_batches.py
+++ b/packages/node/ladder_node/batches/tests/test_whole_batches.py
@@ -1,6 +1,7 @@
 """Whole batches on a deployment in memory: what trainers and engines see."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -306,6 +307,22 @@
     assert owner.list_kinds().count('duty-begun') == 1
 
 
+async def test_host_whose_time_of_day_is_off_makes_no_batch_look_old(
+    world,
+    monkeypatch,
+):
+    """Day clocks-and-bursts: a step of four seconds put new tasks last."""
+    await world.submit(make_batch('before'))
+    await world.advance(1)
+    present = time.time()
+    monkeypatch.setattr(time, 'time', lambda: present - 4)
+    await world.submit(make_batch())
+    monkeypatch.setattr(time, 'time', lambda: present + 4)
+    await world.advance(1)
+    opened = world.nodes['a'].list_events('batch-opened')
+    assert float(opened[-1].fields['age']) == 0
+
+
 async def test_outage_gives_no_orders():
     world = World()
     await world.start()
--- a/packages/node/ladder_node/forwarding/forwarder.py
+++ b/packages/node/ladder_node/forwarding/forwarder.py
@@ -96,6 +96,9 @@
     ----------
     service : str
         Service that it goes to.
+    is_fresh : bool
+        Whether it may run once only, so that each try needs a connection on
+        which nothing else was sent.
     began, deadline : float
         Times by the timer service at which the request came, and at which
         the caller has an answer.
@@ -111,6 +114,7 @@
     """
 
     service: str
+    is_fresh: bool
     began: float
     deadline: float
     sent_to: set[str] = field(default_factory=set)
@@ -181,10 +185,9 @@
             The request may have run, and must not be sent again.
 
         """
-        began = self._timers.now()
         limit = min(seconds, route.timeout_seconds)
         service = self._selection.choose_service(route)
-        tries = _Tries(service, began, began + limit)
+        tries = self._begin(route, service, limit)
         outcome = 'cancelled'
         try:
             async with asyncio.timeout(limit):
@@ -219,8 +222,7 @@
 
         """
         service = self._selection.choose_service(route)
-        began = self._timers.now()
-        tries = _Tries(service, began, began + seconds)
+        tries = self._begin(route, service, seconds)
         while True:
             record = await self._select(tries)
             try:
@@ -230,6 +232,11 @@
             except TargetUnavailableError as error:
                 self._note_refusal(record, tries, error)
 
+    def _begin(self, route: Route, service: str, seconds: float) -> _Tries:
+        may_repeat = route.kind is RouteKind.idempotent or route.is_resumable
+        began = self._timers.now()
+        return _Tries(service, not may_repeat, began, began + seconds)
+
     def _note_end(
         self,
         route: Route,
@@ -340,6 +347,7 @@
                     record.replica,
                     request,
                     max(left, 0),
+                    is_fresh=tries.is_fresh,
                 ) as answer:
                     yield answer
             except TargetUnavailableError:
--- a/packages/node/ladder_node/forwarding/tests/test_forwarder.py
+++ b/packages/node/ladder_node/forwarding/tests/test_forwarder.py
@@ -39,6 +39,7 @@
     def __init__(self):
         self.scripts = {}
         self.sent = []
+        self.fresh = []
 
     def count_idle(self, replica):
         return 0
@@ -49,6 +50,7 @@
     @contextlib.asynccontextmanager
     async def open(self, replica, request, seconds, *, is_fresh=False):
         self.sent.append((replica.name, round(seconds, 1)))
+        self.fresh.append(is_fresh)
         script = self.scripts.get(replica.name, [])
         step = script.pop(0) if script else FakeAnswer()
         if isinstance(step, Exception):
@@ -156,6 +158,12 @@
     assert bench.visited == ['leith']
 
 
+async def test_request_that_may_run_once_goes_over_a_new_connection(bench):
+    await bench.forward(RouteKind.non_idempotent)
+    await bench.forward(RouteKind.idempotent)
+    assert bench.replicas.fresh == [True, False]
+
+
 async def test_idempotent_request_goes_to_no_more_replicas_than_allowed(
     bench,
 ):
--- a/packages/node/ladder_node/members/membership.py
+++ b/packages/node/ladder_node/members/membership.py
@@ -9,10 +9,12 @@
 from prometheus_client import Gauge
 
 from ladder_clients.table import (
+    Condition,
     PartitionedTable,
     Row,
     StoreOutcomeUnknownError,
     Transaction,
+    Write,
 )
 from ladder_core.errors import StoreUnavailableError
 from ladder_core.supervision import Service
@@ -33,6 +35,8 @@
 # Largest number of nodes for which every node writes each beat; with more of
 # them each writes less often, so that the writes of all stay the same.
 _FULL_RATE_NODES = 100
+# A row that has not changed for this time belongs to a host that is gone.
+_FORGET_SECONDS = 120
 # Beats are this many times as far apart as the table takes for one.
 _TIMES_SLOW = 4
 _MOST_PAUSE_SECONDS = 8
@@ -137,7 +141,10 @@
             # A slow table gets fewer writes, so that they don't pile up.
             took = self._timers.now() - now
             self._pause = min(
-                max(_BEAT_SECONDS * self._stretch(), _TIMES_SLOW * took),
+                max(
+                    _BEAT_SECONDS * _find_stretch(len(self._alive)),
+                    _TIMES_SLOW * took,
+                ),
                 _MOST_PAUSE_SECONDS,
             )
         if now >= self._next_read:
@@ -185,9 +192,6 @@
         )
         return [one.peer_address for one in others if one.peer_address]
 
-    def _stretch(self) -> float:
-        return max(len(self._alive) / _FULL_RATE_NODES, 1)
-
     async def _write(self) -> None:
         self._own = msgspec.structs.replace(
             self._own,
@@ -208,10 +212,10 @@
     async def _read(self) -> None:
         try:
             rows = await self._table.scan_part(MEMBERS_TABLE, MEMBERS_PART)
+            self._observe(rows)
+            await self._forget_gone()
         except _STORE_ERRORS as error:
             logger.debug('rows of nodes not read: {}', error.message)
-            return
-        self._observe(rows)
 
     def _observe(self, rows: Sequence[Row]) -> None:
         now = self._timers.now()
@@ -230,6 +234,24 @@
         )
         self._note_changes(alive)
 
+    async def _forget_gone(self) -> None:
+        """Remove rows of hosts that are gone; the first node does it."""
+        now = self._timers.now()
+        if self._own.name != min(self._alive, default=''):
+            return
+        for name, sight in tuple(self._sights.items()):
+            if now - sight.since < _FORGET_SECONDS:
+                continue
+            place = (MEMBERS_TABLE, name)
+            await self._table.commit(
+                Transaction(
+                    uuid.uuid4().hex,
+                    (Condition(*place, sight.revision, MEMBERS_PART),),
+                    (Write(*place, None, MEMBERS_PART),),
+                ),
+            )
+            self._timeline.record('member-forgotten', name)
+
     def _see(self, row: Row, now: float) -> _Sight:
         sight = self._sights.get(row.key)
         if sight is not None and sight.revision == row.revision:
@@ -248,3 +270,8 @@
 def _limit_silence(member: Member) -> float:
     """Return the seconds without a write after which a node is gone."""
     return max(_ALIVE_SECONDS, _PAUSES * member.pause_seconds)
+
+
+def _find_stretch(nodes: int) -> float:
+    """Return by how much the writes of so many nodes are further apart."""
+    return max(nodes / _FULL_RATE_NODES, 1)
--- a/packages/node/ladder_node/members/tests/test_membership.py
+++ b/packages/node/ladder_node/members/tests/test_membership.py
@@ -97,6 +97,13 @@
     await fleet.close()
 
 
+async def test_row_of_a_host_that_is_gone_is_removed(fleet):
+    await fleet.nodes['b'].close()
+    await fleet.timers.advance(125)
+    rows = fleet.table.rows.scan('members', part='members')
+    assert [row.key for row in rows] == ['a', 'c']
+
+
 async def test_slow_table_gets_fewer_writes():
     fleet = Fleet('a')
     node = fleet.nodes['a']
