--- a/packages/node/ladder_node/forwarding/forwarder.py
+++ b/packages/node/ladder_node/forwarding/forwarder.py
@@ -11,15 +11,13 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Iterator
-from dataclasses import dataclass, field
+from collections.abc import AsyncIterator
 
 from prometheus_client import Counter, Histogram
 
-from ladder_clients.exchanges import Header, OpenAnswer
+from ladder_clients.exchanges import OpenAnswer
 from ladder_clients.replicas import CallerRequest, ReplicaClient
 from ladder_core.errors import (
-    DeadlineError,
     LadderError,
     TargetChangedError,
     TargetFullError,
@@ -30,6 +28,13 @@
 from ladder_core.timers import TimerService
 from ladder_core.values import Route, RouteKind
 from ladder_node.forwarding.selection import ReplicaSelection
+from ladder_node.forwarding.tries import (
+    RETRY_AFTER_SECONDS,
+    Tries,
+    WholeAnswer,
+    count_request,
+    make_deadline_error,
+)
 from ladder_node.replicas import ReplicaRecord
 
 _SERVER_ERROR = 500
@@ -40,7 +45,6 @@
 # Time for which a replica that was full gets no request of this node.
 _FULL_REST_SECONDS = 0.1
 _PAUSE_SECONDS = 0.05
-_RETRY_AFTER_SECONDS = 0.3
 # Refusals do not count as tries, so they are bounded by themselves.
 _MAX_REFUSALS = 8
 
@@ -57,77 +61,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class WholeAnswer:
-    """
-    A replica's answer.
-
-    Attributes
-    ----------
-    status : int
-        HTTP status.
-    headers : tuple of Header
-        Header fields as the replica sent them.
-    body : bytes
-        The whole body.
-    replica : str
-        Name of the replica.
-    proof : str
-        The replica's proof that it made the answer; empty if it has none.
-    failures : int
-        Answers to this request that said that a run failed.
-
-    """
-
-    status: int
-    headers: tuple[Header, ...]
-    body: bytes
-    replica: str
-    proof: str = ''
-    failures: int = 0
-
-
-@dataclass(slots=True)
-class _Tries:
-    """
-    What has been tried for one request.
-
-    Attributes
-    ----------
-    service : str
-        Service that it goes to.
-    is_fresh : bool
-        Whether it may run once only, so that each try needs a connection on
-        which nothing else was sent.
-    began, deadline : float
-        Times by the timer service at which the request came, and at which
-        the caller has an answer.
-    sent_to : set of str
-        Replicas that may have run it.
-    refused_by : set of str
-        Replicas that did not run it.
-    refusals : int
-        Number of refusals.
-    failures : int
-        Answers that said that a run failed.
-
-    """
-
-    service: str
-    is_fresh: bool
-    began: float
-    deadline: float
-    sent_to: set[str] = field(default_factory=set)
-    refused_by: set[str] = field(default_factory=set)
-    refusals: int = 0
-    failures: int = 0
-
-    @property
-    def seen(self) -> set[str]:
-        """All replicas that were tried."""
-        return self.sent_to | self.refused_by
-
-
 class Forwarder:
     """
     Pass requests on to replicas.
@@ -195,7 +128,7 @@
             outcome = str(answer.status)
         except TimeoutError as error:
             outcome = 'deadline'
-            raise _make_deadline_error(tries, limit) from error
+            raise make_deadline_error(tries, limit) from error
         except LadderError as error:
             outcome = error.kind
             raise
@@ -232,16 +165,16 @@
             except TargetUnavailableError as error:
                 self._note_refusal(record, tries, error)
 
-    def _begin(self, route: Route, service: str, seconds: float) -> _Tries:
+    def _begin(self, route: Route, service: str, seconds: float) -> Tries:
         may_repeat = route.kind is RouteKind.idempotent or route.is_resumable
         began = self._timers.now()
-        return _Tries(service, not may_repeat, began, began + seconds)
+        return Tries(service, not may_repeat, began, began + seconds)
 
     def _note_end(
         self,
         route: Route,
         request: CallerRequest,
-        tries: _Tries,
+        tries: Tries,
         outcome: str,
     ) -> None:
         took = self._timers.now() - tries.began
@@ -262,7 +195,7 @@
         self,
         route: Route,
         request: CallerRequest,
-        tries: _Tries,
+        tries: Tries,
     ) -> WholeAnswer:
         answer = None
         while answer is None:
@@ -277,7 +210,7 @@
                     raise
         return answer
 
-    async def _select(self, tries: _Tries) -> ReplicaRecord:
+    async def _select(self, tries: Tries) -> ReplicaRecord:
         record = self._selection.select(tries.service, tries.seen)
         if record is not None and tries.refusals < _MAX_REFUSALS:
             if record.name in tries.seen:
@@ -291,7 +224,7 @@
         raise TargetUnavailableError(
             f'no replica of {tries.service} takes requests now',
             remedy='send the request again later',
-            retry_after=_RETRY_AFTER_SECONDS,
+            retry_after=RETRY_AFTER_SECONDS,
         )
 
     async def _try_one(
@@ -299,7 +232,7 @@
         route: Route,
         request: CallerRequest,
         record: ReplicaRecord,
-        tries: _Tries,
+        tries: Tries,
     ) -> WholeAnswer | None:
         """Return the answer, or None if another replica shall be tried."""
         began = self._timers.now()
@@ -337,10 +270,10 @@
         self,
         record: ReplicaRecord,
         request: CallerRequest,
-        tries: _Tries,
+        tries: Tries,
     ) -> AsyncIterator[OpenAnswer]:
         left = tries.deadline - self._timers.now()
-        with _count(record):
+        with count_request(record):
             tries.sent_to.add(record.name)
             try:
                 async with self._client.open(
@@ -357,7 +290,7 @@
     def _limit_try(
         self,
         route: Route,
-        tries: _Tries,
+        tries: Tries,
         record: ReplicaRecord,
     ) -> float | None:
         """Return the seconds for one try; None for all that is left."""
@@ -370,7 +303,7 @@
         usual = _TRY_OBJECTIVES * route.objective_seconds
         return max(usual, _MIN_TRY_SECONDS)
 
-    def _may_repeat(self, route: Route, tries: _Tries) -> bool:
+    def _may_repeat(self, route: Route, tries: Tries) -> bool:
         return (
             route.kind is RouteKind.idempotent
             and len(tries.sent_to) < route.max_attempts
@@ -380,7 +313,7 @@
     def _note_refusal(
         self,
         record: ReplicaRecord,
-        tries: _Tries,
+        tries: Tries,
         error: LadderError,
     ) -> None:
         now = self._timers.now()
@@ -395,30 +328,8 @@
     def _note_failure(
         self,
         record: ReplicaRecord,
-        tries: _Tries,
+        tries: Tries,
         error: LadderError,
     ) -> None:
         record.note_failure(self._timers.now())
         _tries_counter.labels(tries.service, error.kind).inc()
-
-
-@contextlib.contextmanager
-def _count(record: ReplicaRecord) -> Iterator[None]:
-    record.in_flight += 1
-    try:
-        yield
-    finally:
-        record.in_flight -= 1
-
-
-def _make_deadline_error(tries: _Tries, limit: float) -> LadderError:
-    if not tries.sent_to:
-        return TargetUnavailableError(
-            f'no replica of {tries.service} took the request in {limit:.2f} s',
-            remedy='send the request again later',
-            retry_after=_RETRY_AFTER_SECONDS,
-        )
-    return DeadlineError(
-        f'no answer within {limit:.2f} s',
-        remedy='allow more time, or read back whether it took effect',
-    )
