--- /dev/null
+++ b/packages/node/ladder_node/detours/tests/test_detours.py
@@ -0,0 +1,167 @@
+import asyncio
+
+import pytest
+
+from ladder_clients.exchanges import ConnectionPool
+from ladder_clients.table import StoreOutcomeUnknownError
+from ladder_core.errors import StoreUnavailableError
+from ladder_core.timeline import HybridClock, HybridTime, TimeLine
+from ladder_core.timers import SystemTimerService
+from ladder_node.detours import (
+    CarriedAnswer,
+    CarriedCall,
+    Detour,
+    DetourApp,
+    DetourError,
+)
+from ladder_node.serving import EntryServer
+from ladder_standins.fleet.ports import find_free_ports
+
+READ = CarriedCall('GET', '/rows', b'', True, 0)
+WRITE = CarriedCall('POST', '/rows', b'{}', False, 0)
+NOWHERE = '127.0.0.1:1'
+
+
+class Peer:
+    """A node that carries calls as its script says."""
+
+    def __init__(self, script):
+        self.carried = []
+        self.address = f'127.0.0.1:{find_free_ports(1)[0]}'
+        self._script = script
+        self._server = EntryServer(DetourApp(self._carry), self.address, 0)
+
+    async def start(self):
+        await self._server.start()
+
+    async def close(self):
+        await self._server.close()
+
+    async def _carry(self, call):
+        self.carried.append(call)
+        return await self._script()
+
+
+class Bench:
+    def __init__(self):
+        self.timers = SystemTimerService()
+        self.timeline = TimeLine('a', HybridClock(self.timers))
+        self.pool = ConnectionPool(self.timers)
+        self.peers = []
+        self.addresses: list[str] = []
+        self.detour = Detour(
+            self.pool,
+            lambda: self.addresses,
+            self.timers,
+            self.timeline,
+        )
+
+    async def add_peer(self, script):
+        peer = Peer(script)
+        await peer.start()
+        self.peers.append(peer)
+        self.addresses.append(peer.address)
+        return peer
+
+    def list_kinds(self):
+        return [one.kind for one in self.timeline.read(HybridTime(), 99)]
+
+    async def close(self):
+        await self.pool.close()
+        for peer in self.peers:
+            await peer.close()
+
+
+@pytest.fixture
+async def bench():
+    made = Bench()
+    await made.pool.start()
+    yield made
+    await made.close()
+
+
+async def answer():
+    return CarriedAnswer(200, b'rows')
+
+
+async def refuse():
+    raise StoreUnavailableError('down', remedy='wait')
+
+
+async def lose():
+    raise StoreOutcomeUnknownError('lost', remedy='read back')
+
+
+async def stay_silent():
+    await asyncio.sleep(3600)
+
+
+def lose_store(bench):
+    bench.detour.note_failure(is_hard=True, reason='no answer')
+
+
+async def test_calls_go_directly_until_the_direct_way_fails(bench):
+    assert not bench.detour.is_wanted()
+    lose_store(bench)
+    assert bench.detour.is_wanted()
+    bench.detour.note_success()
+    assert not bench.detour.is_wanted()
+    assert bench.list_kinds() == ['dependency-lost', 'dependency-regained']
+
+
+async def test_one_refusal_is_no_reason_for_a_detour(bench):
+    bench.detour.note_failure(is_hard=False, reason='429')
+    assert not bench.detour.is_wanted()
+    bench.detour.note_failure(is_hard=False, reason='429')
+    assert bench.detour.is_wanted()
+
+
+async def test_peer_makes_the_call_as_it_is(bench):
+    peer = await bench.add_peer(answer)
+    assert await bench.detour.carry(WRITE) == CarriedAnswer(200, b'rows')
+    assert peer.carried == [WRITE]
+
+
+async def test_next_peer_is_asked_when_one_is_gone(bench):
+    bench.addresses.append(NOWHERE)
+    await bench.add_peer(answer)
+    assert (await bench.detour.carry(READ)).status == 200
+
+
+async def test_refusals_of_all_peers_had_no_effect_and_are_shared(bench):
+    lose_store(bench)
+    await bench.add_peer(refuse)
+    await bench.add_peer(refuse)
+    assert not bench.detour.is_outage_shared()
+    with pytest.raises(DetourError):
+        await bench.detour.carry(WRITE)
+    assert bench.detour.is_outage_shared()
+
+
+async def test_write_whose_answer_a_peer_lost_is_not_made_by_another(bench):
+    first = await bench.add_peer(lose)
+    second = await bench.add_peer(answer)
+    carried = await bench.detour.carry(WRITE)
+    assert (carried.status, carried.is_undone) == (0, False)
+    assert len(first.carried) + len(second.carried) == 1
+
+
+async def test_read_that_a_peer_leaves_unanswered_is_made_by_another(bench):
+    await bench.add_peer(stay_silent)
+    await bench.add_peer(answer)
+    assert (await bench.detour.carry(READ)).status == 200
+
+
+async def test_unreachable_peers_tell_of_no_shared_outage(bench):
+    lose_store(bench)
+    bench.addresses.append(NOWHERE)
+    with pytest.raises(DetourError):
+        await bench.detour.carry(WRITE)
+    assert not bench.detour.is_outage_shared()
+
+
+async def test_peers_are_left_alone_after_none_could_help(bench):
+    lose_store(bench)
+    with pytest.raises(DetourError):
+        await bench.detour.carry(READ)
+    assert not bench.detour.is_wanted()
