--- a/packages/node/ladder_node/batches/drafts.py
+++ b/packages/node/ladder_node/batches/drafts.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 import msgspec
+from loguru import logger
 from prometheus_client import Counter
 
 from ladder_clients.table import (
@@ -164,8 +165,9 @@
             outcome = await self._table.commit(
                 Transaction(uuid.uuid4().hex, conditions, tuple(writes)),
             )
-        except (StoreUnavailableError, StoreOutcomeUnknownError):
+        except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
             _failed_counter.inc()
+            logger.info('texts in the making not saved: {}', error.message)
             return
         if not outcome.committed:
             self._fence.note_conflicts(shard, outcome.conflicts)
--- a/packages/node/ladder_node/batches/fence.py
+++ b/packages/node/ladder_node/batches/fence.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable, Iterable
 
 import msgspec
+from loguru import logger
 
 from ladder_clients.table import (
     Condition,
@@ -152,7 +153,12 @@
             try:
                 if await self._try_raise(shard):
                     return
-            except (StoreUnavailableError, StoreOutcomeUnknownError):
+            except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
+                logger.info(
+                    'partition {} is not fenced yet: {}',
+                    shard,
+                    error.message,
+                )
                 await self._timers.sleep(_RETRY_SECONDS)
 
     async def _try_raise(self, shard: str) -> bool:
--- a/packages/node/ladder_node/batches/ledger.py
+++ b/packages/node/ladder_node/batches/ledger.py
@@ -5,13 +5,13 @@
 from collections import deque
 from collections.abc import Callable
 
+from loguru import logger
 from prometheus_client import Counter, Histogram
 
 from ladder_clients.table import (
     Condition,
     Outcome,
     PartitionedTable,
-    Row,
     StoreOutcomeUnknownError,
     Transaction,
     Write,
@@ -188,14 +188,19 @@
                 self._revision = outcome.revision
                 return True
             return await self._explain(outcome, wanted)
-        except (StoreUnavailableError, StoreOutcomeUnknownError):
+        except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
+            logger.info(
+                'results of batch {} are not durable yet: {}',
+                self._batch_id,
+                error.message,
+            )
             return False
 
     async def _explain(self, outcome: Outcome, wanted: int) -> bool:
         """Tell whether a conflict is the trace of an own lost answer."""
         self._fence.note_conflicts(self._shard, outcome.conflicts)
         before = self._count
-        row = await self._read_position()
+        await self._read_position()
         if self._count == wanted:
             return True
         if self._count != before:
@@ -204,10 +209,9 @@
                 f' {before} or {wanted}',
                 remedy='read the batch anew under a new lease',
             )
-        del row
         return False
 
-    async def _read_position(self) -> Row | None:
+    async def _read_position(self) -> None:
         row = await self._table.read_part(
             POSITIONS_TABLE,
             self._shard,
@@ -215,7 +219,6 @@
         )
         self._count = int(row.body) if row else 0
         self._revision = row.revision if row else 0
-        return row
 
 
 def make_given_up(task_id: str) -> TaskResult:
