--- a/packages/clients/ladder_clients/replicas/base.py
+++ b/packages/clients/ladder_clients/replicas/base.py
@@ -102,8 +102,8 @@
         """
 
     @abstractmethod
-    def find_proof(self, answer: OpenAnswer) -> str:
-        """Return a replica's proof that it made an answer, or nothing."""
+    def find_signature(self, answer: OpenAnswer) -> str:
+        """Return a replica's signature of an answer, or nothing."""
 
     @abstractmethod
     def count_idle(self, replica: Replica) -> int:
--- a/packages/node/ladder_node/batches/records.py
+++ b/packages/node/ladder_node/batches/records.py
@@ -58,7 +58,7 @@
     versions : tuple of int
         Weight versions that produced events of the text.
     score : str
-        The scorer's proof of its answer.
+        The scorer's signature of its answer.
 
     """
 
--- a/packages/node/ladder_node/batches/scoring.py
+++ b/packages/node/ladder_node/batches/scoring.py
@@ -64,8 +64,8 @@
         Returns
         -------
         str or None
-            The scorer's proof; None if its failures are used up or its route
-            is gone.
+            The scorer's signature; None if its failures are used up, or its
+            route is gone.
 
         """
         scorer = work.spec.scorer
@@ -83,7 +83,7 @@
             answer = await self._call(route, request)
             if answer is not None and _OK <= answer.status < _REDIRECTION:
                 _scoring_histogram.observe(self._timers.now() - began)
-                return answer.proof
+                return answer.signature
             if answer is not None and answer.status == _SERVER_ERROR:
                 work.failed_scorings += answer.failures
             await self._timers.sleep(_PAUSE_SECONDS)
--- a/packages/node/ladder_node/batches/tests/fakes.py
+++ b/packages/node/ladder_node/batches/tests/fakes.py
@@ -86,8 +86,8 @@
     def count_idle(self, replica):
         return 0
 
-    def find_proof(self, answer):
-        return 'proof'
+    def find_signature(self, answer):
+        return 'signature'
 
     @contextlib.asynccontextmanager
     async def open(self, replica, request, seconds, *, is_fresh=False):
--- a/packages/node/ladder_node/batches/tests/test_whole_batches.py
+++ b/packages/node/ladder_node/batches/tests/test_whole_batches.py
@@ -40,7 +40,7 @@
     for one in results:
         parts = [f'{one.task_id}.{number}' for number in (1, 2, 3)]
         assert one.text == '\n'.join(parts)
-        assert (one.versions, one.score) == ((1,), 'proof')
+        assert (one.versions, one.score) == ((1,), 'signature')
 
 
 async def test_positions_never_change(world):
--- a/packages/node/ladder_node/forwarding/forwarder.py
+++ b/packages/node/ladder_node/forwarding/forwarder.py
@@ -5,7 +5,7 @@
 -----------
 A request that did not run may go to another replica whatever its kind. One
 that may have run goes on only if its route is idempotent. The number of
-replicas, the caller's time and the route's time limit bound all tries.
+replicas, the caller's time and the route's timeout bound all tries.
 
 """
 
@@ -106,7 +106,7 @@
         request : CallerRequest
             The request.
         seconds : float
-            Time that the caller waits; the route's time limit is kept too.
+            Time that the caller waits; the route's timeout is kept too.
 
         Raises
         ------
@@ -261,7 +261,7 @@
             answer.headers,
             body,
             record.name,
-            self._client.find_proof(answer),
+            self._client.find_signature(answer),
             tries.failures,
         )
 
--- a/packages/node/ladder_node/forwarding/tests/test_forwarder.py
+++ b/packages/node/ladder_node/forwarding/tests/test_forwarder.py
@@ -26,7 +26,7 @@
 class FakeAnswer:
     def __init__(self, status=200, body=b'done'):
         self.status = status
-        self.headers = ((b'proof', b'p'),)
+        self.headers = ((b'signature', b'p'),)
         self._body = body
 
     async def read(self):
@@ -44,7 +44,7 @@
     def count_idle(self, replica):
         return 0
 
-    def find_proof(self, answer):
+    def find_signature(self, answer):
         return 'p'
 
     @contextlib.asynccontextmanager
@@ -135,7 +135,7 @@
 
 async def test_nearest_replica_answers(bench):
     answer = await bench.forward()
-    assert (answer.status, answer.body, answer.proof) == (200, b'done', 'p')
+    assert (answer.status, answer.body, answer.signature) == (200, b'done', 'p')
     assert bench.visited == ['leith']
 
 
--- a/packages/node/ladder_node/forwarding/tries.py
+++ b/packages/node/ladder_node/forwarding/tries.py
@@ -31,8 +31,8 @@
         The whole body.
     replica : str
         Name of the replica.
-    proof : str
-        The replica's proof that it made the answer; empty if it has none.
+    signature : str
+        The replica's signature of the answer; empty if it has none.
     failures : int
         Answers to this request that said that a run failed.
 
@@ -42,7 +42,7 @@
     headers: tuple[Header, ...]
     body: bytes
     replica: str
-    proof: str = ''
+    signature: str = ''
     failures: int = 0
 
 
--- a/packages/policy/ladder_policy/admission/patience.py
+++ b/packages/policy/ladder_policy/admission/patience.py
@@ -21,7 +21,7 @@
 
 class Patience:
     """
-    A time limit that follows the service's usual time.
+    A timeout that follows the service's usual time.
 
     Examples
     --------
@@ -43,7 +43,7 @@
 
     @property
     def seconds(self) -> float:
-        """The time limit of the next call."""
+        """The timeout of the next call."""
         wanted = max(self._floor, _TIMES_USUAL * self._usual)
         return round(min(wanted, _MOST_SECONDS), 3)
 
