--- a/packages/node/ladder_node/batches/tests/test_drafts.py
+++ b/packages/node/ladder_node/batches/tests/test_drafts.py
@@ -85,7 +85,7 @@
 
 async def test_pieces_of_two_holders_are_never_joined(bench):
     """
-    Hunt of 360629b, trouble-2 with seed 81679456143: rule on the order.
+    Hunt of a2210ba, trouble-2 with seed 81679456143: rule on the order.
 
     A new holder that began a text anew wrote its first piece over the old
     one; the pieces of the old run after it were joined to the new run.
