Keep long texts off the engines that are slower for good

The pace of an engine that had had no task for 6 s was forgotten, and it was taken for a quick one; of what was known, a ratio of 1.3 counted as no difference (2 for the choice, 2.5 for a move).

Change: an engine keeps a usual pace beside the recent one; engines that were never measured are taken for average ones, whatever the deployment's speed; a text that only a quicker engine can have ready in time waits for it; a run moves from a ratio of 1.2 on if that saves half a second; gaps during loads are no pace, and one gap counts four times the pace at most.

The patterns stand in test_load_patterns.py.

--- a/packages/node/ladder_node/batches/dispatch.py
+++ b/packages/node/ladder_node/batches/dispatch.py
@@ -20,8 +20,9 @@
 _SILENT_SECONDS = 1
 _LOADING_SILENT_SECONDS = 3.5
 _FIRST_EVENT_SECONDS = 2
-# A run moves to a quicker engine if that saves at least this time.
-_MOVE_RATIO = 2.5
+# A run moves to a quicker engine if that saves at least this time; the new
+# engine reads the text so far in some ten milliseconds.
+_MOVE_RATIO = 1.2
 _MOVE_SAVES_SECONDS = 0.5
 
 Start = Callable[[BatchWork, TaskWork, RunWatch], None]
--- a/packages/node/ladder_node/batches/engines.py
+++ b/packages/node/ladder_node/batches/engines.py
@@ -4,13 +4,13 @@
 
 from ladder_core.values import Replica
 from ladder_node.replicas import ReplicaBoard, ReplicaRecord
-from ladder_policy.rollouts import EngineHoldings, EngineView
+from ladder_policy.rollouts import (
+    EngineHoldings,
+    EnginePace,
+    EngineView,
+    FleetPace,
+)
 
-# Time for a token before the first measurement; what counts is the ratio of
-# engines, and any start is corrected by the first texts.
-_FIRST_TOKEN_SECONDS = 0.0007
-_NEWEST_SHARE = 0.3
-_MEMORY_SECONDS = 6
 # Groups whose prompts an engine is assumed to hold.
 _PREFIXES = 64
 
@@ -23,6 +23,8 @@
     ----------
     record : ReplicaRecord
         What is known of the replica.
+    fleet : FleetPace
+        Pace of all engines.
 
     Attributes
     ----------
@@ -34,13 +36,12 @@
         Orders that the engine has accepted; None if not known.
     """
 
-    def __init__(self, record: ReplicaRecord) -> None:
+    def __init__(self, record: ReplicaRecord, fleet: FleetPace) -> None:
         self.record = record
         self.running: dict[str, str] = {}
         self.loading = ''
         self.orders: int | None = None
-        self._token_seconds = _FIRST_TOKEN_SECONDS
-        self._measured_at: float = 0
+        self._pace = EnginePace(fleet)
         self._prefixes: dict[str, None] = {}
 
     @property
@@ -66,26 +67,13 @@
         self.running.pop(task_id, None)
 
     def note_speed(self, token_seconds: float, now: float) -> None:
-        """Take the measured time for a token."""
-        self._token_seconds = self.find_pace(now)
-        change = token_seconds - self._token_seconds
-        self._token_seconds += _NEWEST_SHARE * change
-        self._measured_at = now
+        """Take the measured time for a token; a load halts all texts."""
+        if not self.loading:
+            self._pace.note(token_seconds, now)
 
     def find_pace(self, now: float) -> float:
-        """
-        Return the seconds for a token.
-
-        Explanation
-        -----------
-        An engine that was slow gets no tasks, so no measurement would ever
-        show that it has recovered. What was measured is therefore forgotten
-        after a while.
-
-        """
-        if now - self._measured_at > _MEMORY_SECONDS:
-            return _FIRST_TOKEN_SECONDS
-        return self._token_seconds
+        """Return the seconds for a token."""
+        return self._pace.find(now)
 
     def view(self, group: str, now: float) -> EngineView:
         """Return what the choice of an engine looks at."""
@@ -124,6 +112,7 @@
     def __init__(self, board: ReplicaBoard) -> None:
         self._board = board
         self._states: dict[str, EngineState] = {}
+        self._fleet = FleetPace()
 
     def find(self, name: str) -> EngineState | None:
         """Return an engine that is listed, or None."""
@@ -159,7 +148,7 @@
     def _track(self, record: ReplicaRecord) -> EngineState:
         state = self._states.get(record.name)
         if state is None or state.record is not record:
-            state = EngineState(record)
+            state = EngineState(record, self._fleet)
             self._states[record.name] = state
         return state
 
@@ -168,5 +157,5 @@
     """Return the seconds for a token at the quickest of some engines."""
     return min(
         (engine.find_pace(now) for engine in engines),
-        default=_FIRST_TOKEN_SECONDS,
+        default=FleetPace().seconds,
     )
--- a/packages/policy/ladder_policy/rollouts/__init__.py
+++ b/packages/policy/ladder_policy/rollouts/__init__.py
@@ -9,10 +9,13 @@
     plan_loads,
 )
 from ladder_policy.rollouts.order import TaskView, order_tasks
+from ladder_policy.rollouts.pace import EnginePace, FleetPace
 
 __all__ = (
     'EngineHoldings',
+    'EnginePace',
     'EngineView',
+    'FleetPace',
     'LoadDecision',
     'ModelNeed',
     'TaskView',
--- a/packages/policy/ladder_policy/rollouts/engines.py
+++ b/packages/policy/ladder_policy/rollouts/engines.py
@@ -4,8 +4,11 @@
 from dataclasses import dataclass
 
 # An engine that needs this many times as long for a token as the quickest
-# one is left free while the task can still be in time on a quicker one.
-_SLOW_RATIO = 2
+# one is left free while only a quicker one can be in time.
+_SLOW_RATIO = 1.15
+# A quicker engine is also waited for if its result is late by less than this:
+# the trainer's next step begins with the last text of this one.
+_LATE_SECONDS = 1.5
 # What reading a prompt again costs against a run where its group has run.
 _PREFIX_SECONDS = 0.03
 
@@ -65,6 +68,8 @@
     True
     >>> choose_engine([slow], 500, 3, quickest=0.001).name
     'slow'
+    >>> choose_engine([slow], 9000, 3, quickest=0.001).name
+    'slow'
 
     """
 
@@ -77,6 +82,6 @@
     if best is None:
         return None
     is_slow = best.token_seconds > _SLOW_RATIO * quickest
-    if is_slow and tokens * best.token_seconds > seconds_left:
-        return None
-    return best
+    is_late = tokens * best.token_seconds > seconds_left
+    helps = tokens * quickest <= seconds_left + _LATE_SECONDS
+    return None if is_slow and is_late and helps else best
--- a/packages/policy/ladder_policy/rollouts/tests/test_load_patterns.py
+++ b/packages/policy/ladder_policy/rollouts/tests/test_load_patterns.py
@@ -14,7 +14,9 @@
 
 from ladder_policy.rollouts import (
     EngineHoldings,
+    EnginePace,
     EngineView,
+    FleetPace,
     ModelNeed,
     TaskView,
     assign_homes,
@@ -85,9 +87,9 @@
     return sum(groups.values()) / len(groups)
 
 
-def find_chosen(engines, tokens, seconds_left):
+def find_chosen(engines, tokens, seconds_left, quickest=0.001):
     """Return the name of the engine that is chosen, or None to wait."""
-    chosen = choose_engine(engines, tokens, seconds_left, quickest=0.001)
+    chosen = choose_engine(engines, tokens, seconds_left, quickest)
     return chosen.name if chosen else None
 
 
@@ -232,3 +234,61 @@
     after = assign_homes('abcdef', {'m': 3, 'n': 1}, before, overlap=1)
     assert set(before['m']) <= set(after['m'])
     assert len(after['m']) > len(before['m'])
+
+
+def test_pattern_a_third_of_the_engines_is_slower_for_good():
+    """
+    Cellarwatch grown, trouble-3: an engine that had been idle was taken for a
+    quick one, and made the three longest texts of a step late.
+    """
+    fleet = FleetPace()
+    engines = {name: EnginePace(fleet) for name in ('quick', 'same', 'slow')}
+    for moment in range(40):
+        for name, pace in engines.items():
+            pace.note(0.00085 if name == 'slow' else 0.00065, moment / 20)
+    idle_since = 30
+    views = [
+        EngineView(name, pace.find(idle_since), free_slots=6)
+        for name, pace in engines.items()
+        if name != 'same'
+    ]
+    longest = 157 * 75
+    quickest = min(view.token_seconds for view in views)
+    assert find_chosen(views, longest, 7.5, quickest) == 'quick'
+    slow = [view for view in views if view.name == 'slow']
+    assert find_chosen(slow, longest, 7.5, quickest) is None
+    assert find_chosen(slow, longest / 3, 7.5, quickest) == 'slow'
+
+
+def test_pattern_an_engine_turns_slow_and_recovers():
+    fleet = FleetPace()
+    engines = [EnginePace(fleet) for _ in range(5)]
+    for moment in range(100):
+        for number, pace in enumerate(engines):
+            pace.note(0.0025 if number == 0 else 0.0007, moment / 20)
+    assert engines[0].find(5) > 2 * engines[1].find(5)
+    # Without tasks it is tried again, but not with long texts.
+    view = EngineView('0', engines[0].find(20), free_slots=6)
+    assert find_chosen([view], 3000, 7.5, 0.0007) == '0'
+    assert find_chosen([view], 10000, 7.5, 0.0007) is None
+    for moment in range(30):
+        engines[0].note(0.0007, 20 + moment / 20)
+    assert engines[0].find(22) == pytest.approx(0.0007, rel=0.05)
+
+
+def test_pattern_all_texts_of_an_engine_halt_during_a_load():
+    fleet = FleetPace()
+    pace = EnginePace(fleet)
+    for moment in range(20):
+        pace.note(0.0007, moment / 20)
+    pace.note(0.0127, 2)
+    assert pace.find(2) < 1.6 * 2 * 0.0007
+
+
+@pytest.mark.parametrize('seconds', [0.0001, 0.02])
+def test_pace_of_a_new_engine_is_that_of_the_fleet(seconds):
+    fleet = FleetPace()
+    known = EnginePace(fleet)
+    for moment in range(50):
+        known.note(seconds, moment / 20)
+    assert EnginePace(fleet).find(3) == pytest.approx(known.find(3), rel=0.1)
