Spare the whole of an outage that a single call shows; steadier paces

The outage was counted from the end of the first failed look to the end of the last one, which is nothing for a single one. It is counted from the first look's beginning now; the test failed before.

--- a/packages/node/ladder_node/leases/keeper.py
+++ b/packages/node/ladder_node/leases/keeper.py
@@ -1,6 +1,7 @@
 """Acquire, renew and release the leases of one node."""
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from loguru import logger
 from prometheus_client import Counter, Gauge
@@ -37,6 +38,14 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class _Failure:
+    """A look at a lease that the table did not answer."""
+
+    began: float
+    ended: float
+
+
 class LeaseKeeper(Service):
     """
     Hold leases for the duties of one node.
@@ -78,7 +87,7 @@
         self._timers = timers
         self._timeline = timeline
         self._watch = ExpiryWatch(timers)
-        self._failures: list[float] = []
+        self._failures: list[_Failure] = []
         self._held: dict[str, Lease] = {}
         self._acquiring: set[str] = set()
         self._subscription: Subscription | None = None
@@ -128,11 +137,12 @@
         if held is not None:
             self._lose(held, 'expired')
         self._acquiring.add(name)
+        began = self._timers.now()
         try:
             return await self._acquire(name)
         except _STORE_ERRORS as error:
             logger.warning('lease {} not acquired: {}', name, error)
-            self._failures.append(self._timers.now())
+            self._failures.append(_Failure(began, self._timers.now()))
             return None
         finally:
             self._acquiring.discard(name)
@@ -221,7 +231,7 @@
         if not self._failures:
             return
         # Not counted to the present: this node itself may have been paused.
-        outage = self._failures[-1] - self._failures[0]
+        outage = self._failures[-1].ended - self._failures[0].began
         self._failures.clear()
         is_long = outage > _OUTAGE_RENEWALS * self._term.renewal
         if is_long and self._term.spares_outages:
--- a/packages/node/ladder_node/leases/tests/test_lease.py
+++ b/packages/node/ladder_node/leases/tests/test_lease.py
@@ -305,6 +305,44 @@
     assert [event.kind for event in events] == ['lease-acquired']
 
 
+async def test_outage_that_one_silent_call_shows_is_spared():
+    """
+    Ergasia grown, scale-1: the store was silent for 2.4 s; the next look took
+    the lease of a holder that had not been able to renew it.
+    """
+    timers = ManualTimerService()
+    rows = TableRows(ignore_write)
+    silent = CallConditions(CallEnding.refused, before=2.4)
+    conditions = [CallConditions() for _ in range(3)]
+    table = TimedTable(rows, timers, lambda: conditions.pop(0))
+    term = LeaseTerm(2.2, 0.3, 0.5, spares_outages=True)
+    holder, other = (
+        LeaseKeeper(
+            TimedTable(rows, timers) if name == 'a' else table,
+            Holder(name, name),
+            timers,
+            TimeLine(name, HybridClock(timers)),
+            term,
+        )
+        for name in 'ab'
+    )
+    assert await acquire(holder, timers) is not None
+    assert await acquire(other, timers) is None
+    conditions[:] = [silent, *(CallConditions() for _ in range(9))]
+    assert await acquire(other, timers) is None
+    assert await acquire(other, timers) is None
+    await timers.advance(2.3)
+    assert await acquire(other, timers) is not None
+
+
+async def acquire(keeper, timers):
+    """Return what a keeper acquires, however long the table takes."""
+    acquiring = asyncio.ensure_future(keeper.acquire(DUTY))
+    while not acquiring.done():
+        await timers.advance(0.1)
+    return acquiring.result()
+
+
 def test_a_lost_node_moves_its_own_duties_only():
     nodes = [f'node-{one}' for one in range(10)]
     duties = [f'duty-{one}' for one in range(200)]
--- a/packages/policy/ladder_policy/rollouts/pace.py
+++ b/packages/policy/ladder_policy/rollouts/pace.py
@@ -1,10 +1,13 @@
 """How fast an engine generates, as far as its texts tell."""
 
 # Share of the newest measurement in the pace of the moment, in the steady one
-# and in that of all engines. Gaps differ by half from event to event, with the
-# prompts of other texts that are read between; engines differ by a third.
+# and in that of all engines; the last two begin as plain averages. Gaps differ
+# by half from event to event, with the prompts of other texts that are read
+# between; engines differ by a third.
 _MOMENT_SHARE = 0.3
-_STEADY_SHARE = 0.05
+_STEADY_SHARE = 0.02
+# Measurements that the pace of the moment stands for.
+_MOMENT_COUNT = 3
 _FLEET_SHARE = 0.005
 # A moment that differs by more than this ratio is a change of the engine.
 _TURN_RATIO = 1.8
@@ -84,6 +87,7 @@
         self._moment: float = 0
         self._steady: float = 0
         self._usual: float = 0
+        self._count = 0
         self._measured_at: float | None = None
 
     def note(self, seconds: float, now: float) -> None:
@@ -93,13 +97,17 @@
             self._usual = seconds
         if self._is_forgotten(now):
             self._moment = self._steady = seconds
+            self._count = 0
         self._measured_at = now
         gap = min(seconds, _MOST_RATIO * self._moment)
         self._moment += _MOMENT_SHARE * (gap - self._moment)
-        self._steady += _STEADY_SHARE * (gap - self._steady)
+        self._count += 1
+        share = max(1 / self._count, _STEADY_SHARE)
+        self._steady += share * (gap - self._steady)
         ratio = self._moment / self._steady
         if not 1 / _TURN_RATIO <= ratio <= _TURN_RATIO:
             self._steady = self._moment
+            self._count = _MOMENT_COUNT
         usual = self._usual * (1 + _FORGET_SHARE)
         self._usual = min(usual, self._steady)
 
--- a/packages/policy/ladder_policy/rollouts/tests/test_load_patterns.py
+++ b/packages/policy/ladder_policy/rollouts/tests/test_load_patterns.py
@@ -306,8 +306,9 @@
     worst = 1.0
     for moment in range(200):
         for pace in engines:
-            prompts = drawn.choice((0, 0, 0, 1, 1, 2, 4))
-            pace.note(0.00065 + prompts * 0.003 / 75, moment / 20)
+            gap = 0.049 + drawn.uniform(-0.015, 0.015)
+            gap += 0.003 * drawn.choice((0, 0, 0, 1, 1, 2, 4))
+            pace.note(gap / 75, moment / 20)
         found = [pace.find(moment / 20) for pace in engines]
         if moment > 20:
             worst = max(worst, max(found) / min(found))
