--- a/packages/node/ladder_node/leases/tests/test_lease.py
+++ b/packages/node/ladder_node/leases/tests/test_lease.py
@@ -335,6 +335,25 @@
     assert await acquire(other, timers) is not None
 
 
+async def test_seeker_looks_again_soon_after_a_slow_look():
+    timers = ManualTimerService()
+    rows = TableRows(ignore_write)
+    slow = CallConditions(CallEnding.refused, before=10)
+    conditions = [slow, *(CallConditions() for _ in range(9))]
+    keeper = LeaseKeeper(
+        TimedTable(rows, timers, lambda: conditions.pop(0)),
+        Holder('a', 'a'),
+        timers,
+        TimeLine('a', HybridClock(timers)),
+    )
+    seeker = DutySeeker(keeper, 'a', lambda: ['a'], timers)
+    seeking = asyncio.ensure_future(seeker.seek(DUTY))
+    await timers.advance(10.1)
+    assert await seeking is None
+    await timers.advance(3)
+    assert await seeker.seek(DUTY) is not None
+
+
 async def acquire(keeper, timers):
     """Return what a keeper acquires, however long the table takes."""
     acquiring = asyncio.ensure_future(keeper.acquire(DUTY))
--- a/packages/node/ladder_node/members/tests/test_membership.py
+++ b/packages/node/ladder_node/members/tests/test_membership.py
@@ -10,6 +10,12 @@
     def __init__(self):
         super().__init__()
         self.wait = None
+        self.wait_to_read = None
+
+    async def scan_part(self, *arguments, **options):
+        if self.wait_to_read is not None:
+            await self.wait_to_read()
+        return await super().scan_part(*arguments, **options)
 
     async def commit(self, transaction):
         if self.wait is not None:
@@ -114,6 +120,21 @@
     assert 0 < node.own.beats <= 6
 
 
+async def test_nodes_are_read_soon_after_a_read_that_took_long():
+    fleet = Fleet('a')
+    await fleet.start()
+    fleet.table.wait_to_read = lambda: fleet.timers.sleep(10)
+    await fleet.timers.advance(1)
+    fleet.table.wait_to_read = None
+    await fleet.timers.advance(10)
+    late = fleet.make('b')
+    await late.start()
+    await fleet.timers.advance(9)
+    assert fleet.seen_by('a') == ['a', 'b']
+    await late.close()
+    await fleet.close()
+
+
 def test_callers_get_the_nearest_nodes_in_a_stable_order():
     members = [
         Member(f'{centre}-{number}', f'{centre}:{number}', centre, region, '')
