--- a/packages/node/ladder_node/leases/spread.py
+++ b/packages/node/ladder_node/leases/spread.py
@@ -14,7 +14,11 @@
 
 import xxhash
 
-_MAX_DOUBLINGS = 10
+# By which a node's period is longer than that of the rank before: small, so
+# that a lease is found although the first ranks are cut off; above one, so that
+# the reads of a duty stay the same however many nodes there are.
+_GROWTH = 1.25
+_MAX_RANK = 20
 _FRACTIONS = 1024
 _ALIKE: Mapping[str, float] = MappingProxyType({})
 
@@ -70,9 +74,9 @@
 
     Explanation
     -----------
-    The period doubles with each rank, so the reads of a duty stay the same
-    however many nodes there are; a duty is taken over also when the first
-    ranks are all gone and the host list still names them.
+    The period grows by the same ratio with each rank, so the reads of a duty
+    stay the same however many nodes there are; a duty is taken over also when
+    the first ranks are all gone and the host list still names them.
 
     Parameters
     ----------
@@ -89,14 +93,15 @@
 
     Examples
     --------
-    >>> [choose_period('pool/taproom', 'node-1', rank) for rank in range(4)]
-    [1, 2, 4, 8]
+    >>> periods = [choose_period('taproom', 'node-1', rank) for rank in range(4)]
+    >>> [round(period, 2) for period in periods]
+    [1.0, 1.25, 1.56, 1.95]
 
     """
-    if rank < _MAX_DOUBLINGS:
-        return 1 << rank
+    if rank < _MAX_RANK:
+        return _GROWTH**rank
     fraction = _weigh(duty, node) % _FRACTIONS / _FRACTIONS
-    return (1 << _MAX_DOUBLINGS) * (1 + fraction)
+    return _GROWTH**_MAX_RANK * (1 + fraction)
 
 
 def _weigh(duty: str, node: str) -> int:
--- a/packages/node/ladder_node/leases/tests/test_lease.py
+++ b/packages/node/ladder_node/leases/tests/test_lease.py
@@ -354,6 +354,41 @@
     assert await seeker.seek(DUTY) is not None
 
 
+async def test_lease_is_taken_although_the_first_ranks_are_cut_off():
+    """
+    Ergasia grown, trouble-1: after a loss of power the table refused the
+    holder and the first ranks; the lease was taken 4.0 s after the start.
+    """
+    timers = ManualTimerService()
+    rows = TableRows(ignore_write)
+    nodes = [f'node-{one}' for one in range(80)]
+    term = LeaseTerm(2.2, 0.3, 0.5)
+    ranked = sorted(nodes, key=lambda node: rank_node(DUTY, node, nodes))
+    keepers = {
+        name: LeaseKeeper(
+            TimedTable(rows, timers),
+            Holder(name, name),
+            timers,
+            TimeLine(name, HybridClock(timers)),
+            term,
+        )
+        for name in ranked
+    }
+    assert await keepers[ranked[0]].acquire(DUTY) is not None
+    seekers = [
+        DutySeeker(keepers[name], name, nodes.copy, timers, 0.35)
+        for name in ranked[5:]
+    ]
+    elapsed = 0.0
+    while True:
+        found = [await seeker.seek(DUTY) for seeker in seekers]
+        if any(found):
+            break
+        await timers.advance(0.1)
+        elapsed += 0.1
+    assert elapsed < 2.2 + 2.2
+
+
 async def acquire(keeper, timers):
     """Return what a keeper acquires, however long the table takes."""
     acquiring = asyncio.ensure_future(keeper.acquire(DUTY))
