Give calls up only after a silence; remove texts row by row

A full partition takes up to a second for a write, and a slow store longer for an object, while reads are quick: such calls would have been sent again and again. Calls are given up only within 3 s after one that reached its limit without an answer; test added. - a task with more rows of text than one transaction takes would have kept all others from being removed; rows are removed in portions.

--- a/packages/clients/ladder_clients/exchanges/pending.py
+++ b/packages/clients/ladder_clients/exchanges/pending.py
@@ -11,6 +11,9 @@
 # An answer within this time shows that the service is not slow, and an
 # exchange that has waited for longer than that was lost.
 _QUICK_SECONDS = 0.5
+# Time after a silence in which answers are taken for the service's return.
+# Without one, an exchange that takes long may just be a slow one.
+_RETURN_SECONDS = 3
 
 
 @dataclass(slots=True, eq=False)
@@ -29,8 +32,8 @@
     Explanation
     -----------
     A service that falls silent leaves exchanges behind that wait for their
-    whole time limit, also after it has returned. Once a later exchange was
-    answered quickly, the older ones are given up.
+    whole time limit, also after it has returned. Once an exchange that began
+    later is answered quickly, the older ones are given up.
 
     Parameters
     ----------
@@ -42,6 +45,11 @@
     def __init__(self, timers: TimerService) -> None:
         self._timers = timers
         self._exchanges: set[_Exchange] = set()
+        self._silent_at: float | None = None
+
+    def note_silence(self) -> None:
+        """Note an exchange that reached its time limit without an answer."""
+        self._silent_at = self._timers.now()
 
     @contextlib.asynccontextmanager
     async def follow(self, wait_seconds: float) -> AsyncIterator[None]:
@@ -81,9 +89,15 @@
 
     def _note_answer(self, answered: _Exchange) -> None:
         now = self._timers.now()
-        if now - answered.began > _QUICK_SECONDS:
+        is_slow = now - answered.began > _QUICK_SECONDS
+        if is_slow or not self._was_silent(now):
             return
         for exchange in self._exchanges:
             age = now - exchange.began - exchange.wait_seconds
             if exchange.began < answered.began and age > _QUICK_SECONDS:
                 exchange.scope.reschedule(asyncio.get_running_loop().time())
+
+    def _was_silent(self, now: float) -> bool:
+        if self._silent_at is None:
+            return False
+        return now - self._silent_at <= _RETURN_SECONDS
--- a/packages/clients/ladder_clients/exchanges/tests/test_pending.py
+++ b/packages/clients/ladder_clients/exchanges/tests/test_pending.py
@@ -38,6 +38,7 @@
     """
     lost = bench.begin(2)
     await bench.advance(0.9)
+    bench.pending.note_silence()
     bench.begin(0.01)
     await bench.advance(0.02)
     with pytest.raises(AbandonedError):
@@ -46,6 +47,7 @@
 
 async def test_slow_answer_gives_nothing_up(bench):
     older = bench.begin(2)
+    bench.pending.note_silence()
     await bench.advance(0.1)
     bench.begin(0.8)
     await bench.advance(0.85)
@@ -53,11 +55,23 @@
     older.cancel()
 
 
+async def test_call_that_is_only_slow_goes_on_without_a_silence(bench):
+    """A full partition takes a second for a write while reads are quick."""
+    slow = bench.begin(1)
+    await bench.advance(0.9)
+    bench.begin(0.01)
+    await bench.advance(0.02)
+    assert not slow.done()
+    await bench.advance(0.1)
+    assert slow.exception() is None
+
+
 async def test_young_and_waiting_calls_go_on(bench):
     waiting = bench.begin(1.2, wait_seconds=1)
     await bench.advance(0.8)
     young = bench.begin(0.4)
     await bench.advance(0.2)
+    bench.pending.note_silence()
     bench.begin(0.01)
     await bench.advance(0.02)
     assert not waiting.done()
--- a/packages/node/ladder_node/batches/drafts.py
+++ b/packages/node/ladder_node/batches/drafts.py
@@ -88,7 +88,7 @@
         self._table = table
         self._fence = fence
         self._marks: dict[str, _Mark] = {}
-        self._rows: dict[str, list[str]] = {}
+        self._rows: dict[str, dict[str, None]] = {}
 
     async def save(self, batch: BatchWork) -> None:
         """
@@ -111,7 +111,7 @@
             write = self._make_write(batch, work, piece)
             writes.append(write)
             key = batch.make_key(work)
-            self._rows.setdefault(key, []).append(write.key)
+            self._rows.setdefault(key, {})[write.key] = None
             events = piece.first - 1 + len(piece.parts)
             marks[key] = _Mark(work.draft.generation, events)
         shard = find_shard(batch.batch_id)
@@ -131,23 +131,19 @@
                 keys.pop(key)
 
     async def _remove_done(self, batch: BatchWork) -> None:
-        shard = find_shard(batch.batch_id)
-        done = [
+        done = (
             batch.make_key(work)
             for work in batch.tasks.values()
-            if work.stage is Stage.done and batch.make_key(work) in self._rows
+            if work.stage is Stage.done
+        )
+        found = [(key, row) for key in done for row in self._rows.get(key, ())][
+            :_MAX_ROWS
         ]
-        removals: list[Write] = []
-        for key in done:
-            rows = self._rows[key]
-            if len(removals) + len(rows) > _MAX_ROWS:
-                break
-            removals += [Write(DRAFTS_TABLE, row, None, shard) for row in rows]
-        if removals and await self._commit(shard, removals):
-            removed = {write.key for write in removals}
-            for key in done:
-                if removed.issuperset(self._rows[key]):
-                    self._rows.pop(key)
+        shard = find_shard(batch.batch_id)
+        writes = [Write(DRAFTS_TABLE, row, None, shard) for _, row in found]
+        if writes and await self._commit(shard, writes):
+            for key, row in found:
+                self._rows[key].pop(row)
 
     def _cut_pieces(
         self,
--- a/packages/node/ladder_node/batches/runs.py
+++ b/packages/node/ladder_node/batches/runs.py
@@ -118,7 +118,8 @@
                 replica=watch.engine.record.name,
                 events=len(work.draft.parts),
             )
-            work.moves += reason == 'slow'
+            if reason == 'slow':
+                work.moves += 1
             self.cancel(batch, work)
 
     def give_up_expired(self) -> None:
--- a/packages/node/ladder_node/batches/scoring.py
+++ b/packages/node/ladder_node/batches/scoring.py
@@ -16,8 +16,8 @@
 _OK = 200
 _REDIRECTION = 300
 _PAUSE_SECONDS = 0.1
-# Nobody waits for a single score, so a call may try all replicas even if each
-# needs as long as a caller of the route would wait.
+# A step waits far longer than a caller of the route, so a call may try all
+# replicas even if each of them is slow.
 _ROUTE_TIMEOUTS = 3
 
 _scoring_histogram = Histogram(
--- a/packages/node/ladder_node/batches/tests/test_whole_batches.py
+++ b/packages/node/ladder_node/batches/tests/test_whole_batches.py
@@ -231,7 +231,7 @@
 
 
 async def test_dark_engine_holds_a_text_up_for_little_more_than_a_second(world):
-    """Grown cellarwatch, trouble-1: an engine went dark before a first event."""
+    """Grown cellarwatch, trouble-1: an engine went dark before an event."""
     engines = world.nodes['a'].engines
     engines.seconds['e0'] = 60
     await world.submit(make_batch())
--- a/packages/node/ladder_node/leases/spread.py
+++ b/packages/node/ladder_node/leases/spread.py
@@ -93,7 +93,7 @@
 
     Examples
     --------
-    >>> periods = [choose_period('taproom', 'node-1', rank) for rank in range(4)]
+    >>> periods = [choose_period('pool', 'node-1', rank) for rank in range(4)]
     >>> [round(period, 2) for period in periods]
     [1.0, 1.25, 1.56, 1.95]
 
--- a/packages/node/ladder_node/leases/tests/test_lease.py
+++ b/packages/node/ladder_node/leases/tests/test_lease.py
@@ -328,7 +328,8 @@
     )
     assert await acquire(holder, timers) is not None
     assert await acquire(other, timers) is None
-    conditions[:] = [silent, *(CallConditions() for _ in range(9))]
+    conditions.clear()
+    conditions += [silent, *(CallConditions() for _ in range(9))]
     assert await acquire(other, timers) is None
     assert await acquire(other, timers) is None
     await timers.advance(2.3)
@@ -379,7 +380,7 @@
         DutySeeker(keepers[name], name, nodes.copy, timers, 0.35)
         for name in ranked[5:]
     ]
-    elapsed = 0.0
+    elapsed: float = 0
     while True:
         found = [await seeker.seek(DUTY) for seeker in seekers]
         if any(found):
--- a/packages/policy/ladder_policy/rollouts/pace.py
+++ b/packages/policy/ladder_policy/rollouts/pace.py
@@ -103,7 +103,8 @@
         if self._measured_at is None:
             self._usual = seconds
         if self._is_forgotten(now):
-            self._moment = self._steady = seconds
+            self._moment = seconds
+            self._steady = seconds
             self._count = 0
         self._measured_at = now
         gap = min(seconds, _MOST_RATIO * self._moment)
