--- a/packages/node/ladder_node/batches/intake.py
+++ b/packages/node/ladder_node/batches/intake.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 import msgspec
+from prometheus_client import Histogram
 
 from ladder_clients.table import HistoryLostError, Row
 from ladder_core.errors import StoreUnavailableError
@@ -34,6 +35,12 @@
 # to the table are shared with the lease and with callers.
 _READS_AT_ONCE = 4
 
+_batch_histogram = Histogram(
+    'ladder_batch_seconds',
+    'Time from the acceptance of a batch to its last durable result',
+    buckets=(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 12, 16, 24),
+)
+
 
 @dataclass(frozen=True, slots=True)
 class _Found:
@@ -286,6 +293,20 @@
         if batch is not None and batch.ledger.count >= batch.head.total:
             self._book.close(batch_id)
             batch.ledger.close()
+            self._note_complete(batch)
+
+    def _note_complete(self, batch: BatchWork) -> None:
+        opened = batch.due - batch.head.step_seconds
+        seconds = self._parts.timers.now() - opened
+        _batch_histogram.observe(seconds)
+        self._parts.timeline.record(
+            'batch-completed',
+            batch.batch_id,
+            model=batch.spec.model,
+            step=batch.spec.step,
+            seconds=round(seconds, 3),
+            left=round(batch.due - self._parts.timers.now(), 3),
+        )
 
 
 def _find_age(head: BatchHead, oldest: float | None) -> float:
--- a/packages/node/ladder_node/batches/tests/test_whole_batches.py
+++ b/packages/node/ladder_node/batches/tests/test_whole_batches.py
@@ -51,6 +51,17 @@
         assert (one.versions, one.score) == ((1,), 'signature')
 
 
+async def test_completed_batch_tells_how_long_it_took(world):
+    """Incident inc-1d00: nothing told by how much trainers fell behind."""
+    node = world.nodes['a']
+    node.engines.lengths['b-g0-0'] = 50
+    await world.submit(make_batch())
+    await world.advance(4)
+    events = node.list_events('batch-completed')
+    assert [event.subject for event in events] == ['b']
+    assert 2 <= float(events[0].fields['seconds']) <= 2.5
+
+
 async def test_positions_never_change(world):
     await world.submit(make_batch(groups=2))
     seen: dict[int, object] = {}
--- a/packages/node/ladder_node/forwarding/forwarder.py
+++ b/packages/node/ladder_node/forwarding/forwarder.py
@@ -13,20 +13,24 @@
 import contextlib
 from collections.abc import AsyncIterator, Callable
 
-from prometheus_client import Counter, Histogram
+from prometheus_client import Histogram
 
 from ladder_clients.exchanges import OpenAnswer
 from ladder_clients.replicas import CallerRequest, ReplicaClient
 from ladder_core.errors import (
     LadderError,
-    TargetChangedError,
-    TargetFullError,
     TargetTimeoutError,
     TargetUnavailableError,
 )
 from ladder_core.timeline import TimeLine
 from ladder_core.timers import TimerService
 from ladder_core.values import Route, RouteKind
+from ladder_node.forwarding.notes import (
+    SERVER_ERROR,
+    note_answer,
+    note_failure,
+    note_refusal,
+)
 from ladder_node.forwarding.selection import ReplicaSelection
 from ladder_node.forwarding.tries import (
     RETRY_AFTER_SECONDS,
@@ -37,14 +41,10 @@
 )
 from ladder_node.replicas import ReplicaRecord
 
-_SERVER_ERROR = 500
-_RUN_FAILED = 500
 # A first try that takes this many times the objective is given up while
 # there is another replica to try.
 _TRY_OBJECTIVES = 2
 _MIN_TRY_SECONDS = 0.4
-# Time for which a replica that was full gets no request of this node.
-_FULL_REST_SECONDS = 0.1
 _PAUSE_SECONDS = 0.05
 # Refusals do not count as tries, so they are bounded by themselves.
 _MAX_REFUSALS = 8
@@ -55,11 +55,6 @@
     ('service', 'outcome'),
     buckets=(0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8),
 )
-_tries_counter = Counter(
-    'ladder_forward_tries_total',
-    'Requests sent to replicas of plain services, by what came of them',
-    ('service', 'outcome'),
-)
 
 
 class Forwarder:
@@ -169,7 +164,7 @@
                     yield answer
                     return
             except TargetUnavailableError as error:
-                self._note_refusal(record, tries, error)
+                note_refusal(record, tries, error, self._timers.now())
 
     def _begin(self, route: Route, service: str, seconds: float) -> Tries:
         may_repeat = route.kind is RouteKind.idempotent or route.is_resumable
@@ -209,9 +204,9 @@
             try:
                 answer = await self._try_one(route, request, record, tries)
             except TargetUnavailableError as error:
-                self._note_refusal(record, tries, error)
+                note_refusal(record, tries, error, self._timers.now())
             except LadderError as error:
-                self._note_failure(record, tries, error)
+                note_failure(record, tries, error, self._timers.now())
                 if not self._may_repeat(route, tries):
                     raise
         return answer
@@ -252,17 +247,10 @@
                 f'{record.name} did not answer within {limit:.2f} s',
                 remedy='send the request to another replica',
             ) from error
-        if answer.status < _SERVER_ERROR:
-            now = self._timers.now()
-            record.note_success(now - began, now)
-            _tries_counter.labels(tries.service, 'answered').inc()
-        else:
-            record.note_failed_answer(self._timers.now())
-            _tries_counter.labels(tries.service, 'failed').inc()
-            if answer.status == _RUN_FAILED:
-                tries.note_failure()
-            if self._may_repeat(route, tries):
-                return None
+        note_answer(record, tries, answer.status, began, self._timers.now())
+        is_failure = answer.status >= SERVER_ERROR
+        if is_failure and self._may_repeat(route, tries):
+            return None
         return WholeAnswer(
             answer.status,
             answer.headers,
@@ -315,27 +303,3 @@
             and len(tries.sent_to) < route.max_attempts
             and self._selection.has_other(tries.service, tries.seen)
         )
-
-    def _note_refusal(
-        self,
-        record: ReplicaRecord,
-        tries: Tries,
-        error: LadderError,
-    ) -> None:
-        now = self._timers.now()
-        tries.refusals += 1
-        tries.refused_by.add(record.name)
-        _tries_counter.labels(tries.service, error.kind).inc()
-        if isinstance(error, TargetFullError):
-            record.rest(now + _FULL_REST_SECONDS)
-        elif not isinstance(error, TargetChangedError):
-            record.note_failure(now, is_down=True)
-
-    def _note_failure(
-        self,
-        record: ReplicaRecord,
-        tries: Tries,
-        error: LadderError,
-    ) -> None:
-        record.note_failure(self._timers.now())
-        _tries_counter.labels(tries.service, error.kind).inc()
