Keep a saved text until its result is durable

Cause, from reading the change again: rows of a text were removed once its task was done, which it is as soon as the result is handed to the ledger. PLATFORM.md and the docstring say "once its result is durable". A holder that died between the two would have had the text made again; no result was wrong by it.

Change: the ledger tells which results are durable, and only their texts are removed. The test failed before.

--- a/packages/node/ladder_node/batches/drafts.py
+++ b/packages/node/ladder_node/batches/drafts.py
@@ -96,11 +96,11 @@
 
         Explanation
         -----------
-        What was written of tasks that have a result is removed, so that a
-        new holder reads only what it needs.
+        What was written of tasks whose result is durable is removed, so that
+        a new holder reads only what it needs.
 
         """
-        await self._remove_done(batch)
+        await self._remove_listed(batch)
         writes: list[Write] = []
         marks: dict[str, _Mark] = {}
         size = 0
@@ -130,15 +130,14 @@
             for key in keys.keys() - known:
                 keys.pop(key)
 
-    async def _remove_done(self, batch: BatchWork) -> None:
-        done = (
-            batch.make_key(work)
-            for work in batch.tasks.values()
-            if work.stage is Stage.done
-        )
-        found = [(key, row) for key in done for row in self._rows.get(key, ())][
-            :_MAX_ROWS
+    async def _remove_listed(self, batch: BatchWork) -> None:
+        listed = [
+            batch.make_key(batch.tasks[task_id])
+            for task_id in batch.ledger.listed
         ]
+        found = [
+            (key, row) for key in listed for row in self._rows.get(key, ())
+        ][:_MAX_ROWS]
         shard = find_shard(batch.batch_id)
         writes = [Write(DRAFTS_TABLE, row, None, shard) for _, row in found]
         if writes and await self._commit(shard, writes):
--- a/packages/node/ladder_node/batches/ledger.py
+++ b/packages/node/ladder_node/batches/ledger.py
@@ -97,6 +97,11 @@
         """Number of results that are durable."""
         return len(self._position.task_ids)
 
+    @property
+    def listed(self) -> tuple[str, ...]:
+        """Tasks whose results are durable, in the order of these."""
+        return self._position.task_ids
+
     async def load(self) -> tuple[str, ...]:
         """
         Read what is there; return the tasks that have a result.
--- a/packages/node/ladder_node/batches/tests/test_drafts.py
+++ b/packages/node/ladder_node/batches/tests/test_drafts.py
@@ -1,3 +1,5 @@
+import asyncio
+
 import pytest
 
 from ladder_clients.replicas import TextEvent
@@ -9,7 +11,7 @@
 from ladder_node.batches.records import BatchHead
 from ladder_node.batches.store import BatchStore
 from ladder_node.batches.tests.fakes import TERM, MemoryObjects, make_batch
-from ladder_node.batches.work import make_batch_work
+from ladder_node.batches.work import Stage, make_batch_work
 from ladder_node.leases import Holder, LeaseKeeper
 from ladder_standins.memory_table import MemoryTable, TableFault
 
@@ -122,3 +124,21 @@
     await saver.save(batch)
     draft = await bench.load()
     assert draft.parts == [f'r.{number}' for number in range(1, 11)]
+
+
+async def test_text_stays_saved_until_its_result_is_durable(bench):
+    """A holder that dies before that would have to make the text again."""
+    saver, batch = await bench.hold('a')
+    generate(batch, 'r', 5)
+    await saver.save(batch)
+    work = batch.tasks[TASK]
+    work.stage = Stage.done
+    batch.ledger.add(work.make_result('signature'))
+    await saver.save(batch)
+    assert len((await bench.load()).parts) == 5
+    writing = asyncio.ensure_future(batch.ledger.run())
+    await asyncio.sleep(0)
+    batch.ledger.close()
+    await writing
+    await saver.save(batch)
+    assert await bench.load() is None
