Log crashes of replicas with the requests that ran there

Callers saw a request crash replica after replica. No line of the logs had anything that two attempts of one request share, and a crash, a shutdown and a lost entry of the list looked alike, so the hypotheses could not be told apart.

CrashDetector watches each run at a replica, on all paths (plain requests, streams, tasks, scoring calls). A replica has crashed if its address refuses connections after a run broke, or if the list shows a later start under its name; leaving, silent, removed and merely disconnected replicas have not. `replica-crashed` and `ladder_broken_runs_total` say so, and `request-ended` and `task-run-ended` carry the digest of the request. No decision changes: every run is admitted as before (UnlimitedRuns).

--- a/packages/clients/ladder_clients/replicas/messages.py
+++ b/packages/clients/ladder_clients/replicas/messages.py
@@ -23,6 +23,8 @@
         Header fields that are forwarded.
     body : bytes
         The whole body; empty for none.
+    caller : str
+        Identifies the caller, for example by its address; empty if unknown.
 
     """
 
@@ -31,6 +33,7 @@
     target: bytes
     headers: tuple[Header, ...]
     body: bytes
+    caller: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/node/ladder_node/batches/open_batch.py
+++ b/packages/node/ladder_node/batches/open_batch.py
@@ -3,11 +3,12 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from ladder_clients.replicas import TextEvent
+from ladder_clients.replicas import CallerRequest, TextEvent
 from ladder_core.values import Route
 from ladder_node.batches.records import BatchHead, TaskResult, TaskState
 from ladder_node.batches.result_writer import ResultWriter
 from ladder_node.batches.spec import BatchSpec, TaskSpec
+from ladder_node.quarantine import identify_request
 
 
 class Stage(StrEnum):
@@ -68,6 +69,8 @@
     ----------
     spec : TaskSpec
         The task as the trainer submitted it.
+    digest : str
+        Identifies the task over all batches that contain it.
     draft : Draft
         The text as far as it has been generated.
     stage : Stage
@@ -86,6 +89,7 @@
     """
 
     spec: TaskSpec
+    digest: str
     draft: Draft = field(default_factory=Draft)
     stage: Stage = Stage.waiting
     failed_runs: int = 0
@@ -181,7 +185,10 @@
         Seconds since the batch was accepted.
 
     """
-    tasks = {task.task_id: OpenTask(task) for task in spec.tasks}
+    tasks = {
+        task.task_id: OpenTask(task, _identify_task(task))
+        for task in spec.tasks
+    }
     groups: dict[str, list[OpenTask]] = {}
     for task in tasks.values():
         groups.setdefault(task.spec.group, []).append(task)
@@ -197,6 +204,22 @@
     )
 
 
+def _identify_task(task: TaskSpec) -> str:
+    headers = tuple(
+        (name.encode('latin-1'), value.encode('latin-1'))
+        for name, value in task.headers
+    )
+    request = CallerRequest(
+        task.task_id,
+        b'POST',
+        task.target.encode(),
+        headers,
+        task.body,
+        task.task_id,
+    )
+    return identify_request(request)
+
+
 def needs_one_version(route: Route | None) -> bool:
     """Return whether a route requires one weight version for a whole text."""
     return route is not None and route.needs_one_version
--- a/packages/node/ladder_node/batches/runner.py
+++ b/packages/node/ladder_node/batches/runner.py
@@ -16,6 +16,7 @@
 from ladder_core.timers import TimerService
 from ladder_node.batches.engines import TrackedEngine
 from ladder_node.batches.open_batch import OpenBatch, OpenTask
+from ladder_node.quarantine import RunGuard
 
 # An engine that refused a task because it was full gets none for this time.
 _FULL_PAUSE_SECONDS = 0.3
@@ -70,6 +71,8 @@
     ----------
     client : ReplicaClient
         Sends the tasks and streams the events of their texts.
+    guard : RunGuard
+        Watches whether tasks crash engines.
     timers : TimerService
         Clock that events are timed with.
     timeline : Timeline
@@ -80,10 +83,12 @@
     def __init__(
         self,
         client: ReplicaClient,
+        guard: RunGuard,
         timers: TimerService,
         timeline: Timeline,
     ) -> None:
         self._client = client
+        self._guard = guard
         self._timers = timers
         self._timeline = timeline
 
@@ -108,7 +113,8 @@
         first = len(task.draft.event_texts)
         outcome = 'cancelled'
         try:
-            await self._generate(batch, task, progress)
+            async with self._guard.watch(task.digest, progress.engine.replica):
+                await self._generate(batch, task, progress)
             outcome = 'completed'
         except TaskRejectedError:
             outcome = 'rejected'
@@ -122,6 +128,7 @@
                 'task-run-ended',
                 task.task_id,
                 batch=batch.batch_id,
+                content=task.digest,
                 replica=progress.engine.record.name,
                 outcome=outcome,
                 first_event=first + 1,
--- a/packages/node/ladder_node/batches/runs.py
+++ b/packages/node/ladder_node/batches/runs.py
@@ -56,7 +56,10 @@
         self._task_group = task_group
         self._wake = wake
         self._runner = TaskRunner(
-            dependencies.client, dependencies.timers, dependencies.timeline
+            dependencies.client,
+            dependencies.guard,
+            dependencies.timers,
+            dependencies.timeline,
         )
         self._scorer = TaskScorer(
             dependencies.forwarder, dependencies.routes, dependencies.timers
--- a/packages/node/ladder_node/batches/scoring.py
+++ b/packages/node/ladder_node/batches/scoring.py
@@ -120,4 +120,5 @@
         scorer.target.encode(),
         ((b'Host', scorer.host.encode()),),
         scorer.body,
+        scorer.call_id,
     )
--- a/packages/node/ladder_node/batches/tests/fakes.py
+++ b/packages/node/ladder_node/batches/tests/fakes.py
@@ -8,7 +8,6 @@
 from ladder_clients.replicas import OrderOutcome, ReplicaClient, TextEvent
 from ladder_core.errors import (
     RunFailedError,
-    TargetLostError,
     TargetUnavailableError,
     TaskRejectedError,
 )
@@ -32,6 +31,10 @@
     ScorerSpec,
     TaskSpec,
 )
+from ladder_node.batches.tests.replica_processes import (
+    ReplicaProcesses,
+    lose,
+)
 from ladder_node.forwarding import Forwarder, ReplicaSelector
 from ladder_node.leases import (
     LeaseCandidate,
@@ -39,6 +42,7 @@
     LeaseManager,
     LeaseTerm,
 )
+from ladder_node.quarantine import CrashDetector, UnlimitedRuns
 from ladder_node.replicas import ReplicaRegistry
 from ladder_node.routes import ModelVersions, RouteCache
 from ladder_standins.memory_table import MemoryTable
@@ -74,11 +78,13 @@
     faults of a task's next runs: an error, or the number of events after which
     the connection is lost. `scores` holds the statuses of the next calls of a
     scorer, and `seconds` the time that an engine needs for an event.
+    `processes` ends the process of a replica under requests that crash it.
     """
 
-    def __init__(self, timers, replica_registry):
+    def __init__(self, timers, replica_registry, processes):
         self.timers = timers
         self.replica_registry = replica_registry
+        self.processes = processes
         self.lengths = {}
         self.faults = {}
         self.scores = {}
@@ -102,28 +108,36 @@
         self, replica, request, timeout_seconds, *, needs_new_connection=False
     ):
         self.calls.append(request.request_id)
-        statuses = self.scores.get(request.request_id, [])
-        yield FakeResponse(statuses.pop(0) if statuses else 200)
+        with self.processes.run(replica, request.body) as process:
+            await process.work()
+            statuses = self.scores.get(request.request_id, [])
+            yield FakeResponse(statuses.pop(0) if statuses else 200)
 
     async def generate(self, replica, task):
         run = (replica.name, task.task_id, task.last_event)
         self.runs.append(run)
         self.running.add(run)
         try:
-            fault = self.take_fault(task.task_id)
-            last = self.lengths.get(task.task_id, 3)
-            for number in range(task.last_event + 1, last + 1):
-                if fault is not None and number > fault:
-                    raise TargetLostError('lost', remedy='resume')
-                event_seconds = self.seconds.get(replica.name, EVENT_SECONDS)
-                await self.timers.sleep(event_seconds)
-                version = self.replica_registry.find(
-                    replica.name
-                ).replica.versions[MODEL]
-                yield TextEvent(number, f'{task.task_id}.{number}', version)
+            with self.processes.run(replica, task.body) as process:
+                fault = self.take_fault(task.task_id)
+                last = self.lengths.get(task.task_id, 3)
+                for number in range(task.last_event + 1, last + 1):
+                    if fault is not None and number > fault:
+                        raise lose()
+                    await self.timers.sleep(
+                        self.seconds.get(replica.name, EVENT_SECONDS)
+                    )
+                    process.check()
+                    version = self.find_version(replica)
+                    yield TextEvent(number, f'{task.task_id}.{number}', version)
         finally:
             self.running.discard(run)
 
+    def find_version(self, replica):
+        record = self.replica_registry.find(replica.name)
+        known = record.replica if record else replica
+        return known.versions[MODEL]
+
     def take_fault(self, task_id):
         faults = self.faults.get(task_id, [])
         if self.is_unreachable:
@@ -200,7 +214,9 @@
         self.versions = ModelVersions(self.timeline)
         self.store = BatchStore(deployment.table, deployment.objects, name)
         self.batch_api = BatchApi(self.store, timers, self.timeline)
-        self.engines = FakeEngines(timers, self.replica_registry)
+        self.engines = FakeEngines(
+            timers, self.replica_registry, deployment.processes
+        )
         selection = ReplicaSelector(
             self.replica_registry,
             self.engines,
@@ -208,7 +224,16 @@
             {'leith': 'lowlands'},
             timers,
         )
-        forwarder = Forwarder(selection, self.engines, timers, self.timeline)
+        self.detector = CrashDetector(
+            self.replica_registry,
+            deployment.processes,
+            timers,
+            self.timeline,
+        )
+        self.guard = UnlimitedRuns(self.detector)
+        self.forwarder = Forwarder(
+            selection, self.engines, self.guard, timers, self.timeline
+        )
         self.leases = LeaseManager(
             deployment.table,
             LeaseHolder(name, name),
@@ -230,7 +255,8 @@
             deployment.objects,
             120,
             self.engines,
-            forwarder,
+            self.forwarder,
+            self.guard,
             self.replica_registry,
             self.routes,
             self.versions,
@@ -241,6 +267,7 @@
         self.owner = BatchOwner(dependencies, candidate)
 
     async def start(self):
+        await self.detector.start()
         await self.leases.start()
         await self.owner.start()
 
@@ -262,8 +289,9 @@
 class FakeDeployment:
     """Nodes with a shared table and object store, engines and a scorer."""
 
-    def __init__(self, nodes=('a',), engines=2, slots=8, table=None):
+    def __init__(self, nodes=('a',), engines=2, slots=8, table=None, scorers=1):
         self.timers = DeploymentTimers()
+        self.processes = ReplicaProcesses(self.timers)
         self.table = table(self.timers) if table else MemoryTable()
         self.objects = MemoryObjects()
         self.alive = list(nodes)
@@ -280,10 +308,14 @@
             )
             for number in range(engines)
         ]
-        replicas.append(Replica('s', 'taproom', 's:1', 'leith', 6))
+        names = ['s', *(f's{number}' for number in range(1, scorers))]
+        replicas.extend(
+            Replica(name, 'taproom', f'{name}:1', 'leith', 6) for name in names
+        )
         for node in self.nodes.values():
             node.replica_registry.replace(replicas, 0)
             node.routes.offer(make_routes())
+            self.processes.registries.append(node.replica_registry)
 
     async def start(self):
         for node in self.nodes.values():
@@ -294,11 +326,13 @@
         for node in self.nodes.values():
             await node.owner.close()
             await node.leases.close()
+            await node.detector.close()
 
     async def advance(self, seconds):
         for _ in range(round(seconds / 0.05)):
             await self.timers.advance(0.05)
             self.timers.finish_loads()
+            self.processes.restart_due()
 
     async def submit(self, spec, node='a'):
         chosen = self.nodes[node]
--- /dev/null
+++ b/packages/node/ladder_node/batches/tests/replica_processes.py
@@ -0,0 +1,108 @@
+"""Replica processes that crash under some requests and are started again."""
+
+import contextlib
+from dataclasses import replace
+
+from ladder_clients.transport import TargetProbe
+from ladder_core.errors import TargetLostError, TargetUnavailableError
+
+RESTART_SECONDS = 2.5
+
+
+class ReplicaProcesses(TargetProbe):
+    """
+    Processes of the replicas of a deployment.
+
+    A request whose body is in `crashing` ends each process that begins to run
+    it. The process starts again after `RESTART_SECONDS`: under the name and at
+    the address that `rename` returns. `crashes` holds the time of each crash
+    and the body that caused it, `runs` the time of each run and its body.
+    Calls of scorers take `call_seconds`.
+    """
+
+    def __init__(self, timers):
+        self.timers = timers
+        self.registries = []
+        self.crashing = set()
+        self.crashes = []
+        self.runs = []
+        self.rename = keep_address
+        self.starts = 0
+        self.call_seconds = 0
+        self._ended = {}
+
+    @contextlib.contextmanager
+    def run(self, replica, body):
+        self.check_running(replica)
+        self.runs.append((self.timers.now(), body))
+        if body in self.crashing:
+            self.crashes.append((self.timers.now(), body))
+            self.end(replica)
+            raise lose()
+        yield ProcessRun(self, replica)
+
+    def end(self, replica):
+        """End a process, for example to kill it under no request."""
+        self._ended.setdefault(
+            (replica.name, replica.started_at),
+            (self.timers.now() + RESTART_SECONDS, replica),
+        )
+
+    def is_ended(self, replica):
+        return (replica.name, replica.started_at) in self._ended
+
+    async def is_gone(self, address):
+        return any(
+            replica is not None and replica.address == address
+            for _, replica in self._ended.values()
+        )
+
+    def check_running(self, replica):
+        if self.is_ended(replica):
+            raise TargetUnavailableError('refused', remedy='wait')
+
+    def restart_due(self):
+        now = self.timers.now()
+        for key, (due, replica) in tuple(self._ended.items()):
+            if due <= now and replica is not None:
+                self._ended[key] = (due, None)
+                self.starts += 1
+                started = self.rename(
+                    replace(replica, started_at=self.starts), self.starts
+                )
+                for registry in self.registries:
+                    registry.change([started], {replica.name} - {started.name})
+
+
+class ProcessRun:
+    """One run at a replica, which is lost when the process ends."""
+
+    def __init__(self, processes, replica):
+        self.processes = processes
+        self.replica = replica
+
+    async def work(self):
+        if self.processes.call_seconds:
+            await self.processes.timers.sleep(self.processes.call_seconds)
+        self.check()
+
+    def check(self):
+        if self.processes.is_ended(self.replica):
+            raise lose()
+
+
+def keep_address(replica, number):
+    return replica
+
+
+def change_name(replica, number):
+    return replace(replica, name=f'{replica.service}-{number}')
+
+
+def change_address(replica, number):
+    name = f'{replica.service}-{number}'
+    return replace(replica, name=name, address=f'{name}:1')
+
+
+def lose():
+    return TargetLostError('lost', remedy='resume')
--- a/packages/node/ladder_node/batches/tests/test_scoring.py
+++ b/packages/node/ladder_node/batches/tests/test_scoring.py
@@ -44,7 +44,7 @@
     routes.offer(make_routes())
     forwarder = ScriptedForwarder(*script)
     scorer = TaskScorer(forwarder, routes, timers)
-    task = OpenTask(make_task('t', 'g'))
+    task = OpenTask(make_task('t', 'g'), 'digest')
     scoring = asyncio.ensure_future(scorer.score(task))
     while not scoring.done():
         await timers.advance(0.1)
--- a/packages/node/ladder_node/forwarding/attempts.py
+++ b/packages/node/ladder_node/forwarding/attempts.py
@@ -55,6 +55,8 @@
 
     Attributes
     ----------
+    digest : str
+        Identifies the request over all of its attempts.
     service : str
         Name of the service that the request is for.
     needs_new_connection : bool
@@ -74,6 +76,7 @@
 
     """
 
+    digest: str
     service: str
     needs_new_connection: bool
     started_at: float
--- a/packages/node/ladder_node/forwarding/forwarder.py
+++ b/packages/node/ladder_node/forwarding/forwarder.py
@@ -40,6 +40,7 @@
     record_response,
 )
 from ladder_node.forwarding.selector import ReplicaSelector
+from ladder_node.quarantine import RunGuard, identify_request
 from ladder_node.replicas import ReplicaRecord
 
 # An attempt that takes longer than this many times the latency objective of the
@@ -68,6 +69,8 @@
         Selects the replica of each attempt.
     client : ReplicaClient
         Sends requests to replicas.
+    guard : RunGuard
+        Watches whether requests crash replicas.
     timers : TimerService
         Clock of the deadlines, and sleep between attempts.
     timeline : Timeline
@@ -79,11 +82,13 @@
         self,
         selector: ReplicaSelector,
         client: ReplicaClient,
+        guard: RunGuard,
         timers: TimerService,
         timeline: Timeline,
     ) -> None:
         self._selector = selector
         self._client = client
+        self._guard = guard
         self._timers = timers
         self._timeline = timeline
 
@@ -119,8 +124,7 @@
 
         """
         limit = min(seconds, route.timeout_seconds)
-        service = self._selector.choose_service(route)
-        attempts = self._begin(route, service, limit)
+        attempts = self._begin(route, request, limit)
         if on_failure is not None:
             attempts.on_failed_run = on_failure
         outcome = 'cancelled'
@@ -158,8 +162,7 @@
             The request may have run.
 
         """
-        service = self._selector.choose_service(route)
-        attempts = self._begin(route, service, seconds)
+        attempts = self._begin(route, request, seconds)
         while True:
             record = await self._select(attempts)
             try:
@@ -170,12 +173,17 @@
                 record_refusal(record, attempts, error, self._timers.now())
 
     def _begin(
-        self, route: Route, service: str, seconds: float
+        self, route: Route, request: CallerRequest, seconds: float
     ) -> RequestAttempts:
+        service = self._selector.choose_service(route)
         may_repeat = route.kind is RouteKind.idempotent or route.is_resumable
         started_at = self._timers.now()
         return RequestAttempts(
-            service, not may_repeat, started_at, started_at + seconds
+            identify_request(request),
+            service,
+            not may_repeat,
+            started_at,
+            started_at + seconds,
         )
 
     def _record_end(
@@ -192,6 +200,7 @@
         self._timeline.record(
             'request-ended',
             request.request_id,
+            content=attempts.digest,
             route=route.name,
             service=attempts.service,
             outcome=outcome,
@@ -281,12 +290,15 @@
         with track_request(record):
             attempts.sent_to.add(record.name)
             try:
-                async with self._client.open(
-                    record.replica,
-                    request,
-                    max(left, 0),
-                    needs_new_connection=attempts.needs_new_connection,
-                ) as response:
+                async with (
+                    self._guard.watch(attempts.digest, record.replica),
+                    self._client.open(
+                        record.replica,
+                        request,
+                        max(left, 0),
+                        needs_new_connection=attempts.needs_new_connection,
+                    ) as response,
+                ):
                     yield response
             except TargetUnavailableError:
                 attempts.sent_to.discard(record.name)
--- a/packages/node/ladder_node/forwarding/tests/test_forwarder.py
+++ b/packages/node/ladder_node/forwarding/tests/test_forwarder.py
@@ -4,6 +4,7 @@
 import pytest
 
 from ladder_clients.replicas import CallerRequest, ReplicaClient
+from ladder_clients.transport import TcpProbe
 from ladder_core.errors import (
     AnswerCorruptError,
     DeadlineError,
@@ -17,6 +18,7 @@
 from ladder_core.timers import SystemTimerService
 from ladder_core.values import Replica, Route, RouteKind, ServiceShare
 from ladder_node.forwarding import Forwarder, ReplicaSelector
+from ladder_node.quarantine import CrashDetector, UnlimitedRuns
 from ladder_node.replicas import ReplicaRegistry
 
 REQUEST = CallerRequest('r1', b'POST', b'/kegs/7', (), b'body')
@@ -79,6 +81,9 @@
         self.registry = ReplicaRegistry(self.timers, self.timeline)
         self.replicas = FakeReplicas()
         self.failures = 0
+        detector = CrashDetector(
+            self.registry, TcpProbe(self.timers), self.timers, self.timeline
+        )
         selector = ReplicaSelector(
             self.registry,
             self.replicas,
@@ -89,6 +94,7 @@
         self.forwarder = Forwarder(
             selector,
             self.replicas,
+            UnlimitedRuns(detector),
             self.timers,
             self.timeline,
         )
--- /dev/null
+++ b/packages/node/ladder_node/quarantine/__init__.py
@@ -0,0 +1,20 @@
+"""Quarantine of requests that crash the replicas that run them."""
+
+from ladder_node.quarantine.base import RunGuard, UnlimitedRuns
+from ladder_node.quarantine.component import Quarantine
+from ladder_node.quarantine.detector import (
+    CrashDetector,
+    CrashListener,
+    make_process_name,
+)
+from ladder_node.quarantine.identity import identify_request
+
+__all__ = (
+    'CrashDetector',
+    'CrashListener',
+    'Quarantine',
+    'RunGuard',
+    'UnlimitedRuns',
+    'identify_request',
+    'make_process_name',
+)
