Quarantine requests that crash replicas, over all attempts and nodes

Callers saw a request under which three replicas had ended being sent to replicas again and again; each of them ended, and the service had no replica left for the others.

Cause: the paths of the platform (plain requests and streams in forwarding/, tasks and scoring calls in batches/) kept what they knew of a request for one attempt, run or call. The next one had another id or another node and started from nothing. A run that broke with its engine was counted nowhere: TaskRunner counts only responses with status 500, TaskScorer only failed responses.

Change: evidence belongs to what a request is, a digest of method, path, host, credentials and body. CrashLedger (policy) keeps which processes crashed under which request. A complete response clears it, so a coincidence delays a request and never excludes it. Crashes that a request with three or more explains no longer count against those at its side. Rows of the table carry the evidence to the other nodes and to the next holder of the batches. Every path asks the guard before each run: an attempt that has not run is refused at once with 503 and the time of the next trial, one that has run gets 502, and a task waits and stays unlisted until its batch ends or its retention time is over, because a listed result would claim a failed run. Suspects prefer replicas without other suspects; nothing is reserved, so the rest doesn't wait. Probes, writes and entries are bounded.

Why it works: no path can send a request without the verdict on its digest, and the verdict outlives attempts, nodes, holders and batches.

--- a/packages/core/ladder_core/errors/refusals.py
+++ b/packages/core/ladder_core/errors/refusals.py
@@ -78,6 +78,12 @@
     kind = 'store-unavailable'
 
 
+class QuarantinedRequestError(NotRunError):
+    """The request has crashed replicas and is not run at present."""
+
+    kind = 'quarantined'
+
+
 class NotReadyError(NotRunError):
     """The configuration of the node is missing or too old to be used."""
 
--- a/packages/node/ladder_node/batches/dependencies.py
+++ b/packages/node/ladder_node/batches/dependencies.py
@@ -38,7 +38,7 @@
     forwarder : Forwarder
         Sends the calls that score texts.
     guard : RunGuard
-        Watches whether tasks crash engines.
+        Refuses requests that crash replicas.
     replica_registry : ReplicaRegistry
         State of all replicas as this node knows it.
     routes : RouteCache
--- a/packages/node/ladder_node/batches/dispatcher.py
+++ b/packages/node/ladder_node/batches/dispatcher.py
@@ -16,6 +16,7 @@
 )
 from ladder_node.batches.registry import BatchRegistry, estimate_tokens
 from ladder_node.batches.runner import RunProgress
+from ladder_node.quarantine import RunGuard
 from ladder_node.routes import RouteCache
 from ladder_policy.scheduling import choose_engine, order_tasks
 
@@ -33,6 +34,9 @@
 _MIN_SPEEDUP_UNCERTAIN = 2.5
 _MIN_SAVED_SECONDS = 0.5
 _MAX_MOVES = 2
+# A task that is held back is looked at again after this time, because another
+# node may have cleared it.
+_MAX_HOLD_SECONDS = 1
 
 StartRun = Callable[[OpenBatch, OpenTask, RunProgress], None]
 WaitingTask = tuple[OpenBatch, OpenTask]
@@ -51,6 +55,8 @@
         Provides the engines with their free slots and token times.
     routes : RouteCache
         Provides the route of each batch.
+    guard : RunGuard
+        Delays tasks that crash engines.
     timers : TimerService
         Clock for due times and event time-outs.
 
@@ -61,11 +67,13 @@
         registry: BatchRegistry,
         engines: EngineTracker,
         routes: RouteCache,
+        guard: RunGuard,
         timers: TimerService,
     ) -> None:
         self._registry = registry
         self._engines = engines
         self._routes = routes
+        self._guard = guard
         self._timers = timers
 
     def list_by_urgency(self, service: str) -> list[WaitingTask]:
@@ -116,6 +124,10 @@
             now,
         )
         for batch, task in self.list_by_urgency(service):
+            wait_seconds = self._guard.find_wait(task.digest)
+            if wait_seconds:
+                task.not_before = now + min(wait_seconds, _MAX_HOLD_SECONDS)
+                continue
             engine = self._choose(batch, task, usable, shortest_token_time)
             if engine is None:
                 left.append((batch, task))
@@ -180,6 +192,9 @@
             for engine in usable
             if self._fits(engine, batch, task)
         }
+        for name in self._guard.list_avoided(task.digest):
+            if len(fitting) > 1:
+                fitting.pop(name, None)
         chosen = choose_engine(
             (
                 engine.make_view(task.spec.group, now)
--- a/packages/node/ladder_node/batches/runner.py
+++ b/packages/node/ladder_node/batches/runner.py
@@ -6,6 +6,7 @@
 from ladder_core.errors import (
     AnswerCorruptError,
     LadderError,
+    QuarantinedRequestError,
     RunFailedError,
     TargetChangedError,
     TargetFullError,
@@ -72,7 +73,7 @@
     client : ReplicaClient
         Sends the tasks and streams the events of their texts.
     guard : RunGuard
-        Watches whether tasks crash engines.
+        Refuses tasks that crash engines.
     timers : TimerService
         Clock that events are timed with.
     timeline : Timeline
@@ -113,6 +114,7 @@
         first = len(task.draft.event_texts)
         outcome = 'cancelled'
         try:
+            await self._guard.admit(task.digest)
             async with self._guard.watch(task.digest, progress.engine.replica):
                 await self._generate(batch, task, progress)
             outcome = 'completed'
@@ -177,6 +179,8 @@
         if isinstance(error, RunFailedError):
             task.failed_runs += 1
             record.record_failed_response(now)
+        elif isinstance(error, QuarantinedRequestError):
+            task.not_before = now + (error.retry_after or 0)
         elif isinstance(error, TargetFullError):
             record.pause(now + _FULL_PAUSE_SECONDS)
         elif isinstance(error, TargetChangedError):
--- a/packages/node/ladder_node/batches/scoring.py
+++ b/packages/node/ladder_node/batches/scoring.py
@@ -5,7 +5,7 @@
 from prometheus_client import Histogram
 
 from ladder_clients.replicas import CallerRequest
-from ladder_core.errors import LadderError
+from ladder_core.errors import LadderError, QuarantinedRequestError
 from ladder_core.timers import TimerService
 from ladder_core.values import Route
 from ladder_node.batches.open_batch import OpenTask
@@ -108,6 +108,9 @@
                 limit,
                 task.count_failed_scoring,
             )
+        except QuarantinedRequestError as error:
+            await self._timers.sleep(error.retry_after or 0)
+            return None
         except LadderError:
             # The forwarder has recorded the outcome and its reason.
             return None
--- a/packages/node/ladder_node/batches/tests/fakes.py
+++ b/packages/node/ladder_node/batches/tests/fakes.py
@@ -42,7 +42,7 @@
     LeaseManager,
     LeaseTerm,
 )
-from ladder_node.quarantine import CrashDetector, UnlimitedRuns
+from ladder_node.quarantine import Quarantine
 from ladder_node.replicas import ReplicaRegistry
 from ladder_node.routes import ModelVersions, RouteCache
 from ladder_standins.memory_table import MemoryTable
@@ -224,15 +224,20 @@
             {'leith': 'lowlands'},
             timers,
         )
-        self.detector = CrashDetector(
+        self.quarantine = Quarantine(
             self.replica_registry,
-            deployment.processes,
+            deployment.crash_table,
+            name,
             timers,
             self.timeline,
+            deployment.processes,
         )
-        self.guard = UnlimitedRuns(self.detector)
         self.forwarder = Forwarder(
-            selection, self.engines, self.guard, timers, self.timeline
+            selection,
+            self.engines,
+            self.quarantine.guard,
+            timers,
+            self.timeline,
         )
         self.leases = LeaseManager(
             deployment.table,
@@ -256,7 +261,7 @@
             120,
             self.engines,
             self.forwarder,
-            self.guard,
+            self.quarantine.guard,
             self.replica_registry,
             self.routes,
             self.versions,
@@ -267,7 +272,7 @@
         self.owner = BatchOwner(dependencies, candidate)
 
     async def start(self):
-        await self.detector.start()
+        await self.quarantine.start()
         await self.leases.start()
         await self.owner.start()
 
@@ -293,6 +298,8 @@
         self.timers = DeploymentTimers()
         self.processes = ReplicaProcesses(self.timers)
         self.table = table(self.timers) if table else MemoryTable()
+        # The scripted faults of `table` count the calls of batches only.
+        self.crash_table = MemoryTable()
         self.objects = MemoryObjects()
         self.alive = list(nodes)
         self.is_outage_shared = False
@@ -326,7 +333,7 @@
         for node in self.nodes.values():
             await node.owner.close()
             await node.leases.close()
-            await node.detector.close()
+            await node.quarantine.close()
 
     async def advance(self, seconds):
         for _ in range(round(seconds / 0.05)):
--- a/packages/node/ladder_node/batches/tests/replica_processes.py
+++ b/packages/node/ladder_node/batches/tests/replica_processes.py
@@ -29,6 +29,7 @@
         self.rename = keep_address
         self.starts = 0
         self.call_seconds = 0
+        self.probes = []
         self._ended = {}
 
     @contextlib.contextmanager
@@ -52,6 +53,7 @@
         return (replica.name, replica.started_at) in self._ended
 
     async def is_gone(self, address):
+        self.probes.append(address)
         return any(
             replica is not None and replica.address == address
             for _, replica in self._ended.values()
--- a/packages/node/ladder_node/forwarding/attempts.py
+++ b/packages/node/ladder_node/forwarding/attempts.py
@@ -71,6 +71,8 @@
         Names of the replicas that did not run the request.
     refusals : int
         Number of refusals, repeated ones of a replica included.
+    is_admitted : bool
+        Whether the guard has admitted the next run.
     on_failed_run : callable
         Called for each response that reports a failed run.
 
@@ -84,6 +86,7 @@
     sent_to: set[str] = field(default_factory=set)
     refused_by: set[str] = field(default_factory=set)
     refusals: int = 0
+    is_admitted: bool = False
     on_failed_run: Callable[[], None] = _ignore
 
     @property
--- a/packages/node/ladder_node/forwarding/forwarder.py
+++ b/packages/node/ladder_node/forwarding/forwarder.py
@@ -20,6 +20,8 @@
 from ladder_clients.replicas import CallerRequest, ReplicaClient
 from ladder_core.errors import (
     LadderError,
+    QuarantinedRequestError,
+    TargetLostError,
     TargetTimeoutError,
     TargetUnavailableError,
 )
@@ -70,7 +72,7 @@
     client : ReplicaClient
         Sends requests to replicas.
     guard : RunGuard
-        Watches whether requests crash replicas.
+        Refuses requests that crash replicas.
     timers : TimerService
         Clock of the deadlines, and sleep between attempts.
     timeline : Timeline
@@ -115,7 +117,7 @@
 
         Raises
         ------
-        TargetUnavailableError
+        TargetUnavailableError, QuarantinedRequestError
             The request has not run and will not run.
         DeadlineError
             The time is over; the request may have run.
@@ -163,6 +165,7 @@
 
         """
         attempts = self._begin(route, request, seconds)
+        await self._admit(attempts)
         while True:
             record = await self._select(attempts)
             try:
@@ -218,6 +221,8 @@
     ) -> CompleteResponse:
         response = None
         while response is None:
+            if not attempts.is_admitted:
+                await self._admit(attempts)
             record = await self._select(attempts)
             try:
                 response = await self._attempt(route, request, record, attempts)
@@ -225,12 +230,26 @@
                 record_refusal(record, attempts, error, self._timers.now())
             except LadderError as error:
                 record_failure(record, attempts, error, self._timers.now())
+                attempts.is_admitted = False
                 if not self._may_repeat(route, attempts):
                     raise
         return response
 
+    async def _admit(self, attempts: RequestAttempts) -> None:
+        """Ask the guard whether the request may be sent to a replica."""
+        try:
+            await self._guard.admit(attempts.digest)
+        except QuarantinedRequestError as error:
+            if not attempts.sent_to:
+                raise
+            raise TargetLostError(error.message, remedy=error.remedy) from error
+        attempts.is_admitted = True
+
     async def _select(self, attempts: RequestAttempts) -> ReplicaRecord:
-        record = self._selector.select(attempts.service, attempts.tried)
+        avoided = self._guard.list_avoided(attempts.digest)
+        record = self._selector.select(
+            attempts.service, attempts.tried.union(avoided)
+        )
         if record is not None and attempts.refusals < _MAX_REFUSALS:
             if record.name in attempts.tried:
                 await self._timers.sleep(_RETRY_DELAY_SECONDS)
--- a/packages/node/ladder_node/quarantine/__init__.py
+++ b/packages/node/ladder_node/quarantine/__init__.py
@@ -7,12 +7,14 @@
     CrashListener,
     make_process_name,
 )
+from ladder_node.quarantine.guard import QuarantineGuard
 from ladder_node.quarantine.identity import identify_request
 
 __all__ = (
     'CrashDetector',
     'CrashListener',
     'Quarantine',
+    'QuarantineGuard',
     'RunGuard',
     'UnlimitedRuns',
     'identify_request',
--- a/packages/node/ladder_node/quarantine/base.py
+++ b/packages/node/ladder_node/quarantine/base.py
@@ -36,6 +36,10 @@
 
         """
 
+    @abstractmethod
+    def find_wait(self, digest: str) -> float:
+        """Return the seconds until `admit` may admit a request."""
+
     @abstractmethod
     def list_avoided(self, digest: str) -> Collection[str]:
         """Return the names of replicas that a request should not be sent to."""
@@ -64,6 +68,10 @@
     async def admit(self, digest: str) -> None:
         """Admit the run."""
 
+    def find_wait(self, digest: str) -> float:
+        """Return zero."""
+        return 0
+
     def list_avoided(self, digest: str) -> Collection[str]:
         """Return no replica."""
         return ()
--- /dev/null
+++ b/packages/node/ladder_node/quarantine/beliefs.py
@@ -0,0 +1,129 @@
+"""What a node believes of requests, with one log line for each change."""
+
+from prometheus_client import Counter, Gauge
+
+from ladder_core.timeline import Timeline
+from ladder_core.timers import TimerService
+from ladder_policy.quarantine import (
+    CrashLedger,
+    Evidence,
+    RequestState,
+    Verdict,
+)
+
+_verdicts_counter = Counter(
+    'ladder_request_verdicts_total',
+    'Changes of what this node believes of requests, by the new belief',
+    ('verdict',),
+)
+_suspects_gauge = Gauge(
+    'ladder_requests_with_crashes',
+    'Requests under which replicas crashed, as far as this node knows',
+)
+
+
+class RequestBeliefs:
+    """
+    Record evidence in a ledger, and log each verdict that changes.
+
+    Parameters
+    ----------
+    timers : TimerService
+        Clock of the evidence.
+    timeline : Timeline
+        Records each change with its evidence.
+
+    """
+
+    def __init__(self, timers: TimerService, timeline: Timeline) -> None:
+        self._timers = timers
+        self._timeline = timeline
+        self._ledger = CrashLedger()
+
+    def __contains__(self, digest: object) -> bool:
+        """Return whether there is evidence of a request."""
+        return digest in self._ledger
+
+    def judge(self, digest: str) -> Verdict:
+        """Return what is believed of a request now."""
+        return self._ledger.judge(digest, self._timers.now())
+
+    def add_crash(
+        self, digest: str, process: str, age_seconds: float, source: str
+    ) -> None:
+        """
+        Record a crash under a request.
+
+        Parameters
+        ----------
+        digest : str
+            Digest of the request.
+        process : str
+            Identifies the process that crashed.
+        age_seconds : float
+            Seconds since the crash.
+        source : str
+            Node that observed the crash.
+
+        """
+        before = {
+            one: self.judge(one) for one in self._ledger.list_affected(digest)
+        }
+        at = self._timers.now() - age_seconds
+        self._ledger.add_crash(digest, process, at)
+        for one, verdict in before.items():
+            self._log_change(one, verdict, source)
+        _suspects_gauge.set(len(self._ledger))
+
+    def add_trial(self, digest: str, number: int, age_seconds: float) -> None:
+        """Record a trial of a request that began some seconds ago."""
+        at = self._timers.now() - age_seconds
+        self._ledger.add_trial(digest, number, at)
+
+    def remove_crash(self, digest: str, process: str, source: str) -> None:
+        """Withdraw a crash under a request."""
+        before = self.judge(digest)
+        self._ledger.remove_crash(digest, process)
+        self._log_change(digest, before, source)
+
+    def remove_trial(self, digest: str, number: int) -> None:
+        """Withdraw a trial of a request."""
+        self._ledger.remove_trial(digest, number)
+
+    def clear(self, digest: str, source: str) -> None:
+        """Withdraw all evidence of a request."""
+        before = self.judge(digest)
+        self._ledger.clear(digest)
+        self._log_change(digest, before, source)
+        _suspects_gauge.set(len(self._ledger))
+
+    def find_evidence(self, digest: str) -> Evidence:
+        """Return the crashes and trials of a request."""
+        return self._ledger.find_evidence(digest)
+
+    def drop_expired(self) -> None:
+        """Forget the requests whose evidence has expired."""
+        for digest in self._ledger.list_expired(self._timers.now()):
+            self._ledger.clear(digest)
+            self._timeline.record('request-forgotten', digest)
+        _suspects_gauge.set(len(self._ledger))
+
+    def _log_change(self, digest: str, before: Verdict, source: str) -> None:
+        verdict = self.judge(digest)
+        if verdict.state is before.state:
+            return
+        _verdicts_counter.labels(verdict.state).inc()
+        # Crashes and trials that speak for the new belief, or spoke for the
+        # old one of a request that is now clear.
+        grounds = before if verdict.state is RequestState.clear else verdict
+        now = self._timers.now()
+        self._timeline.record(
+            f'request-{verdict.state}',
+            digest,
+            source=source,
+            crashes=grounds.crashes,
+            trials=grounds.trials,
+            age=round(now - grounds.since, 3),
+            processes=','.join(self.find_evidence(digest).crashes),
+            retry_in=round(max(verdict.retry_at - now, 0), 3),
+        )
--- a/packages/node/ladder_node/quarantine/component.py
+++ b/packages/node/ladder_node/quarantine/component.py
@@ -1,39 +1,64 @@
 """The parts of the quarantine of one node, started and closed together."""
 
-from ladder_clients.transport import TcpProbe
-from ladder_core.supervision import Component
+from ladder_clients.table import PartitionedTableClient
+from ladder_clients.transport import TargetProbe, TcpProbe
+from ladder_core.supervision import Component, Supervisor
 from ladder_core.timeline import Timeline
 from ladder_core.timers import TimerService
-from ladder_node.quarantine.base import RunGuard, UnlimitedRuns
+from ladder_node.feeds import TableFollower
+from ladder_node.quarantine.base import RunGuard
+from ladder_node.quarantine.beliefs import RequestBeliefs
 from ladder_node.quarantine.detector import CrashDetector
+from ladder_node.quarantine.guard import QuarantineGuard
+from ladder_node.quarantine.rows import CRASHES_TABLE, CrashRows
 from ladder_node.replicas import ReplicaRegistry
 
 
 class Quarantine(Component):
     """
-    Detect crashes of replicas under requests.
+    Detect crashes of replicas under requests, and share them with all nodes.
 
     Parameters
     ----------
     registry : ReplicaRegistry
         Replicas that this node knows.
+    table : PartitionedTableClient
+        Table service through which the nodes share what they observe.
+    node : str
+        Name of this node.
     timers : TimerService
         Clock of all parts.
     timeline : Timeline
-        Records each crash.
+        Records each crash and each change of belief.
+    probe : TargetProbe, optional
+        Distinguishes a crashed process from a broken connection; a `TcpProbe`
+        by default.
 
     """
 
     def __init__(
         self,
         registry: ReplicaRegistry,
+        table: PartitionedTableClient,
+        node: str,
         timers: TimerService,
         timeline: Timeline,
+        probe: TargetProbe | None = None,
     ) -> None:
-        self._detector = CrashDetector(
-            registry, TcpProbe(timers), timers, timeline
+        beliefs = RequestBeliefs(timers, timeline)
+        rows = CrashRows(table, beliefs, node, timers)
+        detector = CrashDetector(
+            registry, probe or TcpProbe(timers), timers, timeline
+        )
+        self._guard = QuarantineGuard(
+            detector, beliefs, rows, node, timers, timeline
+        )
+        self._parts = Supervisor('quarantine', timers)
+        self._parts.add(rows)
+        self._parts.add(detector)
+        self._parts.add(
+            TableFollower(table, CRASHES_TABLE, rows, timers, timeline)
         )
-        self._guard = UnlimitedRuns(self._detector)
 
     @property
     def guard(self) -> RunGuard:
@@ -41,9 +66,9 @@
         return self._guard
 
     async def start(self) -> None:
-        """Start the detection."""
-        await self._detector.start()
+        """Start to detect crashes and to share them."""
+        await self._parts.start()
 
     async def close(self) -> None:
-        """Stop the detection."""
-        await self._detector.close()
+        """Stop all parts."""
+        await self._parts.close()
--- /dev/null
+++ b/packages/policy/ladder_policy/quarantine/ledger.py
@@ -0,0 +1,297 @@
+"""
+Evidence that requests crash replicas, and the verdicts that follow from it.
+
+References
+----------
+B. Beyer et al., "Site Reliability Engineering", 2016, chapter 22, "Addressing
+Cascading Failures", section "Query of Death".
+
+"""
+
+from collections.abc import Collection, Iterator
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+_MAX_ENTRIES = 8192
+# Crashes under a request from which on it runs only in trials.
+_QUARANTINE_CRASHES = 2
+# Crashes that show a request as the cause of what others met at its side.
+_PROOF_CRASHES = 3
+_FIRST_PAUSE_SECONDS = 1
+_PAUSE_FACTOR = 5
+_MAX_TRIALS = 3
+_SUSPICION_SECONDS = 600
+# A request whose trials are used up is not run for a day.
+_REFUSAL_SECONDS = 86_400
+
+
+class RequestState(StrEnum):
+    """
+    What is believed of a request.
+
+    Notes
+    -----
+    A request is `clear` if no crash is attributed to it, `suspect` if it may
+    run but better apart from other suspects, and `quarantined` if it runs only
+    in trials.
+
+    """
+
+    clear = 'clear'
+    suspect = 'suspect'
+    quarantined = 'quarantined'
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """
+    What is believed of a request, and on which evidence.
+
+    Attributes
+    ----------
+    state : RequestState
+        What is believed.
+    retry_at : float
+        Time in seconds from which on the request may run.
+    crashes : int
+        Number of crashes that are attributed to the request.
+    trials : int
+        Number of trials so far.
+    since : float
+        Time in seconds of the first crash.
+
+    """
+
+    state: RequestState
+    retry_at: float = 0
+    crashes: int = 0
+    trials: int = 0
+    since: float = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """
+    Evidence of one request.
+
+    Attributes
+    ----------
+    crashes : tuple of str
+        Processes that crashed while they ran the request.
+    trials : tuple of int
+        Numbers of the trials.
+
+    """
+
+    crashes: tuple[str, ...]
+    trials: tuple[int, ...]
+
+
+CLEAR = Verdict(RequestState.clear)
+
+
+@dataclass(slots=True)
+class _Entry:
+    """Crashes and trials of one request, with their times in seconds."""
+
+    crashes: dict[str, float] = field(default_factory=dict)
+    trials: dict[int, float] = field(default_factory=dict)
+
+    @property
+    def is_empty(self) -> bool:
+        return not self.crashes and not self.trials
+
+    @property
+    def last_at(self) -> float:
+        return max((*self.crashes.values(), *self.trials.values()), default=0)
+
+    @property
+    def expires_at(self) -> float:
+        if len(self.trials) < _MAX_TRIALS:
+            return self.last_at + _SUSPICION_SECONDS
+        return self.last_at + _REFUSAL_SECONDS
+
+
+class CrashLedger:
+    """
+    Record crashes of replicas, and judge the requests that ran there.
+
+    Explanation
+    -----------
+    A crash falls on every request that was in flight at the replica. One that
+    met two crashes runs only in trials: one at a time, after pauses that grow,
+    a few times in all. A trial that gets a response clears the request, so
+    coincidences delay a request but never exclude it. A crash is attributed
+    to none but the request with more crashes if that one has three or more.
+
+    Entries expire, and their number is bounded; those with the fewest crashes
+    are evicted first.
+
+    Parameters
+    ----------
+    max_entries : int, optional
+        Largest number of requests.
+
+    Examples
+    --------
+    >>> ledger = CrashLedger()
+    >>> ledger.add_crash('a', 'r1@0', at=0)
+    >>> ledger.judge('a', now=0).state.value
+    'suspect'
+    >>> ledger.add_crash('a', 'r2@0', at=0)
+    >>> ledger.judge('a', now=0).state.value, ledger.judge('a', now=0).retry_at
+    ('quarantined', 1)
+
+    """
+
+    def __init__(self, max_entries: int = _MAX_ENTRIES) -> None:
+        self._max_entries = max_entries
+        self._entries: dict[str, _Entry] = {}
+        self._victims: dict[str, set[str]] = {}
+        # The requests with enough crashes to explain those of others.
+        self._proven: set[str] = set()
+
+    def __len__(self) -> int:
+        """Return the number of requests with evidence."""
+        return len(self._entries)
+
+    def __contains__(self, digest: object) -> bool:
+        """Return whether there is evidence of a request."""
+        return digest in self._entries
+
+    def add_crash(self, digest: str, process: str, at: float) -> None:
+        """
+        Record that a process crashed while it ran a request.
+
+        Parameters
+        ----------
+        digest : str
+            Digest of the request.
+        process : str
+            Identifies the process; a crash that is known changes nothing.
+        at : float
+            Time in seconds.
+
+        """
+        entry = self._open(digest)
+        entry.crashes.setdefault(process, at)
+        self._victims.setdefault(process, set()).add(digest)
+        if len(entry.crashes) >= _PROOF_CRASHES:
+            self._proven.add(digest)
+
+    def add_trial(self, digest: str, number: int, at: float) -> None:
+        """Record that a trial of a request began."""
+        self._open(digest).trials.setdefault(number, at)
+
+    def remove_crash(self, digest: str, process: str) -> None:
+        """Withdraw a crash under a request."""
+        entry = self._entries.get(digest)
+        if entry is not None:
+            entry.crashes.pop(process, None)
+            self._drop_victim(digest, process)
+            if len(entry.crashes) < _PROOF_CRASHES:
+                self._proven.discard(digest)
+            if entry.is_empty:
+                self._entries.pop(digest)
+
+    def remove_trial(self, digest: str, number: int) -> None:
+        """Withdraw a trial of a request."""
+        entry = self._entries.get(digest)
+        if entry is not None:
+            entry.trials.pop(number, None)
+            if entry.is_empty:
+                self._entries.pop(digest)
+
+    def clear(self, digest: str) -> None:
+        """Withdraw all evidence of a request."""
+        self._proven.discard(digest)
+        entry = self._entries.pop(digest, None)
+        if entry is not None:
+            for process in entry.crashes:
+                self._drop_victim(digest, process)
+
+    def find_evidence(self, digest: str) -> Evidence:
+        """Return the crashes and trials of a request."""
+        entry = self._entries.get(digest, _Entry())
+        return Evidence(tuple(entry.crashes), tuple(entry.trials))
+
+    def list_affected(self, digest: str) -> Collection[str]:
+        """
+        Return the requests whose verdicts may change with one request.
+
+        These are the request itself, and once it can explain crashes those
+        that shared a replica with it.
+        """
+        entry = self._entries.get(digest, _Entry())
+        affected = {digest}
+        if len(entry.crashes) + 1 >= _PROOF_CRASHES:
+            affected.update(
+                *(self._victims[process] for process in entry.crashes)
+            )
+        return affected
+
+    def list_expired(self, now: float) -> list[str]:
+        """Return the requests whose evidence has expired."""
+        return [
+            digest
+            for digest, entry in self._entries.items()
+            if entry.expires_at <= now
+        ]
+
+    def judge(self, digest: str, now: float) -> Verdict:
+        """
+        Return what is believed of a request.
+
+        Parameters
+        ----------
+        digest : str
+            Digest of the request.
+        now : float
+            Present time in seconds.
+
+        """
+        entry = self._entries.get(digest)
+        if entry is None or entry.expires_at <= now:
+            return CLEAR
+        crashes = sum(1 for _ in self._list_attributed(entry))
+        if not crashes:
+            return CLEAR
+        since = min(entry.crashes.values())
+        trials = len(entry.trials)
+        if crashes < _QUARANTINE_CRASHES:
+            return Verdict(RequestState.suspect, 0, crashes, trials, since)
+        if trials < _MAX_TRIALS:
+            pause_seconds = _FIRST_PAUSE_SECONDS * _PAUSE_FACTOR**trials
+            retry_at = entry.last_at + pause_seconds
+        else:
+            retry_at = entry.expires_at
+        return Verdict(
+            RequestState.quarantined, retry_at, crashes, trials, since
+        )
+
+    def _list_attributed(self, entry: _Entry) -> Iterator[str]:
+        explaining = [
+            self._entries[other].crashes
+            for other in self._proven
+            if self._count_crashes(other) > len(entry.crashes)
+        ]
+        for process in entry.crashes:
+            if not any(process in crashes for crashes in explaining):
+                yield process
+
+    def _open(self, digest: str) -> _Entry:
+        if digest not in self._entries:
+            if len(self._entries) >= self._max_entries:
+                # The oldest of the requests with the fewest crashes.
+                self.clear(min(self._entries, key=self._count_crashes))
+            self._entries[digest] = _Entry()
+        return self._entries[digest]
+
+    def _count_crashes(self, digest: str) -> int:
+        return len(self._entries[digest].crashes)
+
+    def _drop_victim(self, digest: str, process: str) -> None:
+        victims = self._victims.get(process, set())
+        victims.discard(digest)
+        if not victims:
+            self._victims.pop(process, None)
