Tell the other nodes of crashes while the table does not answer

Callers would see, in an outage of the platform's store, a request that crashes replicas being run until each node had counted two crashes for itself.

Cause: evidence reached the other nodes through the table only, and waited for it while it was down.

Change: EvidenceWriter sends rows that the table has not confirmed within 0.3 s to the peer addresses of the other nodes, once, and goes on writing them. The peer server has a path for them beside the relayed store calls. Rows known from peers alone survive the full read after the outage.

With the peers cut off as well the bound is two for each node (also a test).

--- a/packages/node/ladder_node/batches/tests/fakes.py
+++ b/packages/node/ladder_node/batches/tests/fakes.py
@@ -42,7 +42,7 @@
     LeaseManager,
     LeaseTerm,
 )
-from ladder_node.quarantine import Quarantine
+from ladder_node.quarantine import EvidenceSender, Quarantine
 from ladder_node.replicas import ReplicaRegistry
 from ladder_node.routes import ModelVersions, RouteCache
 from ladder_standins.memory_table import MemoryTable
@@ -201,6 +201,17 @@
         self.bodies.pop(name, None)
 
 
+class FakeEvidenceSender(EvidenceSender):
+    def __init__(self, name, deployment):
+        self.name = name
+        self.deployment = deployment
+
+    async def send(self, rows):
+        for name, node in self.deployment.nodes.items():
+            if name != self.name and not self.deployment.are_peers_cut:
+                node.quarantine.receive(rows)
+
+
 class Node:
     """One node with its batch API, lease manager and batch owner."""
 
@@ -227,6 +238,7 @@
         self.quarantine = Quarantine(
             self.replica_registry,
             deployment.crash_table,
+            FakeEvidenceSender(name, deployment),
             name,
             timers,
             self.timeline,
@@ -300,6 +312,7 @@
         self.table = table(self.timers) if table else MemoryTable()
         # The scripted faults of `table` count the calls of batches only.
         self.crash_table = MemoryTable()
+        self.are_peers_cut = False
         self.objects = MemoryObjects()
         self.alive = list(nodes)
         self.is_outage_shared = False
--- a/packages/node/ladder_node/batches/tests/test_crashing_requests.py
+++ b/packages/node/ladder_node/batches/tests/test_crashing_requests.py
@@ -335,6 +335,7 @@
 
 @pytest.mark.parametrize('fault', [TableFault.down, TableFault.lost_answer])
 async def test_crashes_count_while_the_table_does_not_answer(deployment, fault):
+    deployment.are_peers_cut = True
     deployment.crash_table.default_fault = fault
     await call_repeatedly(deployment, 20)
     runs = len(deployment.processes.runs)
@@ -345,6 +346,20 @@
     assert count_late_runs(deployment) <= MAX_LATE_RUNS
 
 
+@pytest.mark.parametrize('fault', [TableFault.down, TableFault.lost_answer])
+async def test_nodes_tell_each_other_of_crashes_without_the_table(
+    deployment, fault
+):
+    """
+    Guards against an outage in which each node counts crashes for itself.
+
+    Three nodes lost six replicas to one request while the table was down.
+    """
+    deployment.crash_table.default_fault = fault
+    await call_repeatedly(deployment, 20)
+    assert len(deployment.processes.crashes) == 2
+
+
 # A partition handles 200 writes a second, of all hosts together.
 MAX_WRITES_PER_SECOND = 200 // 9
 SECONDS = 3
--- a/packages/node/ladder_node/quarantine/__init__.py
+++ b/packages/node/ladder_node/quarantine/__init__.py
@@ -9,10 +9,22 @@
 )
 from ladder_node.quarantine.guard import QuarantineGuard
 from ladder_node.quarantine.identity import identify_request
+from ladder_node.quarantine.peers import (
+    EVIDENCE_PATH,
+    EvidenceApp,
+    EvidenceRow,
+    EvidenceSender,
+    HttpEvidenceSender,
+)
 
 __all__ = (
+    'EVIDENCE_PATH',
     'CrashDetector',
     'CrashListener',
+    'EvidenceApp',
+    'EvidenceRow',
+    'EvidenceSender',
+    'HttpEvidenceSender',
     'Quarantine',
     'QuarantineGuard',
     'RunGuard',
--- a/packages/node/ladder_node/quarantine/component.py
+++ b/packages/node/ladder_node/quarantine/component.py
@@ -1,5 +1,7 @@
 """The parts of the quarantine of one node, started and closed together."""
 
+from collections.abc import Sequence
+
 from ladder_clients.table import PartitionedTableClient
 from ladder_clients.transport import TargetProbe, TcpProbe
 from ladder_core.supervision import Component, Supervisor
@@ -10,7 +12,9 @@
 from ladder_node.quarantine.beliefs import RequestBeliefs
 from ladder_node.quarantine.detector import CrashDetector
 from ladder_node.quarantine.guard import QuarantineGuard
-from ladder_node.quarantine.rows import CRASHES_TABLE, CrashRows
+from ladder_node.quarantine.peers import EvidenceRow, EvidenceSender
+from ladder_node.quarantine.rows import CrashRows
+from ladder_node.quarantine.writer import CRASHES_TABLE, EvidenceWriter
 from ladder_node.replicas import ReplicaRegistry
 
 
@@ -24,6 +28,8 @@
         Replicas that this node knows.
     table : PartitionedTableClient
         Table service through which the nodes share what they observe.
+    sender : EvidenceSender
+        Sends evidence to the other nodes while the table is unavailable.
     node : str
         Name of this node.
     timers : TimerService
@@ -40,20 +46,24 @@
         self,
         registry: ReplicaRegistry,
         table: PartitionedTableClient,
+        sender: EvidenceSender,
         node: str,
         timers: TimerService,
         timeline: Timeline,
         probe: TargetProbe | None = None,
     ) -> None:
         beliefs = RequestBeliefs(timers, timeline)
-        rows = CrashRows(table, beliefs, node, timers)
+        writer = EvidenceWriter(table, sender, timers)
+        rows = CrashRows(table, beliefs, writer, node, timers)
         detector = CrashDetector(
             registry, probe or TcpProbe(timers), timers, timeline
         )
         self._guard = QuarantineGuard(
             detector, beliefs, rows, node, timers, timeline
         )
+        self._rows = rows
         self._parts = Supervisor('quarantine', timers)
+        self._parts.add(writer)
         self._parts.add(rows)
         self._parts.add(detector)
         self._parts.add(
@@ -65,6 +75,10 @@
         """The guard of all runs at replicas."""
         return self._guard
 
+    def receive(self, rows: Sequence[EvidenceRow]) -> None:
+        """Apply evidence that another node has sent directly."""
+        self._rows.receive(rows)
+
     async def start(self) -> None:
         """Start to detect crashes and to share them."""
         await self._parts.start()
--- a/packages/node/ladder_node/quarantine/rows.py
+++ b/packages/node/ladder_node/quarantine/rows.py
@@ -1,15 +1,11 @@
 """Share the evidence of crashes with the other nodes through the table."""
 
-import asyncio
-import contextlib
 import random
 import uuid
-from collections import OrderedDict
 from collections.abc import Sequence
 
 import msgspec
 from loguru import logger
-from prometheus_client import Counter
 
 from ladder_clients.table import (
     Condition,
@@ -24,31 +20,20 @@
 from ladder_core.timers import PeriodicCall, TimerService
 from ladder_node.feeds import FeedListener
 from ladder_node.quarantine.beliefs import RequestBeliefs
+from ladder_node.quarantine.peers import EvidenceRow
+from ladder_node.quarantine.writer import CRASHES_TABLE, EvidenceWriter
 from ladder_policy.quarantine import Evidence
 
-CRASHES_TABLE = 'request_crashes'
-
 _CRASH = 'crash'
 _TRIAL = 'trial'
 _STORE_ERRORS = (StoreUnavailableError, StoreOutcomeUnknownError)
 _MILLISECONDS_PER_SECOND = 1000
-# Writes in one transaction, below the table's limit of 100 entries.
-_MAX_WRITES = 64
-_MAX_PENDING = 2048
-# The partition of the table also carries the heartbeats of the platform.
-_WRITE_INTERVAL_SECONDS = 0.1
-_RETRY_SECONDS = 0.5
 # Age at which a row is removed if its request is no longer known.
 _MAX_ORPHAN_SECONDS = 1200
 # The nodes clean at different times, so that one of them removes a row.
 _CLEAN_INTERVAL_SECONDS = (300, 900)
 _MAX_EVIDENCE_SECONDS = 86_400
 
-_dropped_counter = Counter(
-    'ladder_crash_rows_dropped_total',
-    'Rows of evidence that were not written because too many waited',
-)
-
 
 class _Evidence(msgspec.Struct, frozen=True):
     """
@@ -69,14 +54,13 @@
 
 class CrashRows(FeedListener, Component):
     """
-    Write the evidence of this node, and pass on that of the other nodes.
+    Publish the evidence of this node, and apply that of the other nodes.
 
     Explanation
     -----------
-    Each crash under a request is a row of its own, so that nodes never write
-    the same row with different contents, and a repeated write changes nothing.
-    Each trial is a row that is created only if it does not exist, so that one
-    node makes a trial. Writes wait while the table is unavailable.
+    Each crash under a request is a row of its own, so that nodes write without
+    reading first, and a repeated write changes nothing. Each trial is a row
+    that is created only if it does not exist, so that one node makes a trial.
 
     Parameters
     ----------
@@ -84,10 +68,12 @@
         Table service that holds the rows.
     beliefs : RequestBeliefs
         Receives the evidence.
+    writer : EvidenceWriter
+        Writes the rows of this node.
     node : str
         Name of this node.
     timers : TimerService
-        Clock of the rows, and pauses before retries.
+        Clock of the rows, and schedule of the cleaning.
 
     """
 
@@ -95,64 +81,63 @@
         self,
         table: PartitionedTableClient,
         beliefs: RequestBeliefs,
+        writer: EvidenceWriter,
         node: str,
         timers: TimerService,
     ) -> None:
         self._table = table
         self._beliefs = beliefs
+        self._writer = writer
         self._node = node
         self._timers = timers
         self._known: set[str] = set()
-        self._pending: OrderedDict[str, str | None] = OrderedDict()
-        self._is_overflowing = False
-        self._wake = asyncio.Event()
-        self._writer: asyncio.Task[None] | None = None
         self._cleaning: PeriodicCall | None = None
 
     async def start(self) -> None:
-        """Start to write rows and to clean the table."""
-        self._writer = asyncio.create_task(self._write())
+        """Start to clean the table."""
         seconds = random.uniform(*_CLEAN_INTERVAL_SECONDS)  # noqa: S311
         self._cleaning = self._timers.call_periodically(seconds, self.clean)
 
     async def close(self) -> None:
-        """Stop; rows that were not written are lost."""
+        """Stop to clean the table."""
         if self._cleaning is not None:
             await self._cleaning.close()
             self._cleaning = None
-        if self._writer is not None:
-            self._writer.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._writer
-            self._writer = None
 
     def replace(self, rows: Sequence[Row], outage_seconds: float) -> None:
         """Apply a full read of the table; other evidence is withdrawn."""
         keys = {row.key for row in rows}
-        for key in self._known - keys - set(self._pending):
-            self._withdraw(key)
+        for key in self._known - keys:
+            if not self._writer.is_pending(key):
+                self._withdraw(key)
         self.change(rows, ())
 
     def change(self, rows: Sequence[Row], removed: Sequence[Row]) -> None:
         """Apply rows that other nodes wrote or removed."""
         for row in rows:
-            try:
-                self._apply(row)
-            except (msgspec.DecodeError, ValueError) as error:
-                logger.warning('malformed row {} ignored: {}', row.key, error)
+            if self._apply(row.key, row.body):
+                self._known.add(row.key)
         for row in removed:
             self._withdraw(row.key)
 
+    def receive(self, rows: Sequence[EvidenceRow]) -> None:
+        """Apply rows that another node could not write to the table."""
+        for row in rows:
+            if row.body is None:
+                self._withdraw(row.key)
+            else:
+                self._apply(row.key, row.body)
+
     def publish_crash(self, digest: str, process: str) -> None:
         """Write a crash that this node has observed, as soon as possible."""
-        self._queue(f'{digest}/{_CRASH}/{process}', self._make_body())
+        self._writer.queue(f'{digest}/{_CRASH}/{process}', self._make_body())
 
     def withdraw(self, digest: str, evidence: Evidence) -> None:
         """Remove the rows of a request, as soon as possible."""
         for process in evidence.crashes:
-            self._queue(f'{digest}/{_CRASH}/{process}', None)
+            self._writer.queue(f'{digest}/{_CRASH}/{process}', None)
         for number in evidence.trials:
-            self._queue(f'{digest}/{_TRIAL}/{number}', None)
+            self._writer.queue(f'{digest}/{_TRIAL}/{number}', None)
 
     async def claim_trial(self, digest: str, number: int) -> bool:
         """
@@ -189,33 +174,46 @@
             return
         for row in rows:
             digest = row.key.partition('/')[0]
-            age_seconds = self._find_age(_decode(row))
-            if (
-                digest not in self._beliefs
-                and age_seconds > _MAX_ORPHAN_SECONDS
-            ):
-                self._queue(row.key, None)
-
-    def _apply(self, row: Row) -> None:
-        if row.key in self._pending and self._pending[row.key] is None:
-            return
-        digest, kind, name = row.key.split('/', 2)
-        evidence = _decode(row)
+            if digest not in self._beliefs and self._is_old(row):
+                self._writer.queue(row.key, None)
+
+    def _apply(self, key: str, body: str) -> bool:
+        """Add a row to the evidence; return whether it is well-formed."""
+        try:
+            evidence = msgspec.json.decode(body, type=_Evidence)
+            digest, kind, name = _split_key(key)
+        except (msgspec.DecodeError, ValueError) as error:
+            logger.warning('malformed row {} ignored: {}', key, error)
+            return False
         age_seconds = self._find_age(evidence)
-        self._known.add(row.key)
+        if self._writer.is_removing(key):
+            return True
         if kind == _TRIAL:
             self._beliefs.add_trial(digest, int(name), age_seconds)
         else:
             self._beliefs.add_crash(digest, name, age_seconds, evidence.node)
+        return True
 
     def _withdraw(self, key: str) -> None:
         self._known.discard(key)
-        digest, kind, name = key.split('/', 2)
+        try:
+            digest, kind, name = _split_key(key)
+        except ValueError as error:
+            logger.warning('malformed row {} ignored: {}', key, error)
+            return
         if kind == _TRIAL:
             self._beliefs.remove_trial(digest, int(name))
         else:
             self._beliefs.remove_crash(digest, name, 'table')
 
+    def _is_old(self, row: Row) -> bool:
+        """Return whether a row is old; a malformed one counts as old."""
+        try:
+            evidence = msgspec.json.decode(row.body, type=_Evidence)
+        except msgspec.DecodeError:
+            return True
+        return self._find_age(evidence) > _MAX_ORPHAN_SECONDS
+
     def _find_age(self, evidence: _Evidence) -> float:
         """Return the age of a row in seconds, whatever the clocks say."""
         age_milliseconds = self._timers.wall_milliseconds() - evidence.at
@@ -226,41 +224,10 @@
         evidence = _Evidence(self._node, self._timers.wall_milliseconds())
         return msgspec.json.encode(evidence).decode()
 
-    def _queue(self, key: str, body: str | None) -> None:
-        if key not in self._pending and len(self._pending) >= _MAX_PENDING:
-            _dropped_counter.inc()
-            if not self._is_overflowing:
-                self._is_overflowing = True
-                logger.warning('rows of crashes dropped: too many wait')
-            return
-        self._pending[key] = body
-        self._wake.set()
-
-    async def _write(self) -> None:
-        while True:
-            await self._wake.wait()
-            self._wake.clear()
-            while self._pending:
-                await self._write_some()
-                await self._timers.sleep(_WRITE_INTERVAL_SECONDS)
-            self._is_overflowing = False
-
-    async def _write_some(self) -> None:
-        rows = dict(list(self._pending.items())[:_MAX_WRITES])
-        writes = tuple(
-            Write(CRASHES_TABLE, key, body) for key, body in rows.items()
-        )
-        try:
-            await self._table.commit(Transaction(uuid.uuid4().hex, (), writes))
-        except _STORE_ERRORS as error:
-            logger.info('{} rows of crashes not written: {}', len(rows), error)
-            await self._timers.sleep(_RETRY_SECONDS)
-            return
-        for key, body in rows.items():
-            # A row that was queued again meanwhile has another body.
-            if self._pending.get(key) == body:
-                self._pending.pop(key, None)
-
 
-def _decode(row: Row) -> _Evidence:
-    return msgspec.json.decode(row.body, type=_Evidence)
+def _split_key(key: str) -> tuple[str, str, str]:
+    """Return the digest, the kind and the name of the crash or trial."""
+    digest, kind, name = key.split('/', 2)
+    if kind == _TRIAL:
+        int(name)
+    return digest, kind, name
--- a/packages/node/ladder_node/store_relay/__init__.py
+++ b/packages/node/ladder_node/store_relay/__init__.py
@@ -9,10 +9,15 @@
 """
 
 from ladder_node.store_relay.app import StoreRelayApp
-from ladder_node.store_relay.client import StoreRelay, StoreRelayError
+from ladder_node.store_relay.client import (
+    RELAY_PATH,
+    StoreRelay,
+    StoreRelayError,
+)
 from ladder_node.store_relay.messages import RelayedCall, RelayedResponse
 
 __all__ = (
+    'RELAY_PATH',
     'RelayedResponse',
     'RelayedCall',
     'StoreRelay',
--- a/packages/node/ladder_node/store_relay/client.py
+++ b/packages/node/ladder_node/store_relay/client.py
@@ -18,7 +18,7 @@
 from ladder_node.store_relay.messages import RelayedCall, RelayedResponse
 from ladder_policy.routing import RelaySwitch
 
-RELAY_PATH = b'/v1/detour'
+RELAY_PATH = '/v1/detour'
 _OK_STATUS = 200
 _CALL_TIMEOUT_SECONDS = 1.2
 _CONNECT_TIMEOUT_SECONDS = 0.3
@@ -186,7 +186,7 @@
     async def _ask(self, peer: str, call: RelayedCall) -> RelayedResponse:
         request = OutgoingRequest(
             b'POST',
-            RELAY_PATH,
+            RELAY_PATH.encode(),
             ((b'Host', peer.encode()),),
             msgspec.msgpack.encode(call),
         )
