Keep that a replica may have run a request when it refuses it later

Callers of idempotent routes could get a 503, which promises that the request has not run, for a request that had run.

Cause: a replica lost the connection while it ran the request. When the others were full it was tried again and refused; the refusal removed its name from those that may have run the request, and with no name left the attempt ended as one that was never sent.

Change: a refusal removes only the name that this send has added.

Measured: the new test failed before (TargetUnavailableError in place of TargetTimeoutError) and passes.

--- a/packages/node/ladder_node/forwarding/forwarder.py
+++ b/packages/node/ladder_node/forwarding/forwarder.py
@@ -306,6 +306,7 @@
         attempts: RequestAttempts,
     ) -> AsyncIterator[StreamedResponse]:
         left = attempts.deadline - self._timers.now()
+        may_have_run = record.name in attempts.sent_to
         with track_request(record):
             attempts.sent_to.add(record.name)
             try:
@@ -320,7 +321,8 @@
                 ):
                     yield response
             except TargetUnavailableError:
-                attempts.sent_to.discard(record.name)
+                if not may_have_run:
+                    attempts.sent_to.discard(record.name)
                 raise
 
     def _find_attempt_limit(
--- a/packages/node/ladder_node/forwarding/tests/test_forwarder.py
+++ b/packages/node/ladder_node/forwarding/tests/test_forwarder.py
@@ -251,6 +251,23 @@
     assert caught.value.execution is Execution.not_run
 
 
+async def test_refusal_by_a_replica_that_ran_the_request_hides_no_run(harness):
+    """
+    Guards against a false promise that a request has not run.
+
+    A replica lost the connection while it ran the request. It was tried again
+    when the others were full, refused then, and was forgotten as one that may
+    have run the request, so the caller got a 503 for a request that had run.
+    """
+    harness.replicas.scripts['leith'] = [lose()]
+    for centre in REGIONS:
+        script = harness.replicas.scripts.setdefault(centre, [])
+        script.extend(refuse() for _ in range(9))
+    with pytest.raises(TargetTimeoutError) as caught:
+        await harness.forward()
+    assert caught.value.execution is Execution.may_have_run
+
+
 async def test_deadline_after_a_send_promises_nothing(harness):
     harness.replicas.scripts['leith'] = [5.0]
     with pytest.raises(DeadlineError) as caught:
