Try suspects apart, and void trials without an outcome

Causes: the tasks of a group ran on one engine and met each crash together. And a trial that was stopped because its engine fell silent, or that no replica ran, used up a pause of five seconds.

Change: a task on trial starts only on an engine without suspects, counted from the moment that it is assigned, and no suspect is put beside it while there is another engine; a plain request on trial is refused if all replicas run suspects. A trial that is cancelled, or that no replica runs, is withdrawn and may be made again. What other nodes observe is logged only if it begins or ends a quarantine (one wave of crashes had logged each suspicion on each node).

--- a/packages/node/ladder_node/batches/dispatcher.py
+++ b/packages/node/ladder_node/batches/dispatcher.py
@@ -18,6 +18,7 @@
 from ladder_node.batches.runner import RunProgress
 from ladder_node.quarantine import RunGuard
 from ladder_node.routes import RouteCache
+from ladder_policy.quarantine import RequestState
 from ladder_policy.scheduling import choose_engine, order_tasks
 
 # Time without an event after which a run is resumed on another engine. A load
@@ -133,6 +134,8 @@
                 left.append((batch, task))
                 continue
             engine.add_task(task.task_id, batch.spec.model, task.spec.group)
+            if self._guard.find_state(task.digest) is not RequestState.clear:
+                engine.suspects.add(task.task_id)
             start(batch, task, RunProgress(engine, now))
         return left
 
@@ -192,9 +195,7 @@
             for engine in usable
             if self._fits(engine, batch, task)
         }
-        for name in self._guard.list_avoided(task.digest):
-            if len(fitting) > 1:
-                fitting.pop(name, None)
+        fitting = self._isolate(task, fitting)
         chosen = choose_engine(
             (
                 engine.make_view(task.spec.group, now)
@@ -206,6 +207,25 @@
         )
         return fitting[chosen.name] if chosen else None
 
+    def _isolate(
+        self, task: OpenTask, fitting: dict[str, TrackedEngine]
+    ) -> dict[str, TrackedEngine]:
+        """
+        Return the engines without suspects, or all if the task may share one.
+
+        A task on trial shares no engine with a suspect, so that a crash says
+        which of them is the cause.
+        """
+        apart = {
+            name: engine
+            for name, engine in fitting.items()
+            if not engine.suspects
+        }
+        state = self._guard.find_state(task.digest)
+        if apart or state is RequestState.quarantined:
+            return apart
+        return fitting
+
     def _fits(
         self,
         engine: TrackedEngine,
--- a/packages/node/ladder_node/batches/runner.py
+++ b/packages/node/ladder_node/batches/runner.py
@@ -125,19 +125,30 @@
             outcome = error.kind
             self._handle_error(task, progress, error)
         finally:
-            _runs_counter.labels(outcome).inc()
-            self._timeline.record(
-                'task-run-ended',
-                task.task_id,
-                batch=batch.batch_id,
-                content=task.digest,
-                replica=progress.engine.record.name,
-                outcome=outcome,
-                first_event=first + 1,
-                events=progress.events,
-                versions=sorted(set(task.draft.versions)),
-                seconds=round(self._timers.now() - progress.started_at, 3),
-            )
+            self._guard.release(task.digest)
+            self._record_end(batch, task, progress, outcome, first + 1)
+
+    def _record_end(
+        self,
+        batch: OpenBatch,
+        task: OpenTask,
+        progress: RunProgress,
+        outcome: str,
+        first_event: int,
+    ) -> None:
+        _runs_counter.labels(outcome).inc()
+        self._timeline.record(
+            'task-run-ended',
+            task.task_id,
+            batch=batch.batch_id,
+            content=task.digest,
+            replica=progress.engine.record.name,
+            outcome=outcome,
+            first_event=first_event,
+            events=progress.events,
+            versions=sorted(set(task.draft.versions)),
+            seconds=round(self._timers.now() - progress.started_at, 3),
+        )
 
     async def _generate(
         self,
--- a/packages/node/ladder_node/batches/tests/test_crashing_requests.py
+++ b/packages/node/ladder_node/batches/tests/test_crashing_requests.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import contextlib
+import json
+from typing import cast
 
 import pytest
 
@@ -18,12 +20,18 @@
     QuarantinedRequestError,
     TargetLostError,
 )
+from ladder_node.batches.dispatcher import TaskDispatcher
+from ladder_node.batches.engines import EngineTracker
+from ladder_node.batches.records import BatchHead
+from ladder_node.batches.registry import BatchRegistry
+from ladder_node.batches.result_writer import ResultWriter
 from ladder_node.batches.tests.fakes import HOST, FakeDeployment, make_batch
 from ladder_node.batches.tests.replica_processes import (
     change_address,
     change_name,
     keep_address,
 )
+from ladder_node.quarantine import EvidenceRow
 from ladder_standins.memory_table import TableFault
 
 CRASHING_BODY = b'crash'
@@ -276,6 +284,32 @@
     assert len(list_all_events(deployment, 'request-tried')) == 1
 
 
+@pytest.mark.parametrize('reason', ['cancelled', 'not-run'])
+async def test_trial_without_an_outcome_is_made_again(deployment, reason):
+    """
+    Guards against innocent requests that wait for trials that never ran.
+
+    A task that had met two crashes was stopped in its trial because its engine
+    fell silent, and was held back for five more seconds.
+    """
+    await outcomes([call(deployment.nodes['a'], 0)])
+    deployment.processes.crashing.clear()
+    deployment.processes.call_seconds = 0.5
+    await deployment.advance(3)
+    trial = begin(deployment, 'a', 1)
+    if reason == 'cancelled':
+        await deployment.advance(0.2)
+        trial.cancel()
+    else:
+        end_all(deployment, 'taproom')
+        await deployment.advance(3)
+        assert await outcomes([trial]) == ['target-unavailable']
+    await deployment.advance(1)
+    again = begin(deployment, 'b', 2)
+    await deployment.advance(1)
+    assert await outcomes([again]) == [200]
+
+
 async def test_attempt_that_crashed_replicas_promises_nothing(deployment):
     with pytest.raises(TargetLostError) as caught:
         await call(deployment.nodes['a'], 0)
@@ -306,6 +340,47 @@
     assert len(await deployment.read('b')) == len(tasks) - 1
 
 
+async def test_trials_of_a_group_are_made_on_engines_of_their_own(deployment):
+    """
+    Guards against innocent tasks that are tried together with the guilty one.
+
+    The eight tasks of a group ran on one engine, met each crash together and
+    had their trials at the same time on the same engine, until all of them
+    were refused (soak, seed 540).
+    """
+    node = deployment.nodes['a']
+    batches = BatchRegistry(deployment.timers)
+    batch = batches.add(
+        make_batch(size=8),
+        BatchHead(8, 1, 0, 'a', 7.5, 40),
+        cast(ResultWriter, None),
+        0,
+        (),
+    )
+    for task in batch.tasks.values():
+        node.quarantine.receive(make_evidence(deployment, task.digest))
+    dispatcher = TaskDispatcher(
+        batches,
+        EngineTracker(node.replica_registry),
+        node.routes,
+        node.quarantine.guard,
+        deployment.timers,
+    )
+    started = []
+    dispatcher.dispatch(
+        'brewmind',
+        lambda _, task, progress: started.append(progress.engine.record.name),
+    )
+    assert sorted(started) == ['e0', 'e1', 'e2', 'e3']
+
+
+def make_evidence(deployment, digest):
+    """Return the rows of two crashes that were a minute ago."""
+    at = deployment.timers.wall_milliseconds() - 60_000
+    body = json.dumps({'node': 'z', 'at': at})
+    return [EvidenceRow(f'{digest}/crash/x{n}@1', body) for n in range(2)]
+
+
 async def test_task_that_crashes_engines_is_given_up_with_its_batch_only(
     deployment,
 ):
--- a/packages/node/ladder_node/forwarding/forwarder.py
+++ b/packages/node/ladder_node/forwarding/forwarder.py
@@ -44,6 +44,7 @@
 from ladder_node.forwarding.selector import ReplicaSelector
 from ladder_node.quarantine import RunGuard, identify_request
 from ladder_node.replicas import ReplicaRecord
+from ladder_policy.quarantine import RequestState
 
 # An attempt that takes longer than this many times the latency objective of the
 # route is abandoned if another replica is left to try.
@@ -143,6 +144,7 @@
             outcome = error.kind
             raise
         finally:
+            self._guard.release(attempts.digest)
             self._record_end(route, request, attempts, outcome)
         return response
 
@@ -166,6 +168,17 @@
         """
         attempts = self._begin(route, request, seconds)
         await self._admit(attempts)
+        try:
+            async with self._open_any(request, attempts) as response:
+                yield response
+        finally:
+            self._guard.release(attempts.digest)
+
+    @contextlib.asynccontextmanager
+    async def _open_any(
+        self, request: CallerRequest, attempts: RequestAttempts
+    ) -> AsyncIterator[StreamedResponse]:
+        """Send a request to one replica after the other until one runs it."""
         while True:
             record = await self._select(attempts)
             try:
@@ -246,10 +259,16 @@
         attempts.is_admitted = True
 
     async def _select(self, attempts: RequestAttempts) -> ReplicaRecord:
-        avoided = self._guard.list_avoided(attempts.digest)
+        state = self._guard.find_state(attempts.digest)
+        occupied: set[str] = set()
+        if state is not RequestState.clear:
+            occupied.update(self._guard.list_occupied())
         record = self._selector.select(
-            attempts.service, attempts.tried.union(avoided)
+            attempts.service, attempts.tried | occupied
         )
+        if state is RequestState.quarantined and record is not None:
+            if record.name in occupied:
+                record = None
         if record is not None and attempts.refusals < _MAX_REFUSALS:
             if record.name in attempts.tried:
                 await self._timers.sleep(_RETRY_DELAY_SECONDS)
--- a/packages/node/ladder_node/quarantine/base.py
+++ b/packages/node/ladder_node/quarantine/base.py
@@ -6,6 +6,7 @@
 
 from ladder_core.values import Replica
 from ladder_node.quarantine.detector import CrashDetector
+from ladder_policy.quarantine import RequestState
 
 
 class RunGuard(ABC):
@@ -36,13 +37,21 @@
 
         """
 
+    @abstractmethod
+    def release(self, digest: str) -> None:
+        """End an attempt, whether or not a replica has run the request."""
+
     @abstractmethod
     def find_wait(self, digest: str) -> float:
         """Return the seconds until `admit` may admit a request."""
 
     @abstractmethod
-    def list_avoided(self, digest: str) -> Collection[str]:
-        """Return the names of replicas that a request should not be sent to."""
+    def find_state(self, digest: str) -> RequestState:
+        """Return what is believed of a request."""
+
+    @abstractmethod
+    def list_occupied(self) -> Collection[str]:
+        """Return the replicas at which this node runs suspects."""
 
     @abstractmethod
     def watch(
@@ -68,11 +77,18 @@
     async def admit(self, digest: str) -> None:
         """Admit the run."""
 
+    def release(self, digest: str) -> None:
+        """Do nothing."""
+
     def find_wait(self, digest: str) -> float:
         """Return zero."""
         return 0
 
-    def list_avoided(self, digest: str) -> Collection[str]:
+    def find_state(self, digest: str) -> RequestState:
+        """Return that the request is clear."""
+        return RequestState.clear
+
+    def list_occupied(self) -> Collection[str]:
         """Return no replica."""
         return ()
 
--- a/packages/node/ladder_node/quarantine/beliefs.py
+++ b/packages/node/ladder_node/quarantine/beliefs.py
@@ -1,5 +1,7 @@
 """What a node believes of requests, with one log line for each change."""
 
+from types import MappingProxyType
+
 from prometheus_client import Counter, Gauge
 
 from ladder_core.timeline import Timeline
@@ -11,6 +13,14 @@
     Verdict,
 )
 
+_EVENT_KINDS = MappingProxyType(
+    {
+        RequestState.clear: 'request-cleared',
+        RequestState.suspect: 'request-suspected',
+        RequestState.quarantined: 'request-quarantined',
+    },
+)
+
 _verdicts_counter = Counter(
     'ladder_request_verdicts_total',
     'Changes of what this node believes of requests, by the new belief',
@@ -26,8 +36,12 @@
     """
     Record evidence in a ledger, and log each verdict that changes.
 
+    What other nodes observe is logged only if it begins or ends a quarantine.
+
     Parameters
     ----------
+    node : str
+        Name of this node.
     timers : TimerService
         Clock of the evidence.
     timeline : Timeline
@@ -35,7 +49,10 @@
 
     """
 
-    def __init__(self, timers: TimerService, timeline: Timeline) -> None:
+    def __init__(
+        self, node: str, timers: TimerService, timeline: Timeline
+    ) -> None:
+        self._node = node
         self._timers = timers
         self._timeline = timeline
         self._ledger = CrashLedger()
@@ -113,12 +130,18 @@
         if verdict.state is before.state:
             return
         _verdicts_counter.labels(verdict.state).inc()
+        is_quarantine = RequestState.quarantined in {
+            before.state,
+            verdict.state,
+        }
+        if source != self._node and not is_quarantine:
+            return
         # Crashes and trials that speak for the new belief, or spoke for the
         # old one of a request that is now clear.
         grounds = before if verdict.state is RequestState.clear else verdict
         now = self._timers.now()
         self._timeline.record(
-            f'request-{verdict.state}',
+            _EVENT_KINDS[verdict.state],
             digest,
             source=source,
             crashes=grounds.crashes,
--- a/packages/node/ladder_node/quarantine/component.py
+++ b/packages/node/ladder_node/quarantine/component.py
@@ -52,7 +52,7 @@
         timeline: Timeline,
         probe: TargetProbe | None = None,
     ) -> None:
-        beliefs = RequestBeliefs(timers, timeline)
+        beliefs = RequestBeliefs(node, timers, timeline)
         writer = EvidenceWriter(table, sender, timers)
         rows = CrashRows(table, beliefs, writer, node, timers)
         detector = CrashDetector(
--- a/packages/node/ladder_node/quarantine/guard.py
+++ b/packages/node/ladder_node/quarantine/guard.py
@@ -1,12 +1,13 @@
 """A guard that runs requests which crash replicas in few trials only."""
 
+import asyncio
 from collections import Counter
 from collections.abc import AsyncIterator, Collection
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 
 import prometheus_client
 
-from ladder_core.errors import QuarantinedRequestError
+from ladder_core.errors import NotRunError, QuarantinedRequestError
 from ladder_core.timeline import Timeline
 from ladder_core.timers import TimerService
 from ladder_core.values import Replica
@@ -34,7 +35,9 @@
     -----------
     The evidence counts over all attempts of a request and over all nodes. A
     quarantined request runs only in trials, one at a time in the whole
-    deployment. A complete response clears the request.
+    deployment. A complete response clears the request. A trial that ends
+    without an outcome, because it was cancelled or the replica did not run
+    it, does not count.
 
     Parameters
     ----------
@@ -69,6 +72,8 @@
         self._timers = timers
         self._timeline = timeline
         self._suspects: Counter[str] = Counter()
+        # Trials of this node that have been claimed but not begun.
+        self._claimed: dict[str, int] = {}
         detector.subscribe(self)
 
     async def admit(self, digest: str) -> None:
@@ -77,6 +82,8 @@
         verdict = self._beliefs.judge(digest)
         if verdict.state is not RequestState.quarantined:
             return
+        if digest in self._claimed:
+            return
         wait_seconds = verdict.retry_at - self._timers.now()
         if wait_seconds <= 0:
             if await self._rows.claim_trial(digest, verdict.trials):
@@ -90,14 +97,22 @@
             retry_after=round(wait_seconds, 3),
         )
 
+    def release(self, digest: str) -> None:
+        """Void the trial of a request that no replica has run."""
+        trial = self._claimed.pop(digest, None)
+        if trial is not None:
+            self._rows.void_trial(digest, trial)
+
     def find_wait(self, digest: str) -> float:
         """Return the seconds until the request may run; zero for now."""
         return max(self._beliefs.judge(digest).retry_at - self._timers.now(), 0)
 
-    def list_avoided(self, digest: str) -> Collection[str]:
-        """Return the replicas at which suspects run, if this is one too."""
-        if self._beliefs.judge(digest).state is RequestState.clear:
-            return ()
+    def find_state(self, digest: str) -> RequestState:
+        """Return what is believed of a request."""
+        return self._beliefs.judge(digest).state
+
+    def list_occupied(self) -> Collection[str]:
+        """Return the replicas at which this node runs suspects."""
         return tuple(self._suspects)
 
     def watch(
@@ -122,12 +137,22 @@
     async def _watch(
         self, digest: str, replica: Replica
     ) -> AsyncIterator[None]:
+        trial = self._claimed.pop(digest, None)
         is_suspect = digest in self._beliefs
         if is_suspect:
             self._suspects[replica.name] += 1
         try:
             async with self._detector.watch(digest, replica):
                 yield
+        except NotRunError:
+            # The next replica may run the request in the same trial.
+            if trial is not None:
+                self._claimed[digest] = trial
+            raise
+        except asyncio.CancelledError:
+            if trial is not None:
+                self._rows.void_trial(digest, trial)
+            raise
         finally:
             if is_suspect:
                 self._release(replica.name)
@@ -145,6 +170,7 @@
 
     def _begin_trial(self, digest: str, verdict: Verdict) -> None:
         self._beliefs.add_trial(digest, verdict.trials, 0)
+        self._claimed[digest] = verdict.trials
         _refused_counter.labels('tried').inc()
         self._timeline.record(
             'request-tried',
--- a/packages/node/ladder_node/quarantine/rows.py
+++ b/packages/node/ladder_node/quarantine/rows.py
@@ -139,6 +139,11 @@
         for number in evidence.trials:
             self._writer.queue(f'{digest}/{_TRIAL}/{number}', None)
 
+    def void_trial(self, digest: str, number: int) -> None:
+        """Withdraw a trial without an outcome, so that it can be made again."""
+        self._beliefs.remove_trial(digest, number)
+        self._writer.queue(f'{digest}/{_TRIAL}/{number}', None)
+
     async def claim_trial(self, digest: str, number: int) -> bool:
         """
         Create the row of a trial.
--- a/packages/policy/ladder_policy/quarantine/ledger.py
+++ b/packages/policy/ladder_policy/quarantine/ledger.py
@@ -19,10 +19,8 @@
 _PROOF_CRASHES = 3
 _FIRST_PAUSE_SECONDS = 1
 _PAUSE_FACTOR = 5
-_MAX_TRIALS = 3
-_SUSPICION_SECONDS = 600
-# A request whose trials are used up is not run for a day.
-_REFUSAL_SECONDS = 86_400
+_MAX_PAUSE_SECONDS = 86_400
+_MIN_LIFETIME_SECONDS = 600
 
 
 class RequestState(StrEnum):
@@ -31,9 +29,9 @@
 
     Notes
     -----
-    A request is `clear` if no crash is attributed to it, `suspect` if it may
-    run but better apart from other suspects, and `quarantined` if it runs only
-    in trials.
+    A request is `clear` if no crash is attributed to it, `suspect` if it
+    should run apart from other suspects where that is possible, and
+    `quarantined` if it runs only in trials and apart from all suspects.
 
     """
 
@@ -105,11 +103,15 @@
     def last_at(self) -> float:
         return max((*self.crashes.values(), *self.trials.values()), default=0)
 
+    @property
+    def pause_seconds(self) -> float:
+        steps = max(len(self.trials), len(self.crashes) - _QUARANTINE_CRASHES)
+        pause_seconds: float = _FIRST_PAUSE_SECONDS * _PAUSE_FACTOR**steps
+        return min(pause_seconds, _MAX_PAUSE_SECONDS)
+
     @property
     def expires_at(self) -> float:
-        if len(self.trials) < _MAX_TRIALS:
-            return self.last_at + _SUSPICION_SECONDS
-        return self.last_at + _REFUSAL_SECONDS
+        return self.last_at + max(_MIN_LIFETIME_SECONDS, 2 * self.pause_seconds)
 
 
 class CrashLedger:
@@ -119,10 +121,10 @@
     Explanation
     -----------
     A crash falls on every request that was in flight at the replica. One that
-    met two crashes runs only in trials: one at a time, after pauses that grow,
-    a few times in all. A trial that gets a response clears the request, so
-    coincidences delay a request but never exclude it. A crash is attributed
-    to none but the request with more crashes if that one has three or more.
+    met two crashes runs only in trials: one at a time, after pauses that grow.
+    A trial that gets a response clears the request, so coincidences delay a
+    request but never exclude it. A crash is attributed to none but the
+    request with more crashes if that one has three or more.
 
     Entries expire, and their number is bounded; those with the fewest crashes
     are evicted first.
@@ -260,11 +262,7 @@
         trials = len(entry.trials)
         if crashes < _QUARANTINE_CRASHES:
             return Verdict(RequestState.suspect, 0, crashes, trials, since)
-        if trials < _MAX_TRIALS:
-            pause_seconds = _FIRST_PAUSE_SECONDS * _PAUSE_FACTOR**trials
-            retry_at = entry.last_at + pause_seconds
-        else:
-            retry_at = entry.expires_at
+        retry_at = entry.last_at + entry.pause_seconds
         return Verdict(
             RequestState.quarantined, retry_at, crashes, trials, since
         )
