Leave exchanges alone whose time-out has expired

Cause: after an outage a quick answer ends older exchanges by rescheduling their time-out. A second quick answer did the same to an exchange that had expired but was still closing its connection; asyncio refuses that with RuntimeError, which fell on the call that had been answered.

Change: an exchange whose time-out has expired is skipped.

Measured: the new test failed before with the RuntimeError and passes.

--- a/packages/clients/ladder_clients/exchanges/pending.py
+++ b/packages/clients/ladder_clients/exchanges/pending.py
@@ -99,6 +99,7 @@
             if (
                 exchange.started_at < answered.started_at
                 and age > _FAST_RESPONSE_SECONDS
+                and not exchange.scope.expired()
             ):
                 exchange.scope.reschedule(asyncio.get_running_loop().time())
 
--- a/packages/clients/ladder_clients/exchanges/tests/test_pending.py
+++ b/packages/clients/ladder_clients/exchanges/tests/test_pending.py
@@ -91,3 +91,34 @@
     call.cancel()
     with pytest.raises(asyncio.CancelledError):
         await call
+
+
+async def test_second_answer_leaves_a_call_alone_that_is_being_given_up(
+    harness,
+):
+    """
+    Guards against a quick answer that fails because of an older call.
+
+    The older call had expired and was still closing its connection when a
+    second call was answered; its time-out could not be changed then, and the
+    second call failed with a RuntimeError.
+    """
+
+    async def close_slowly():
+        async with harness.pending.track(0):
+            try:
+                await harness.timers.sleep(2)
+            finally:
+                await harness.timers.sleep(0.1)
+
+    lost = asyncio.ensure_future(close_slowly())
+    await harness.advance(0.9)
+    harness.pending.record_timeout()
+    answered = []
+    for _ in range(2):
+        answered.append(harness.begin(0.01))
+        await harness.advance(0.02)
+    assert [call.exception() for call in answered] == [None, None]
+    await harness.advance(0.2)
+    with pytest.raises(AbandonedError):
+        await lost
