End a duty that has lost one of its tasks, and take none without routes

Cause: a task of the duty that ended with an error was logged and not missed. One error came from a node that had acquired the lease before its first read of the configuration, another from an exchange that failed by mistake.

Change: a node without a configuration does not try to acquire the lease. Planning, opening, saving and cleaning are essential tasks: an error of one of them ends the session, the lease is released, and the duty begins again from the table. Runs and scorings of single tasks are logged as before.

Measured: the five new tests failed before (no result, or one begin of the duty in place of two) and pass.

--- a/packages/node/ladder_node/batches/owner.py
+++ b/packages/node/ladder_node/batches/owner.py
@@ -61,6 +61,10 @@
 
     async def _run(self) -> None:
         while True:
+            # A node without a configuration could not plan.
+            if self._dependencies.routes.current is None:
+                await self._dependencies.timers.sleep(_ATTEMPT_INTERVAL_SECONDS)
+                continue
             lease = await self._candidate.try_acquire(DUTY)
             if lease is None:
                 await self._dependencies.timers.sleep(_ATTEMPT_INTERVAL_SECONDS)
--- a/packages/node/ladder_node/batches/session.py
+++ b/packages/node/ladder_node/batches/session.py
@@ -143,10 +143,10 @@
                 on_open,
                 runs.cancel_batch,
             )
-            task_group.spawn(intake.run(task_group))
-            task_group.spawn(self._save_drafts())
-            task_group.spawn(self._clean())
-            task_group.spawn(self._plan(runs, task_group))
+            task_group.spawn_essential(intake.run(task_group))
+            task_group.spawn_essential(self._save_drafts())
+            task_group.spawn_essential(self._clean())
+            task_group.spawn_essential(self._plan(runs, task_group))
 
     async def _plan(self, runs: TaskRuns, task_group: LeaseTaskGroup) -> None:
         while True:
--- a/packages/node/ladder_node/batches/task_group.py
+++ b/packages/node/ladder_node/batches/task_group.py
@@ -24,6 +24,14 @@
     def __init__(self, group: asyncio.TaskGroup) -> None:
         self._group = group
 
+    def spawn_essential(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """
+        Run a coroutine without which the lease is of no use.
+
+        Any error of it ends the group, so that the duty begins again.
+        """
+        self._group.create_task(coroutine)
+
     def spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """
         Run a coroutine in the group.
--- a/packages/node/ladder_node/batches/tests/test_takeover.py
+++ b/packages/node/ladder_node/batches/tests/test_takeover.py
@@ -6,16 +6,22 @@
 had been unavailable for some seconds.
 """
 
+from dataclasses import replace
+
 import pytest
 
 from ladder_clients.table import StoreOutcomeUnknownError
 from ladder_node.batches.drafts import load_drafts
+from ladder_node.batches.intake import BatchIntake
 from ladder_node.batches.records import DRAFTS_TABLE, TASKS_TABLE, find_shard
+from ladder_node.batches.session import OwnerSession
 from ladder_node.batches.tests.fakes import (
     EVENT_SECONDS,
     FakeDeployment,
     make_batch,
+    make_routes,
 )
+from ladder_node.routes import RouteCache
 from ladder_standins.memory_table import MemoryTable
 
 LONG_EVENTS = 150
@@ -160,3 +166,59 @@
     await deployment.advance(3)
     assert (TASKS_TABLE, 'b19') in deployment.table.scanned
     assert deployment.table.max_in_flight <= 16
+
+
+async def test_node_without_a_configuration_does_not_take_the_duty():
+    """
+    Guards against a lease holder that stops planning for good.
+
+    A node acquired the lease before it had read the configuration. Its
+    planning ended with an error while the lease was kept, so the batches got no
+    result until the node was closed.
+    """
+    deployment = FakeDeployment()
+    node = deployment.nodes['a']
+    node.routes = RouteCache(node.timeline)
+    node.owner._dependencies = replace(
+        node.owner._dependencies, routes=node.routes
+    )
+    await deployment.start()
+    await deployment.advance(7)
+    assert 'duty-begun' not in node.list_kinds()
+    node.routes.offer(make_routes())
+    await deployment.submit(make_batch())
+    await deployment.advance(3)
+    results = await deployment.read('b')
+    await deployment.close()
+    assert len(results) == 4
+
+
+@pytest.mark.parametrize('task', ['_plan', '_save_drafts', '_clean', 'intake'])
+async def test_duty_begins_again_after_an_unexpected_error(monkeypatch, task):
+    """
+    Guards against a lease that is kept without the work that it is for.
+
+    An unexpected error ended the task that opens batches. The duty went on
+    without it, and later batches were never opened (soak, seed 542).
+    """
+    deployment = FakeDeployment()
+    errors = [RuntimeError('unexpected')]
+    owner = BatchIntake if task == 'intake' else OwnerSession
+    name = 'run' if task == 'intake' else task
+    original = getattr(owner, name)
+
+    async def fail_once(self, *arguments):
+        if errors:
+            raise errors.pop()
+        await original(self, *arguments)
+
+    monkeypatch.setattr(owner, name, fail_once)
+    await deployment.start()
+    await deployment.advance(2)
+    await deployment.submit(make_batch())
+    await deployment.advance(3)
+    results = await deployment.read('b')
+    await deployment.close()
+    assert len(results) == 4
+    kinds = deployment.nodes['a'].list_kinds()
+    assert kinds.count('duty-begun') == 2
