Claim no trial that no replica could run, and poll crashes less often

Change: a request is admitted only if a replica is left to try. The rows of crashes change seldom, so a node asks for them every three seconds at least, not every one; a change still arrives at once. `kumquatladder explain` follows the digest from a request to the crashes and verdicts of its other attempts.

Measured: the new test failed before (revision of the table, outcomes quarantined) and passes.

--- a/packages/cli/ladder_cli/explain.py
+++ b/packages/cli/ladder_cli/explain.py
@@ -34,7 +34,7 @@
     """
     Show all log lines about a request, a task, a batch or a replica.
 
-    :param subject: Id of the request, task, batch or replica.
+    :param subject: Id of the request, task, batch or replica, or a content.
     :param logs: Log files of processes, in any order.
     :param context: Also show events that affected the nodes in that time.
     """
@@ -56,9 +56,11 @@
 
 def find_related(lines: Iterable[LogLine], subject: str) -> list[LogLine]:
     """
-    Return the lines that mention an id, and the lines about its batches.
+    Return the lines that mention an id, and those about what it belongs to.
 
-    Its batches are those in the field `batch` of the lines that mention it.
+    These are its batches and its content, from the fields `batch` and `content`
+    of the lines that mention it. The content is the digest that all attempts
+    of a request share; its lines say which replicas crashed under it.
 
     Parameters
     ----------
@@ -81,20 +83,31 @@
     >>> related = find_related([opened, other, run], 'task')
     >>> [line.message for line in related]
     ['batch-opened', 'task-run-ended']
+    >>> ended = LogLine('3', 'INFO', 'request-ended', {
+    ...     'subject': 'r', 'content': '7f'})
+    >>> crashed = LogLine('2', 'INFO', 'replica-crashed', {
+    ...     'subject': 'e1', 'contents': '3c,7f'})
+    >>> related = find_related([crashed, ended], 'r')
+    >>> [line.message for line in related]
+    ['replica-crashed', 'request-ended']
 
     """
     all_lines = list(lines)
     mentioning = [line for line in all_lines if _mentions(line, subject)]
-    batches = {
-        line.fields['batch'] for line in mentioning if 'batch' in line.fields
-    }
+    batches = _collect(mentioning, 'batch')
+    digests = _collect(mentioning, 'content')
     return [
         line
         for line in all_lines
-        if _mentions(line, subject) or line.fields.get('subject') in batches
+        if line.fields.get('subject') in batches
+        or any(_mentions(line, one) for one in (subject, *digests))
     ]
 
 
+def _collect(lines: Iterable[LogLine], name: str) -> set[str]:
+    return {line.fields[name] for line in lines if name in line.fields}
+
+
 def _mentions(line: LogLine, subject: str) -> bool:
     return any(subject in field.split(',') for field in line.fields.values())
 
--- a/packages/node/ladder_node/batches/tests/test_crashing_requests.py
+++ b/packages/node/ladder_node/batches/tests/test_crashing_requests.py
@@ -317,6 +317,24 @@
     assert len(deployment.processes.crashes) == 2
 
 
+async def test_no_trial_is_claimed_while_no_replica_could_run_it(deployment):
+    """
+    Guards against writes for trials that cannot be made.
+
+    A scoring call was tried ten times a second while all scorers were down, and
+    each time a trial was claimed and withdrawn (soak, seed 500).
+    """
+    await outcomes([call(deployment.nodes['a'], 0)])
+    await deployment.advance(3)
+    end_all(deployment, 'taproom')
+    await outcomes([call(deployment.nodes['a'], 'first', b'bystander')])
+    rows = deployment.crash_table.rows
+    before = rows.revision
+    calls = [call(deployment.nodes['a'], number) for number in range(20)]
+    assert set(await outcomes(calls)) == {'target-unavailable'}
+    assert rows.revision == before
+
+
 async def test_stream_of_a_quarantined_request_is_refused(deployment):
     await outcomes([call(deployment.nodes['a'], 0)])
     node = deployment.nodes['a']
--- a/packages/node/ladder_node/feeds/follower.py
+++ b/packages/node/ladder_node/feeds/follower.py
@@ -74,6 +74,9 @@
         Clock of the age, and sleep before retries.
     timeline : Timeline
         Records when the table becomes unavailable and available again.
+    poll_seconds : float, optional
+        Longest wait of one call for changes. A silent connection is detected
+        after this time and the time-out of the call.
 
     """
 
@@ -84,9 +87,11 @@
         listener: FeedListener,
         timers: TimerService,
         timeline: Timeline,
+        poll_seconds: float = LONG_POLL_SECONDS,
     ) -> None:
         self._table = table
         self._name = name
+        self._poll_seconds = poll_seconds
         self._listener = listener
         self._timers = timers
         self._timeline = timeline
@@ -140,7 +145,7 @@
 
     async def _watch(self, revision: int) -> RowChanges:
         changes = await self._table.watch(
-            self._name, revision, LONG_POLL_SECONDS
+            self._name, revision, self._poll_seconds
         )
         self._confirm()
         return changes
--- a/packages/node/ladder_node/forwarding/forwarder.py
+++ b/packages/node/ladder_node/forwarding/forwarder.py
@@ -250,6 +250,9 @@
 
     async def _admit(self, attempts: RequestAttempts) -> None:
         """Ask the guard whether the request may be sent to a replica."""
+        if self._find_replica(attempts) is None:
+            # Nothing is asked for that no replica would run.
+            raise _make_exhausted_error(attempts)
         try:
             await self._guard.admit(attempts.digest)
         except QuarantinedRequestError as error:
@@ -259,6 +262,17 @@
         attempts.is_admitted = True
 
     async def _select(self, attempts: RequestAttempts) -> ReplicaRecord:
+        record = self._find_replica(attempts)
+        if record is None:
+            raise _make_exhausted_error(attempts)
+        if record.name in attempts.tried:
+            await self._timers.sleep(_RETRY_DELAY_SECONDS)
+        return record
+
+    def _find_replica(self, attempts: RequestAttempts) -> ReplicaRecord | None:
+        """Return the replica to send to next; None if none is left to try."""
+        if attempts.refusals >= _MAX_REFUSALS:
+            return None
         state = self._guard.find_state(attempts.digest)
         occupied: set[str] = set()
         if state is not RequestState.clear:
@@ -266,23 +280,10 @@
         record = self._selector.select(
             attempts.service, attempts.tried | occupied
         )
-        if state is RequestState.quarantined and record is not None:
-            if record.name in occupied:
-                record = None
-        if record is not None and attempts.refusals < _MAX_REFUSALS:
-            if record.name in attempts.tried:
-                await self._timers.sleep(_RETRY_DELAY_SECONDS)
-            return record
-        if attempts.sent_to:
-            raise TargetTimeoutError(
-                f'no replica of {attempts.service} is left to try',
-                remedy='read back whether the request took effect',
-            )
-        raise TargetUnavailableError(
-            f'no replica of {attempts.service} takes requests now',
-            remedy='send the request again later',
-            retry_after=RETRY_AFTER_SECONDS,
-        )
+        is_apart = record is None or record.name not in occupied
+        if state is RequestState.quarantined and not is_apart:
+            return None
+        return record
 
     async def _attempt(
         self,
@@ -368,3 +369,17 @@
             and len(attempts.sent_to) < route.max_attempts
             and self._selector.has_other(attempts.service, attempts.tried)
         )
+
+
+def _make_exhausted_error(attempts: RequestAttempts) -> LadderError:
+    """Return the error of a request that no replica is left to try for."""
+    if attempts.sent_to:
+        return TargetTimeoutError(
+            f'no replica of {attempts.service} is left to try',
+            remedy='read back whether the request took effect',
+        )
+    return TargetUnavailableError(
+        f'no replica of {attempts.service} takes requests now',
+        remedy='send the request again later',
+        retry_after=RETRY_AFTER_SECONDS,
+    )
--- a/packages/node/ladder_node/quarantine/component.py
+++ b/packages/node/ladder_node/quarantine/component.py
@@ -17,6 +17,9 @@
 from ladder_node.quarantine.writer import CRASHES_TABLE, EvidenceWriter
 from ladder_node.replicas import ReplicaRegistry
 
+# All nodes follow the table, whose rows seldom change.
+_POLL_SECONDS = 3
+
 
 class Quarantine(Component):
     """
@@ -67,7 +70,9 @@
         self._parts.add(rows)
         self._parts.add(detector)
         self._parts.add(
-            TableFollower(table, CRASHES_TABLE, rows, timers, timeline)
+            TableFollower(
+                table, CRASHES_TABLE, rows, timers, timeline, _POLL_SECONDS
+            )
         )
 
     @property
--- a/packages/node/ladder_node/quarantine/guard.py
+++ b/packages/node/ladder_node/quarantine/guard.py
@@ -15,7 +15,11 @@
 from ladder_node.quarantine.beliefs import RequestBeliefs
 from ladder_node.quarantine.detector import CrashDetector, CrashListener
 from ladder_node.quarantine.rows import CrashRows
-from ladder_policy.quarantine import RequestState, Verdict
+from ladder_policy.quarantine import (
+    QUARANTINE_CRASHES,
+    RequestState,
+    Verdict,
+)
 
 # Time after which a trial that could not be claimed may be claimed again.
 _CLAIM_RETRY_SECONDS = 1
@@ -165,7 +169,8 @@
     async def _settle(self, digest: str) -> None:
         """Wait for probes if the request could be quarantined by them."""
         broken = self._detector.count_broken(digest)
-        if broken and broken + self._beliefs.judge(digest).crashes > 1:
+        crashes = self._beliefs.judge(digest).crashes
+        if broken and broken + crashes >= QUARANTINE_CRASHES:
             await self._detector.settle(digest)
 
     def _begin_trial(self, digest: str, verdict: Verdict) -> None:
--- a/packages/policy/ladder_policy/quarantine/ledger.py
+++ b/packages/policy/ladder_policy/quarantine/ledger.py
@@ -12,9 +12,10 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-_MAX_ENTRIES = 8192
 # Crashes under a request from which on it runs only in trials.
-_QUARANTINE_CRASHES = 2
+QUARANTINE_CRASHES = 2
+
+_MAX_ENTRIES = 8192
 # Crashes that show a request as the cause of what others met at its side.
 _PROOF_CRASHES = 3
 _FIRST_PAUSE_SECONDS = 1
@@ -105,7 +106,7 @@
 
     @property
     def pause_seconds(self) -> float:
-        steps = max(len(self.trials), len(self.crashes) - _QUARANTINE_CRASHES)
+        steps = max(len(self.trials), len(self.crashes) - QUARANTINE_CRASHES)
         pause_seconds: float = _FIRST_PAUSE_SECONDS * _PAUSE_FACTOR**steps
         return min(pause_seconds, _MAX_PAUSE_SECONDS)
 
@@ -260,7 +261,7 @@
             return CLEAR
         since = min(entry.crashes.values())
         trials = len(entry.trials)
-        if crashes < _QUARANTINE_CRASHES:
+        if crashes < QUARANTINE_CRASHES:
             return Verdict(RequestState.suspect, 0, crashes, trials, since)
         retry_at = entry.last_at + entry.pause_seconds
         return Verdict(
