Look again at a quarantined scoring call after a second

Trainers would wait for the score of an innocent text as long as the guilty call beside it is held back (25 s after its third crash): the scorer slept for the pause that it was told, although another crash had cleared the call meanwhile.

Change: the pause between two looks is a second at most, as it is for tasks.

Measured: the new test failed before (the call was repeated after 125 s) and passes.

--- a/packages/node/ladder_node/batches/scoring.py
+++ b/packages/node/ladder_node/batches/scoring.py
@@ -16,6 +16,7 @@
 _OK_STATUS = 200
 _MIN_REDIRECTION_STATUS = 300
 _RETRY_INTERVAL_SECONDS = 0.1
+_MAX_HOLD_SECONDS = 1
 # The time limit of a scoring call as a multiple of the route's time-out. A
 # step waits far longer than other callers of the route, so the call may try
 # all replicas even if each of them is slow.
@@ -109,7 +110,10 @@
                 task.count_failed_scoring,
             )
         except QuarantinedRequestError as error:
-            await self._timers.sleep(error.retry_after or 0)
+            # The call may be cleared before its pause is over.
+            await self._timers.sleep(
+                min(error.retry_after or 0, _MAX_HOLD_SECONDS)
+            )
             return None
         except LadderError:
             # The forwarder has recorded the outcome and its reason.
--- a/packages/node/ladder_node/batches/tests/test_scoring.py
+++ b/packages/node/ladder_node/batches/tests/test_scoring.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ladder_core.errors import DeadlineError
+from ladder_core.errors import DeadlineError, QuarantinedRequestError
 from ladder_core.timeline import HybridClock, Timeline
 from ladder_core.timers import ManualTimerService
 from ladder_node.batches.open_batch import OpenTask
@@ -19,7 +19,7 @@
     Forwarder whose calls have scripted outcomes.
 
     Each entry of the script is the number of failed runs of a call and its
-    status; None as the status stands for a time-out.
+    status; None as the status stands for a time-out, an error for itself.
     """
 
     def __init__(self, *script):
@@ -32,13 +32,15 @@
         for _ in range(failures):
             if on_failure is not None:
                 on_failure()
+        if isinstance(status, Exception):
+            raise status
         if status is None:
             raise DeadlineError('late', remedy='allow more time')
         return CompleteResponse(status, (), b'', 's', 'signature')
 
 
-async def score(*script):
-    timers = ManualTimerService()
+async def score(*script, timers=None):
+    timers = timers or ManualTimerService()
     timeline = Timeline('a', HybridClock(timers))
     routes = RouteCache(timeline)
     routes.offer(make_routes())
@@ -71,3 +73,17 @@
     _, forwarder = await score((0, 200))
     route = make_routes().find_route(HOST, '/score/')
     assert forwarder.limits[0] > 2 * route.timeout_seconds
+
+
+async def test_quarantined_call_is_repeated_soon():
+    """
+    Guards against innocent calls that wait for the pause of a guilty one.
+
+    A call that shared two crashes with the guilty one is cleared as soon as that
+    one is proven, while the pause that it was told is much longer.
+    """
+    timers = ManualTimerService()
+    error = QuarantinedRequestError('q', remedy='wait', retry_after=125)
+    signature, _ = await score((0, error), (0, 200), timers=timers)
+    assert signature == 'signature'
+    assert timers.now() < 3
