--- a/packages/node/ladder_node/batches/tests/test_scoring.py
+++ b/packages/node/ladder_node/batches/tests/test_scoring.py
@@ -79,8 +79,8 @@
     """
     Guards against innocent calls that wait for the pause of a guilty one.
 
-    A call that shared two crashes with the guilty one is cleared as soon as that
-    one is proven, while the pause that it was told is much longer.
+    A call that shared two crashes with the guilty one is cleared once that one
+    is proven, while the pause that it was told is much longer.
     """
     timers = ManualTimerService()
     error = QuarantinedRequestError('q', remedy='wait', retry_after=125)
