Let no connection outlive the crash of a replica in the soak

Traced: the request got a 503 from a replica that it had just crashed, which cleared it, so its crashes were counted anew. The connection was being made by the proxy while the replica crashed under another request, and the cut missed it.

Measured: the new test of the proxy failed before (the echo came) and passes.

--- a/standins/ladder_standins/tcp_proxy.py
+++ b/standins/ladder_standins/tcp_proxy.py
@@ -118,6 +118,10 @@
             caller.transport.abort()
             return
         connection = _ProxiedConnection(caller, target)
+        if self._is_refusing:
+            # The cut came while the connection was being made.
+            connection.cut()
+            return
         self._connections.add(connection)
         with contextlib.suppress(OSError):
             await asyncio.gather(
--- a/standins/ladder_standins/tests/test_tcp_proxy.py
+++ b/standins/ladder_standins/tests/test_tcp_proxy.py
@@ -51,3 +51,24 @@
             raise ConnectionResetError
     proxy.restore()
     assert await send_line(await connect(proxy)) == b'x\n'
+
+
+async def test_cut_ends_a_connection_that_is_being_made(proxy, monkeypatch):
+    """
+    Guards against replicas that answer after their crash.
+
+    A connection whose other half was not made yet outlived the cut, so a
+    request that had crashed its replica got a response (soak, seed 524).
+    """
+    open_connection = asyncio.open_connection
+
+    async def open_slowly(*address):
+        await asyncio.sleep(0.1)
+        return await open_connection(*address)
+
+    monkeypatch.setattr(asyncio, 'open_connection', open_slowly)
+    host, _, port = proxy.address.rpartition(':')
+    caller = await open_connection(host, port)
+    await asyncio.sleep(0.05)
+    proxy.cut()
+    assert not await send_line(caller)
