Ignore malformed rows of batches, one at a time

All trainers would lose their batches to one row that cannot be decoded: the error ended the task that opens batches, and since that task is essential, the duty of each holder in turn. The clean-up had the same weakness.

Change: a malformed row of a batch is logged and skipped, when batches are opened and when old ones are removed.

Measured: the new test failed before (no result of four) and passes.

--- a/packages/node/ladder_node/batches/cleaner.py
+++ b/packages/node/ladder_node/batches/cleaner.py
@@ -3,7 +3,6 @@
 import time
 import uuid
 
-import msgspec
 from prometheus_client import Counter
 
 from ladder_clients.objects import ObjectStore
@@ -23,6 +22,7 @@
     RESULTS_TABLE,
     TASKS_TABLE,
     BatchHead,
+    decode_head,
     list_shards,
     make_end_key,
     split_end_key,
@@ -86,7 +86,9 @@
             batch_id, is_end = split_end_key(row.key)
             if is_end:
                 continue
-            head = msgspec.json.decode(row.body, type=BatchHead)
+            head = decode_head(row)
+            if head is None:
+                continue
             retention_seconds = max(
                 self._result_retention_seconds, head.retention_seconds
             )
--- a/packages/node/ladder_node/batches/intake.py
+++ b/packages/node/ladder_node/batches/intake.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-import msgspec
 from prometheus_client import Histogram
 
 from ladder_clients.table import HistoryLostError, Row
@@ -18,6 +17,7 @@
     BATCHES_TABLE,
     BatchHead,
     TaskResult,
+    decode_head,
     list_shards,
     split_end_key,
 )
@@ -174,7 +174,9 @@
         # Open batches are read before the drafts of batches that have ended.
         for batch_id in sorted(new_ids, key=self._registry.is_ended):
             self._known.add(batch_id)
-            head = msgspec.json.decode(heads[batch_id].body, type=BatchHead)
+            head = decode_head(heads[batch_id])
+            if head is None:
+                continue
             age_seconds = _find_age_seconds(head, max_age_seconds)
             if not self._registry.is_ended(batch_id):
                 task_group.spawn(
--- a/packages/node/ladder_node/batches/records.py
+++ b/packages/node/ladder_node/batches/records.py
@@ -21,6 +21,9 @@
 
 import msgspec
 import xxhash
+from loguru import logger
+
+from ladder_clients.table import Row
 
 BATCHES_TABLE = 'batches'
 TASKS_TABLE = 'batch_tasks'
@@ -119,6 +122,15 @@
     epoch: int
 
 
+def decode_head(row: Row) -> BatchHead | None:
+    """Return the head of a batch, or None for a malformed row."""
+    try:
+        return msgspec.json.decode(row.body, type=BatchHead)
+    except msgspec.DecodeError as error:
+        logger.error('malformed row of batch {} ignored: {}', row.key, error)
+        return None
+
+
 def find_shard(batch_id: str) -> str:
     """
     Return the partition of a batch.
--- a/packages/node/ladder_node/batches/tests/test_takeover.py
+++ b/packages/node/ladder_node/batches/tests/test_takeover.py
@@ -10,10 +10,19 @@
 
 import pytest
 
-from ladder_clients.table import StoreOutcomeUnknownError
+from ladder_clients.table import (
+    StoreOutcomeUnknownError,
+    Transaction,
+    Write,
+)
 from ladder_node.batches.drafts import load_drafts
 from ladder_node.batches.intake import BatchIntake
-from ladder_node.batches.records import DRAFTS_TABLE, TASKS_TABLE, find_shard
+from ladder_node.batches.records import (
+    BATCHES_TABLE,
+    DRAFTS_TABLE,
+    TASKS_TABLE,
+    find_shard,
+)
 from ladder_node.batches.session import OwnerSession
 from ladder_node.batches.tests.fakes import (
     EVENT_SECONDS,
@@ -222,3 +231,23 @@
     assert len(results) == 4
     kinds = deployment.nodes['a'].list_kinds()
     assert kinds.count('duty-begun') == 2
+
+
+async def test_malformed_row_of_a_batch_stops_no_other_batch():
+    """
+    Guards against one row that ends the duty of every holder again and again.
+
+    A row that could not be decoded ended the task that opens batches, and with
+    it the duty.
+    """
+    deployment = FakeDeployment()
+    row = Write(BATCHES_TABLE, 'broken', '{', find_shard('broken'))
+    deployment.table.apply(Transaction('row', (), (row,)))
+    await deployment.start()
+    await deployment.submit(make_batch())
+    # Longer than the interval of the cleaning.
+    await deployment.advance(35)
+    results = await deployment.read('b')
+    await deployment.close()
+    assert len(results) == 4
+    assert deployment.nodes['a'].list_kinds().count('duty-begun') == 1
