Let an old probe say nothing about later runs, and end it at close

Operators would miss a crash, and a node could leave a task behind when it stops.

Cause: the account of broken runs at a process was found by the name of the process. If the list of replicas withdrew it while its probe was under way, the probe ended the account of later runs at that process in its place, and close() did not know the probe any more. Found by reading, not seen in a run.

Change: a probe confirms only the runs that it was started for, and the detector keeps all probes until they end. Close may be called again, also for the listener.

--- a/packages/node/ladder_node/quarantine/detector.py
+++ b/packages/node/ladder_node/quarantine/detector.py
@@ -109,6 +109,7 @@
         self._listeners: list[CrashListener] = []
         self._broken: dict[str, _BrokenRuns] = {}
         self._crashed: OrderedDict[str, None] = OrderedDict()
+        self._probes: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Subscribe to changes of the list of replicas."""
@@ -117,9 +118,8 @@
     async def close(self) -> None:
         """Unsubscribe, and cancel the probes."""
         self._registry.remove_listener(self._check_registry)
-        probes = [runs.probe for runs in self._broken.values() if runs.probe]
         self._broken.clear()
-        for probe in probes:
+        for probe in tuple(self._probes):
             probe.cancel()
             with suppress(asyncio.CancelledError):
                 await probe
@@ -200,6 +200,8 @@
         runs.digests[digest] = None
         if is_connection_lost and runs.probe is None:
             runs.probe = asyncio.create_task(self._probe_process(runs))
+            self._probes.add(runs.probe)
+            runs.probe.add_done_callback(self._probes.discard)
         self._check_registry()
 
     async def _probe_process(self, runs: _BrokenRuns) -> None:
@@ -223,8 +225,10 @@
 
     def _confirm(self, runs: _BrokenRuns, evidence: str) -> None:
         process = make_process_name(runs.replica)
-        if self._broken.pop(process, None) is None:
+        if self._broken.get(process) is not runs:
+            # The list has withdrawn these runs while they were probed.
             return
+        self._broken.pop(process)
         self._crashed[process] = None
         if len(self._crashed) > _MAX_KNOWN_CRASHES:
             self._crashed.popitem(last=False)
--- a/packages/node/ladder_node/quarantine/tests/test_detector.py
+++ b/packages/node/ladder_node/quarantine/tests/test_detector.py
@@ -35,7 +35,7 @@
         return address in self.gone
 
 
-class Beliefs(CrashListener):
+class Recorder(CrashListener):
     def __init__(self):
         self.crashes = []
         self.responses = []
@@ -53,11 +53,11 @@
         self.timeline = Timeline('node', HybridClock(self.timers))
         self.registry = ReplicaRegistry(self.timers, self.timeline)
         self.probe = ScriptedProbe(self.timers)
-        self.beliefs = Beliefs()
+        self.recorder = Recorder()
         self.detector = CrashDetector(
             self.registry, self.probe, self.timers, self.timeline
         )
-        self.detector.subscribe(self.beliefs)
+        self.detector.subscribe(self.recorder)
         self.registry.replace([REPLICA], 0)
 
     async def run(self, digest, error=None):
@@ -73,7 +73,7 @@
 
     @property
     def crashes(self):
-        return self.beliefs.crashes
+        return self.recorder.crashes
 
     def read_events(self):
         events = self.timeline.read(HybridTime(), 99)
@@ -147,7 +147,7 @@
     await harness.run('a', TargetTimeoutError('silent', remedy='wait'))
     await harness.run('b')
     assert not harness.detector.count_broken('a')
-    assert harness.beliefs.responses == ['b']
+    assert harness.recorder.responses == ['b']
 
 
 async def test_leaving_replica_has_not_crashed(harness):
@@ -225,3 +225,29 @@
     await harness.timers.advance(0.2)
     assert settled.done()
     assert harness.crashes == [('a', 'r@5')]
+
+
+async def test_old_probe_says_nothing_about_later_runs(harness):
+    """
+    Guards against runs whose crash is lost.
+
+    The list withdrew the first broken run while its probe was under way. The
+    probe then ended the account of a later run at the same process.
+    """
+    await harness.run('a', lose())
+    harness.registry.change([replace(REPLICA, is_leaving=True)], [])
+    harness.registry.change([REPLICA], [])
+    await harness.timers.advance(0.2)
+    harness.crash()
+    await harness.run('b', lose())
+    await harness.timers.advance(1)
+    assert harness.crashes == [('b', 'r@5')]
+
+
+async def test_close_ends_every_probe(harness):
+    """Also those of runs that the list has withdrawn meanwhile."""
+    await harness.run('a', lose())
+    harness.registry.change([replace(REPLICA, is_leaving=True)], [])
+    before = asyncio.all_tasks()
+    await harness.detector.close()
+    assert len(asyncio.all_tasks() & before) == 1
--- a/packages/node/ladder_node/replicas/registry.py
+++ b/packages/node/ladder_node/replicas/registry.py
@@ -47,8 +47,9 @@
         self._listeners.append(listener)
 
     def remove_listener(self, listener: Callable[[], None]) -> None:
-        """Unregister a listener."""
-        self._listeners.remove(listener)
+        """Unregister a listener; one that is not registered is ignored."""
+        if listener in self._listeners:
+            self._listeners.remove(listener)
 
     def find(self, name: str) -> ReplicaRecord | None:
         """Return the record of a replica, or None if it is not listed."""
