Keep writing evidence after an unexpected error; one component for one task

Evidence of crashes would wait for good after an error of the table's client that is not about the store: it ended the task that writes, and nobody noticed.

Change: the error is logged and the rows are kept for the next write. The commit and the notice to the peers run in one task group, so none outlives the writer. Three components shared the same start and close; they are TaskComponent now, which logs an error that ends its task. The notices use the request and response of the library.

--- a/packages/core/ladder_core/supervision/__init__.py
+++ b/packages/core/ladder_core/supervision/__init__.py
@@ -2,5 +2,6 @@
 
 from ladder_core.supervision.base import Component
 from ladder_core.supervision.supervisor import Supervisor
+from ladder_core.supervision.task import TaskComponent
 
-__all__ = ('Component', 'Supervisor')
+__all__ = ('Component', 'Supervisor', 'TaskComponent')
--- a/packages/node/ladder_node/batches/owner.py
+++ b/packages/node/ladder_node/batches/owner.py
@@ -1,12 +1,9 @@
 """Component that runs the batches while this node holds their lease."""
 
-import asyncio
-import contextlib
-
 from loguru import logger
 from prometheus_client import Gauge
 
-from ladder_core.supervision import Component
+from ladder_core.supervision import TaskComponent
 from ladder_node.batches.dependencies import OwnerDependencies
 from ladder_node.batches.fence import OwnershipLostError
 from ladder_node.batches.session import OwnerSession
@@ -22,7 +19,7 @@
 )
 
 
-class BatchOwner(Component):
+class BatchOwner(TaskComponent):
     """
     Run the batches of the deployment on one node at a time.
 
@@ -38,23 +35,14 @@
     def __init__(
         self, dependencies: OwnerDependencies, candidate: LeaseCandidate
     ) -> None:
+        super().__init__()
         self._dependencies = dependencies
         self._candidate = candidate
-        self._task: asyncio.Task[None] | None = None
         self._lease: Lease | None = None
 
-    async def start(self) -> None:
-        """Start trying to acquire the lease."""
-        self._task = asyncio.create_task(self._run())
-
     async def close(self) -> None:
         """Stop all work and release the lease, so another node can take it."""
-        if self._task is None:
-            return
-        self._task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await self._task
-        self._task = None
+        await super().close()
         if self._lease is not None:
             await self._lease.release()
             self._lease = None
--- a/packages/node/ladder_node/feeds/follower.py
+++ b/packages/node/ladder_node/feeds/follower.py
@@ -1,7 +1,5 @@
 """Follow the changes of a table, with a full read after any interruption."""
 
-import asyncio
-import contextlib
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 
@@ -15,7 +13,7 @@
     RowChanges,
 )
 from ladder_core.errors import StoreUnavailableError
-from ladder_core.supervision import Component
+from ladder_core.supervision import TaskComponent
 from ladder_core.timeline import Timeline
 from ladder_core.timers import TimerService
 
@@ -58,7 +56,7 @@
         """Update the rows that changed, and remove those that were deleted."""
 
 
-class TableFollower(Component):
+class TableFollower(TaskComponent):
     """
     Keep a listener up to date with one table.
 
@@ -89,6 +87,7 @@
         timeline: Timeline,
         poll_seconds: float = LONG_POLL_SECONDS,
     ) -> None:
+        super().__init__()
         self._table = table
         self._name = name
         self._poll_seconds = poll_seconds
@@ -97,7 +96,6 @@
         self._timeline = timeline
         self._confirmed_at: float | None = None
         self._is_unavailable = False
-        self._task: asyncio.Task[None] | None = None
 
     @property
     def age(self) -> float | None:
@@ -106,19 +104,6 @@
             return None
         return self._timers.now() - self._confirmed_at
 
-    async def start(self) -> None:
-        """Start a task that follows the table."""
-        self._task = asyncio.create_task(self._run())
-
-    async def close(self) -> None:
-        """Stop the task."""
-        if self._task is None:
-            return
-        self._task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await self._task
-        self._task = None
-
     async def _run(self) -> None:
         while True:
             try:
--- a/packages/node/ladder_node/quarantine/peers.py
+++ b/packages/node/ladder_node/quarantine/peers.py
@@ -7,6 +7,8 @@
 import msgspec
 from loguru import logger
 from prometheus_client import Counter
+from starlette.requests import Request
+from starlette.responses import Response
 from starlette.types import Receive, Scope, Send
 
 from ladder_clients.exchanges import (
@@ -120,32 +122,22 @@
         status = _OK_STATUS
         try:
             rows = msgspec.msgpack.decode(
-                await _read_body(receive), type=list[EvidenceRow]
+                await _read_body(Request(scope, receive)),
+                type=list[EvidenceRow],
             )
         except msgspec.DecodeError as error:
             logger.warning('notice of crashes not understood: {}', error)
             status = _BAD_REQUEST_STATUS
         else:
             self._receive_rows(rows)
-        headers = [(b'content-length', b'0')]
-        await send(
-            {
-                'type': 'http.response.start',
-                'status': status,
-                'headers': headers,
-            },
-        )
-        await send({'type': 'http.response.body', 'body': b''})
+        await Response(status_code=status)(scope, receive, send)
 
 
-async def _read_body(receive: Receive) -> bytes:
+async def _read_body(request: Request) -> bytes:
     """Return the body; one that is too large is cut, so it is not decoded."""
-    parts: list[bytes] = []
-    size = 0
-    while size <= _MAX_BODY_BYTES:
-        message = await receive()
-        parts.append(message.get('body', b''))
-        size += len(parts[-1])
-        if not message.get('more_body', False):
+    body = bytearray()
+    async for chunk in request.stream():
+        body.extend(chunk)
+        if len(body) > _MAX_BODY_BYTES:
             break
-    return b''.join(parts)
+    return bytes(body)
--- a/packages/node/ladder_node/quarantine/writer.py
+++ b/packages/node/ladder_node/quarantine/writer.py
@@ -1,7 +1,6 @@
 """Writing of rows of evidence, with the peers as a second path."""
 
 import asyncio
-import contextlib
 import uuid
 from collections import OrderedDict
 from collections.abc import Mapping
@@ -16,7 +15,7 @@
     Write,
 )
 from ladder_core.errors import StoreUnavailableError
-from ladder_core.supervision import Component
+from ladder_core.supervision import TaskComponent
 from ladder_core.timers import TimerService
 from ladder_node.quarantine.peers import EvidenceRow, EvidenceSender
 
@@ -37,7 +36,7 @@
 )
 
 
-class EvidenceWriter(Component):
+class EvidenceWriter(TaskComponent):
     """
     Write rows to the table, at a bounded rate and until they are confirmed.
 
@@ -63,6 +62,7 @@
         sender: EvidenceSender,
         timers: TimerService,
     ) -> None:
+        super().__init__()
         self._table = table
         self._sender = sender
         self._timers = timers
@@ -70,20 +70,6 @@
         self._announced: dict[str, str | None] = {}
         self._is_overflowing = False
         self._wake = asyncio.Event()
-        self._task: asyncio.Task[None] | None = None
-
-    async def start(self) -> None:
-        """Start to write rows."""
-        self._task = asyncio.create_task(self._run())
-
-    async def close(self) -> None:
-        """Stop; rows that were not written are lost."""
-        if self._task is None:
-            return
-        self._task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await self._task
-        self._task = None
 
     def queue(self, key: str, body: str | None) -> None:
         """
@@ -119,18 +105,26 @@
             await self._wake.wait()
             self._wake.clear()
             while self._pending:
-                await self._write_some()
+                await self._write_logged()
                 await self._timers.sleep(_WRITE_INTERVAL_SECONDS)
             self._is_overflowing = False
 
+    async def _write_logged(self) -> None:
+        try:
+            await self._write_some()
+        except Exception:
+            logger.exception('rows of crashes not written; they are kept')
+            await self._timers.sleep(_RETRY_SECONDS)
+
     async def _write_some(self) -> None:
         rows = dict(list(self._pending.items())[:_MAX_WRITES])
-        commit = asyncio.create_task(self._commit(rows))
-        try:
-            await self._announce_if_late(rows, commit)
-            is_written = await commit
-        finally:
-            commit.cancel()
+        async with asyncio.TaskGroup() as group:
+            announcing = group.create_task(self._announce_late(rows))
+            is_written = await self._commit(rows)
+            if is_written:
+                announcing.cancel()
+            else:
+                await self._announce(rows)
         if not is_written:
             await self._timers.sleep(_RETRY_SECONDS)
             return
@@ -151,19 +145,12 @@
             return False
         return True
 
-    async def _announce_if_late(
-        self, rows: Mapping[str, str | None], commit: asyncio.Task[bool]
-    ) -> None:
-        """Send rows to the peers, once, if the table does not confirm them."""
-        late = asyncio.create_task(self._timers.sleep(_CONFIRMATION_SECONDS))
-        try:
-            await asyncio.wait(
-                (commit, late), return_when=asyncio.FIRST_COMPLETED
-            )
-        finally:
-            late.cancel()
-        if commit.done() and commit.result():
-            return
+    async def _announce_late(self, rows: Mapping[str, str | None]) -> None:
+        await self._timers.sleep(_CONFIRMATION_SECONDS)
+        await self._announce(rows)
+
+    async def _announce(self, rows: Mapping[str, str | None]) -> None:
+        """Send rows to the peers that have not been sent before."""
         unsent = [
             EvidenceRow(key, body)
             for key, body in rows.items()
