Claim a trial for one attempt, and judge again after the claim

Callers would see more replicas crash than trials allow, and innocent requests wait longer than told. Found by reading for awaits between a check and its act.

Causes: - A trial was claimed for a request, not for an attempt at it. A second attempt at the node was admitted in the same trial, and its end withdrew the trial of the first. - A crash that another node reported while the row of a trial was written did not count: the trial was made although the next pause had begun. - A task that was refused between its assignment and its start was held back for the whole pause, although it may be cleared meanwhile. - A verdict that changed with the evidence of another request had no line.

Change: a GuardedRequest carries the trial of one attempt from its claim to its run. The verdict is judged again after the claim, and a replica is chosen again after the admission (RunPlanner, split from the forwarder). Tasks and scoring calls look again after a second, by one constant. Changes are logged for all requests that the evidence of one concerns. `beliefs` is named `verdicts`, as its metric is.

--- a/packages/node/ladder_node/batches/dispatcher.py
+++ b/packages/node/ladder_node/batches/dispatcher.py
@@ -35,9 +35,6 @@
 _MIN_SPEEDUP_UNCERTAIN = 2.5
 _MIN_SAVED_SECONDS = 0.5
 _MAX_MOVES = 2
-# A task that is held back is looked at again after this time, because another
-# node may have cleared it.
-_MAX_HOLD_SECONDS = 1
 
 StartRun = Callable[[OpenBatch, OpenTask, RunProgress], None]
 WaitingTask = tuple[OpenBatch, OpenTask]
@@ -127,7 +124,7 @@
         for batch, task in self.list_by_urgency(service):
             wait_seconds = self._guard.find_wait(task.digest)
             if wait_seconds:
-                task.not_before = now + min(wait_seconds, _MAX_HOLD_SECONDS)
+                task.not_before = now + wait_seconds
                 continue
             engine = self._choose(batch, task, usable, shortest_token_time)
             if engine is None:
--- a/packages/node/ladder_node/batches/runner.py
+++ b/packages/node/ladder_node/batches/runner.py
@@ -17,7 +17,11 @@
 from ladder_core.timers import TimerService
 from ladder_node.batches.engines import TrackedEngine
 from ladder_node.batches.open_batch import OpenBatch, OpenTask
-from ladder_node.quarantine import RunGuard
+from ladder_node.quarantine import (
+    RECHECK_SECONDS,
+    GuardedRequest,
+    RunGuard,
+)
 
 # An engine that refused a task because it was full gets none for this time.
 _FULL_PAUSE_SECONDS = 0.3
@@ -113,9 +117,10 @@
         """
         first = len(task.draft.event_texts)
         outcome = 'cancelled'
+        guarded = GuardedRequest(task.digest)
         try:
-            await self._guard.admit(task.digest)
-            async with self._guard.watch(task.digest, progress.engine.replica):
+            await self._guard.admit(guarded)
+            async with self._guard.watch(guarded, progress.engine.replica):
                 await self._generate(batch, task, progress)
             outcome = 'completed'
         except TaskRejectedError:
@@ -125,7 +130,7 @@
             outcome = error.kind
             self._handle_error(task, progress, error)
         finally:
-            self._guard.release(task.digest)
+            self._guard.release(guarded)
             self._record_end(batch, task, progress, outcome, first + 1)
 
     def _record_end(
@@ -191,7 +196,7 @@
             task.failed_runs += 1
             record.record_failed_response(now)
         elif isinstance(error, QuarantinedRequestError):
-            task.not_before = now + (error.retry_after or 0)
+            task.not_before = now + RECHECK_SECONDS
         elif isinstance(error, TargetFullError):
             record.pause(now + _FULL_PAUSE_SECONDS)
         elif isinstance(error, TargetChangedError):
--- a/packages/node/ladder_node/batches/scoring.py
+++ b/packages/node/ladder_node/batches/scoring.py
@@ -11,12 +11,12 @@
 from ladder_node.batches.open_batch import OpenTask
 from ladder_node.batches.spec import ScorerSpec
 from ladder_node.forwarding import CompleteResponse, Forwarder
+from ladder_node.quarantine import RECHECK_SECONDS
 from ladder_node.routes import RouteCache
 
 _OK_STATUS = 200
 _MIN_REDIRECTION_STATUS = 300
 _RETRY_INTERVAL_SECONDS = 0.1
-_MAX_HOLD_SECONDS = 1
 # The time limit of a scoring call as a multiple of the route's time-out. A
 # step waits far longer than other callers of the route, so the call may try
 # all replicas even if each of them is slow.
@@ -109,11 +109,8 @@
                 limit,
                 task.count_failed_scoring,
             )
-        except QuarantinedRequestError as error:
-            # The call may be cleared before its pause is over.
-            await self._timers.sleep(
-                min(error.retry_after or 0, _MAX_HOLD_SECONDS)
-            )
+        except QuarantinedRequestError:
+            await self._timers.sleep(RECHECK_SECONDS)
             return None
         except LadderError:
             # The forwarder has recorded the outcome and its reason.
--- a/packages/node/ladder_node/forwarding/attempts.py
+++ b/packages/node/ladder_node/forwarding/attempts.py
@@ -10,6 +10,7 @@
     LadderError,
     TargetUnavailableError,
 )
+from ladder_node.quarantine import GuardedRequest
 from ladder_node.replicas import ReplicaRecord
 
 # Time after which a caller may send a refused request again; by then a replica
@@ -55,8 +56,8 @@
 
     Attributes
     ----------
-    digest : str
-        Identifies the request over all of its attempts.
+    guarded : GuardedRequest
+        The request as the guard knows it.
     service : str
         Name of the service that the request is for.
     needs_new_connection : bool
@@ -71,14 +72,12 @@
         Names of the replicas that did not run the request.
     refusals : int
         Number of refusals, repeated ones of a replica included.
-    is_admitted : bool
-        Whether the guard has admitted the next run.
     on_failed_run : callable
         Called for each response that reports a failed run.
 
     """
 
-    digest: str
+    guarded: GuardedRequest
     service: str
     needs_new_connection: bool
     started_at: float
@@ -86,7 +85,6 @@
     sent_to: set[str] = field(default_factory=set)
     refused_by: set[str] = field(default_factory=set)
     refusals: int = 0
-    is_admitted: bool = False
     on_failed_run: Callable[[], None] = _ignore
 
     @property
--- a/packages/node/ladder_node/forwarding/forwarder.py
+++ b/packages/node/ladder_node/forwarding/forwarder.py
@@ -20,8 +20,6 @@
 from ladder_clients.replicas import CallerRequest, ReplicaClient
 from ladder_core.errors import (
     LadderError,
-    QuarantinedRequestError,
-    TargetLostError,
     TargetTimeoutError,
     TargetUnavailableError,
 )
@@ -29,7 +27,6 @@
 from ladder_core.timers import TimerService
 from ladder_core.values import Route, RouteKind
 from ladder_node.forwarding.attempts import (
-    RETRY_AFTER_SECONDS,
     CompleteResponse,
     RequestAttempts,
     make_deadline_error,
@@ -41,18 +38,19 @@
     record_refusal,
     record_response,
 )
+from ladder_node.forwarding.planner import RunPlanner
 from ladder_node.forwarding.selector import ReplicaSelector
-from ladder_node.quarantine import RunGuard, identify_request
+from ladder_node.quarantine import (
+    GuardedRequest,
+    RunGuard,
+    identify_request,
+)
 from ladder_node.replicas import ReplicaRecord
-from ladder_policy.quarantine import RequestState
 
 # An attempt that takes longer than this many times the latency objective of the
 # route is abandoned if another replica is left to try.
 _ATTEMPT_OBJECTIVE_MULTIPLE = 2
 _MIN_ATTEMPT_SECONDS = 0.4
-_RETRY_DELAY_SECONDS = 0.05
-# Refusals do not count as attempts, so they have a limit of their own.
-_MAX_REFUSALS = 8
 
 _forwarded_histogram = Histogram(
     'ladder_forward_seconds',
@@ -92,6 +90,7 @@
         self._selector = selector
         self._client = client
         self._guard = guard
+        self._planner = RunPlanner(selector, guard, timers)
         self._timers = timers
         self._timeline = timeline
 
@@ -144,7 +143,7 @@
             outcome = error.kind
             raise
         finally:
-            self._guard.release(attempts.digest)
+            self._guard.release(attempts.guarded)
             self._record_end(route, request, attempts, outcome)
         return response
 
@@ -160,19 +159,18 @@
 
         Raises
         ------
-        TargetUnavailableError
+        TargetUnavailableError, QuarantinedRequestError
             The request has not run and will not run.
         TargetLostError, TargetTimeoutError, AnswerCorruptError
             The request may have run.
 
         """
         attempts = self._begin(route, request, seconds)
-        await self._admit(attempts)
         try:
             async with self._open_any(request, attempts) as response:
                 yield response
         finally:
-            self._guard.release(attempts.digest)
+            self._guard.release(attempts.guarded)
 
     @contextlib.asynccontextmanager
     async def _open_any(
@@ -180,7 +178,7 @@
     ) -> AsyncIterator[StreamedResponse]:
         """Send a request to one replica after the other until one runs it."""
         while True:
-            record = await self._select(attempts)
+            record = await self._planner.plan(attempts)
             try:
                 async with self._open(record, request, attempts) as response:
                     yield response
@@ -195,7 +193,7 @@
         may_repeat = route.kind is RouteKind.idempotent or route.is_resumable
         started_at = self._timers.now()
         return RequestAttempts(
-            identify_request(request),
+            GuardedRequest(identify_request(request)),
             service,
             not may_repeat,
             started_at,
@@ -216,7 +214,7 @@
         self._timeline.record(
             'request-ended',
             request.request_id,
-            content=attempts.digest,
+            content=attempts.guarded.digest,
             route=route.name,
             service=attempts.service,
             outcome=outcome,
@@ -234,57 +232,17 @@
     ) -> CompleteResponse:
         response = None
         while response is None:
-            if not attempts.is_admitted:
-                await self._admit(attempts)
-            record = await self._select(attempts)
+            record = await self._planner.plan(attempts)
             try:
                 response = await self._attempt(route, request, record, attempts)
             except TargetUnavailableError as error:
                 record_refusal(record, attempts, error, self._timers.now())
             except LadderError as error:
                 record_failure(record, attempts, error, self._timers.now())
-                attempts.is_admitted = False
                 if not self._may_repeat(route, attempts):
                     raise
         return response
 
-    async def _admit(self, attempts: RequestAttempts) -> None:
-        """Ask the guard whether the request may be sent to a replica."""
-        if self._find_replica(attempts) is None:
-            # Nothing is asked for that no replica would run.
-            raise _make_exhausted_error(attempts)
-        try:
-            await self._guard.admit(attempts.digest)
-        except QuarantinedRequestError as error:
-            if not attempts.sent_to:
-                raise
-            raise TargetLostError(error.message, remedy=error.remedy) from error
-        attempts.is_admitted = True
-
-    async def _select(self, attempts: RequestAttempts) -> ReplicaRecord:
-        record = self._find_replica(attempts)
-        if record is None:
-            raise _make_exhausted_error(attempts)
-        if record.name in attempts.tried:
-            await self._timers.sleep(_RETRY_DELAY_SECONDS)
-        return record
-
-    def _find_replica(self, attempts: RequestAttempts) -> ReplicaRecord | None:
-        """Return the replica to send to next; None if none is left to try."""
-        if attempts.refusals >= _MAX_REFUSALS:
-            return None
-        state = self._guard.find_state(attempts.digest)
-        occupied: set[str] = set()
-        if state is not RequestState.clear:
-            occupied.update(self._guard.list_occupied())
-        record = self._selector.select(
-            attempts.service, attempts.tried | occupied
-        )
-        is_apart = record is None or record.name not in occupied
-        if state is RequestState.quarantined and not is_apart:
-            return None
-        return record
-
     async def _attempt(
         self,
         route: Route,
@@ -331,7 +289,7 @@
             attempts.sent_to.add(record.name)
             try:
                 async with (
-                    self._guard.watch(attempts.digest, record.replica),
+                    self._guard.watch(attempts.guarded, record.replica),
                     self._client.open(
                         record.replica,
                         request,
@@ -369,17 +327,3 @@
             and len(attempts.sent_to) < route.max_attempts
             and self._selector.has_other(attempts.service, attempts.tried)
         )
-
-
-def _make_exhausted_error(attempts: RequestAttempts) -> LadderError:
-    """Return the error of a request that no replica is left to try for."""
-    if attempts.sent_to:
-        return TargetTimeoutError(
-            f'no replica of {attempts.service} is left to try',
-            remedy='read back whether the request took effect',
-        )
-    return TargetUnavailableError(
-        f'no replica of {attempts.service} takes requests now',
-        remedy='send the request again later',
-        retry_after=RETRY_AFTER_SECONDS,
-    )
--- /dev/null
+++ b/packages/node/ladder_node/forwarding/planner.py
@@ -0,0 +1,111 @@
+"""Choice of the replica of the next run, once the guard admits the run."""
+
+from ladder_core.errors import (
+    LadderError,
+    QuarantinedRequestError,
+    TargetLostError,
+    TargetTimeoutError,
+    TargetUnavailableError,
+)
+from ladder_core.timers import TimerService
+from ladder_node.forwarding.attempts import (
+    RETRY_AFTER_SECONDS,
+    RequestAttempts,
+)
+from ladder_node.forwarding.selector import ReplicaSelector
+from ladder_node.quarantine import RunGuard
+from ladder_node.replicas import ReplicaRecord
+from ladder_policy.quarantine import RequestState
+
+_RETRY_DELAY_SECONDS = 0.05
+# Refusals do not count as attempts, so they have a limit of their own.
+_MAX_REFUSALS = 8
+
+
+class RunPlanner:
+    """
+    Choose the replica of each run of a request.
+
+    Parameters
+    ----------
+    selector : ReplicaSelector
+        Selects among the replicas of a service.
+    guard : RunGuard
+        Admits each run.
+    timers : TimerService
+        Sleep before a replica is tried again.
+
+    """
+
+    def __init__(
+        self,
+        selector: ReplicaSelector,
+        guard: RunGuard,
+        timers: TimerService,
+    ) -> None:
+        self._selector = selector
+        self._guard = guard
+        self._timers = timers
+
+    async def plan(self, attempts: RequestAttempts) -> ReplicaRecord:
+        """
+        Return the replica to send the request to next.
+
+        Raises
+        ------
+        TargetUnavailableError, QuarantinedRequestError
+            The request has not run and will not run.
+        TargetTimeoutError, TargetLostError
+            The request may have run, and is not sent again.
+
+        """
+        # No trial is claimed while no replica could run the request.
+        record = self._require_replica(attempts)
+        if record.name in attempts.tried:
+            await self._timers.sleep(_RETRY_DELAY_SECONDS)
+        await self._admit(attempts)
+        return self._require_replica(attempts)
+
+    async def _admit(self, attempts: RequestAttempts) -> None:
+        try:
+            await self._guard.admit(attempts.guarded)
+        except QuarantinedRequestError as error:
+            if not attempts.sent_to:
+                raise
+            raise TargetLostError(error.message, remedy=error.remedy) from error
+
+    def _require_replica(self, attempts: RequestAttempts) -> ReplicaRecord:
+        record = self._find_replica(attempts)
+        if record is None:
+            raise _make_exhausted_error(attempts)
+        return record
+
+    def _find_replica(self, attempts: RequestAttempts) -> ReplicaRecord | None:
+        """Return the replica to try next, or None if none is left."""
+        if attempts.refusals >= _MAX_REFUSALS:
+            return None
+        state = self._guard.find_state(attempts.guarded.digest)
+        occupied: set[str] = set()
+        if state is not RequestState.clear:
+            occupied.update(self._guard.list_occupied())
+        record = self._selector.select(
+            attempts.service, attempts.tried | occupied
+        )
+        is_apart = record is None or record.name not in occupied
+        if state is RequestState.quarantined and not is_apart:
+            return None
+        return record
+
+
+def _make_exhausted_error(attempts: RequestAttempts) -> LadderError:
+    """Return the error of a request that no replica is left to try for."""
+    if attempts.sent_to:
+        return TargetTimeoutError(
+            f'no replica of {attempts.service} is left to try',
+            remedy='read back whether the request took effect',
+        )
+    return TargetUnavailableError(
+        f'no replica of {attempts.service} takes requests now',
+        remedy='send the request again later',
+        retry_after=RETRY_AFTER_SECONDS,
+    )
--- a/packages/node/ladder_node/forwarding/tests/test_forwarder.py
+++ b/packages/node/ladder_node/forwarding/tests/test_forwarder.py
@@ -4,7 +4,7 @@
 import pytest
 
 from ladder_clients.replicas import CallerRequest, ReplicaClient
-from ladder_clients.transport import TcpProbe
+from ladder_clients.transport import TargetProbe
 from ladder_core.errors import (
     AnswerCorruptError,
     DeadlineError,
@@ -74,6 +74,11 @@
         raise NotImplementedError
 
 
+class LivingReplicas(TargetProbe):
+    async def is_gone(self, address):
+        return False
+
+
 class ForwarderHarness:
     def __init__(self):
         self.timers = SystemTimerService()
@@ -82,7 +87,7 @@
         self.replicas = FakeReplicas()
         self.failures = 0
         detector = CrashDetector(
-            self.registry, TcpProbe(self.timers), self.timers, self.timeline
+            self.registry, LivingReplicas(), self.timers, self.timeline
         )
         selector = ReplicaSelector(
             self.registry,
--- a/packages/node/ladder_node/quarantine/__init__.py
+++ b/packages/node/ladder_node/quarantine/__init__.py
@@ -1,6 +1,11 @@
 """Quarantine of requests that crash the replicas that run them."""
 
-from ladder_node.quarantine.base import RunGuard, UnlimitedRuns
+from ladder_node.quarantine.base import (
+    RECHECK_SECONDS,
+    GuardedRequest,
+    RunGuard,
+    UnlimitedRuns,
+)
 from ladder_node.quarantine.component import Quarantine
 from ladder_node.quarantine.detector import (
     CrashDetector,
@@ -19,11 +24,13 @@
 
 __all__ = (
     'EVIDENCE_PATH',
+    'RECHECK_SECONDS',
     'CrashDetector',
     'CrashListener',
     'EvidenceApp',
     'EvidenceRow',
     'EvidenceSender',
+    'GuardedRequest',
     'HttpEvidenceSender',
     'Quarantine',
     'QuarantineGuard',
--- a/packages/node/ladder_node/quarantine/base.py
+++ b/packages/node/ladder_node/quarantine/base.py
@@ -3,11 +3,34 @@
 from abc import ABC, abstractmethod
 from collections.abc import Collection
 from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass
 
 from ladder_core.values import Replica
 from ladder_node.quarantine.detector import CrashDetector
 from ladder_policy.quarantine import RequestState
 
+# Time after which a request that is held back is looked at again: another node
+# may have cleared it before its pause is over.
+RECHECK_SECONDS = 1
+
+
+@dataclass(slots=True, eq=False)
+class GuardedRequest:
+    """
+    One attempt at a request, which a guard admits run by run.
+
+    Attributes
+    ----------
+    digest : str
+        Digest of the request, from `identify_request`.
+    trial : int or None
+        Number of the trial that was claimed for this attempt and has not begun.
+
+    """
+
+    digest: str
+    trial: int | None = None
+
 
 class RunGuard(ABC):
     """
@@ -16,19 +39,19 @@
     Notes
     -----
     Every path that sends a request to replicas asks a guard before each run,
-    and runs the request inside `watch`.
+    runs the request inside `watch`, and releases it in the end.
 
     """
 
     @abstractmethod
-    async def admit(self, digest: str) -> None:
+    async def admit(self, request: GuardedRequest) -> None:
         """
         Return if a request may be sent to a replica now.
 
         Parameters
         ----------
-        digest : str
-            Digest of the request, from `identify_request`.
+        request : GuardedRequest
+            The attempt; it keeps a trial that is claimed for it.
 
         Raises
         ------
@@ -38,16 +61,21 @@
         """
 
     @abstractmethod
-    def release(self, digest: str) -> None:
-        """End an attempt, whether or not a replica has run the request."""
+    def release(self, request: GuardedRequest) -> None:
+        """End an attempt, and withdraw a trial that has not begun."""
 
     @abstractmethod
     def find_wait(self, digest: str) -> float:
-        """Return the seconds until `admit` may admit a request."""
+        """
+        Return the seconds after which to ask for a request again.
+
+        Zero means that it may be admitted now; the result is at most
+        `RECHECK_SECONDS`.
+        """
 
     @abstractmethod
     def find_state(self, digest: str) -> RequestState:
-        """Return what is believed of a request."""
+        """Return the state of a request by the present verdict."""
 
     @abstractmethod
     def list_occupied(self) -> Collection[str]:
@@ -55,7 +83,7 @@
 
     @abstractmethod
     def watch(
-        self, digest: str, replica: Replica
+        self, request: GuardedRequest, replica: Replica
     ) -> AbstractAsyncContextManager[None]:
         """Return a context manager whose body runs a request at a replica."""
 
@@ -74,10 +102,10 @@
     def __init__(self, detector: CrashDetector) -> None:
         self._detector = detector
 
-    async def admit(self, digest: str) -> None:
+    async def admit(self, request: GuardedRequest) -> None:
         """Admit the run."""
 
-    def release(self, digest: str) -> None:
+    def release(self, request: GuardedRequest) -> None:
         """Do nothing."""
 
     def find_wait(self, digest: str) -> float:
@@ -93,7 +121,7 @@
         return ()
 
     def watch(
-        self, digest: str, replica: Replica
+        self, request: GuardedRequest, replica: Replica
     ) -> AbstractAsyncContextManager[None]:
         """Watch whether the process of the replica crashes."""
-        return self._detector.watch(digest, replica)
+        return self._detector.watch(request.digest, replica)
--- a/packages/node/ladder_node/quarantine/component.py
+++ b/packages/node/ladder_node/quarantine/component.py
@@ -9,11 +9,11 @@
 from ladder_core.timers import TimerService
 from ladder_node.feeds import TableFollower
 from ladder_node.quarantine.base import RunGuard
-from ladder_node.quarantine.beliefs import RequestBeliefs
 from ladder_node.quarantine.detector import CrashDetector
 from ladder_node.quarantine.guard import QuarantineGuard
 from ladder_node.quarantine.peers import EvidenceRow, EvidenceSender
 from ladder_node.quarantine.rows import CrashRows
+from ladder_node.quarantine.verdicts import RequestVerdicts
 from ladder_node.quarantine.writer import CRASHES_TABLE, EvidenceWriter
 from ladder_node.replicas import ReplicaRegistry
 
@@ -38,7 +38,7 @@
     timers : TimerService
         Clock of all parts.
     timeline : Timeline
-        Records each crash and each change of belief.
+        Records each crash and each change of a verdict.
     probe : TargetProbe, optional
         Distinguishes a crashed process from a broken connection; a `TcpProbe`
         by default.
@@ -55,14 +55,14 @@
         timeline: Timeline,
         probe: TargetProbe | None = None,
     ) -> None:
-        beliefs = RequestBeliefs(node, timers, timeline)
+        verdicts = RequestVerdicts(node, timers, timeline)
         writer = EvidenceWriter(table, sender, timers)
-        rows = CrashRows(table, beliefs, writer, node, timers)
+        rows = CrashRows(table, verdicts, writer, node, timers)
         detector = CrashDetector(
             registry, probe or TcpProbe(timers), timers, timeline
         )
         self._guard = QuarantineGuard(
-            detector, beliefs, rows, node, timers, timeline
+            detector, verdicts, rows, node, timers, timeline
         )
         self._rows = rows
         self._parts = Supervisor('quarantine', timers)
--- a/packages/node/ladder_node/quarantine/guard.py
+++ b/packages/node/ladder_node/quarantine/guard.py
@@ -11,20 +11,21 @@
 from ladder_core.timeline import Timeline
 from ladder_core.timers import TimerService
 from ladder_core.values import Replica
-from ladder_node.quarantine.base import RunGuard
-from ladder_node.quarantine.beliefs import RequestBeliefs
+from ladder_node.quarantine.base import (
+    RECHECK_SECONDS,
+    GuardedRequest,
+    RunGuard,
+)
 from ladder_node.quarantine.detector import CrashDetector, CrashListener
 from ladder_node.quarantine.rows import CrashRows
+from ladder_node.quarantine.verdicts import RequestVerdicts
 from ladder_policy.quarantine import (
     QUARANTINE_CRASHES,
     RequestState,
     Verdict,
 )
 
-# Time after which a trial that could not be claimed may be claimed again.
-_CLAIM_RETRY_SECONDS = 1
-
-_refused_counter = prometheus_client.Counter(
+_admissions_counter = prometheus_client.Counter(
     'ladder_quarantined_requests_total',
     'Runs of quarantined requests, by whether a trial was admitted',
     ('outcome',),
@@ -47,8 +48,8 @@
     ----------
     detector : CrashDetector
         Detects crashes of replicas.
-    beliefs : RequestBeliefs
-        What this node believes of requests.
+    verdicts : RequestVerdicts
+        Verdicts of this node on requests.
     rows : CrashRows
         Shares evidence with the other nodes, and claims trials.
     node : str
@@ -63,105 +64,102 @@
     def __init__(
         self,
         detector: CrashDetector,
-        beliefs: RequestBeliefs,
+        verdicts: RequestVerdicts,
         rows: CrashRows,
         node: str,
         timers: TimerService,
         timeline: Timeline,
     ) -> None:
         self._detector = detector
-        self._beliefs = beliefs
+        self._verdicts = verdicts
         self._rows = rows
         self._node = node
         self._timers = timers
         self._timeline = timeline
         self._suspects: Counter[str] = Counter()
-        # Trials of this node that have been claimed but not begun.
-        self._claimed: dict[str, int] = {}
         detector.subscribe(self)
 
-    async def admit(self, digest: str) -> None:
+    async def admit(self, request: GuardedRequest) -> None:
         """Return if the request is not quarantined, or has its trial now."""
-        await self._settle(digest)
-        verdict = self._beliefs.judge(digest)
+        await self._settle(request.digest)
+        verdict = self._verdicts.judge(request.digest)
         if verdict.state is not RequestState.quarantined:
             return
-        if digest in self._claimed:
+        if request.trial is not None:
             return
         wait_seconds = verdict.retry_at - self._timers.now()
         if wait_seconds <= 0:
-            if await self._rows.claim_trial(digest, verdict.trials):
-                self._begin_trial(digest, verdict)
-                return
-            wait_seconds = _CLAIM_RETRY_SECONDS
-        _refused_counter.labels('refused').inc()
-        raise QuarantinedRequestError(
-            f'{verdict.crashes} replicas have crashed under the request',
-            remedy='change the request, or send it again later',
-            retry_after=round(wait_seconds, 3),
-        )
-
-    def release(self, digest: str) -> None:
-        """Void the trial of a request that no replica has run."""
-        trial = self._claimed.pop(digest, None)
-        if trial is not None:
-            self._rows.void_trial(digest, trial)
+            wait_seconds = await self._claim_trial(request, verdict)
+        if wait_seconds > 0:
+            _admissions_counter.labels('refused').inc()
+            raise QuarantinedRequestError(
+                f'{verdict.crashes} replicas have crashed under the request',
+                remedy='change the request, or send it again later',
+                retry_after=round(wait_seconds, 3),
+            )
+
+    def release(self, request: GuardedRequest) -> None:
+        """Withdraw the trial of an attempt that no replica has run."""
+        if request.trial is not None:
+            self._rows.void_trial(request.digest, request.trial)
+            request.trial = None
 
     def find_wait(self, digest: str) -> float:
-        """Return the seconds until the request may run; zero for now."""
-        return max(self._beliefs.judge(digest).retry_at - self._timers.now(), 0)
+        """Return the seconds after which to ask for a request again."""
+        retry_at = self._verdicts.judge(digest).retry_at
+        return min(max(retry_at - self._timers.now(), 0), RECHECK_SECONDS)
 
     def find_state(self, digest: str) -> RequestState:
-        """Return what is believed of a request."""
-        return self._beliefs.judge(digest).state
+        """Return the state of a request by the present verdict."""
+        return self._verdicts.judge(digest).state
 
     def list_occupied(self) -> Collection[str]:
         """Return the replicas at which this node runs suspects."""
         return tuple(self._suspects)
 
     def watch(
-        self, digest: str, replica: Replica
+        self, request: GuardedRequest, replica: Replica
     ) -> AbstractAsyncContextManager[None]:
         """Watch whether the process of the replica crashes."""
-        return self._watch(digest, replica)
+        return self._watch(request, replica)
 
     def record_crash(self, digest: str, process: str) -> None:
         """Add a crash that this node has observed to the evidence."""
-        self._beliefs.add_crash(digest, process, 0, self._node)
+        self._verdicts.add_crash(digest, process, 0, self._node)
         self._rows.publish_crash(digest, process)
 
     def record_response(self, digest: str) -> None:
         """Clear a request that has run to its end."""
-        if digest not in self._beliefs:
+        if digest not in self._verdicts:
             return
-        self._rows.withdraw(digest, self._beliefs.find_evidence(digest))
-        self._beliefs.clear(digest, self._node)
+        self._rows.withdraw(digest, self._verdicts.find_evidence(digest))
+        self._verdicts.clear(digest, self._node)
 
     @asynccontextmanager
     async def _watch(
-        self, digest: str, replica: Replica
+        self, request: GuardedRequest, replica: Replica
     ) -> AsyncIterator[None]:
-        trial = self._claimed.pop(digest, None)
-        is_suspect = digest in self._beliefs
+        trial = request.trial
+        request.trial = None
+        is_suspect = request.digest in self._verdicts
         if is_suspect:
             self._suspects[replica.name] += 1
         try:
-            async with self._detector.watch(digest, replica):
+            async with self._detector.watch(request.digest, replica):
                 yield
         except NotRunError:
             # The next replica may run the request in the same trial.
-            if trial is not None:
-                self._claimed[digest] = trial
+            request.trial = trial
             raise
         except asyncio.CancelledError:
-            if trial is not None:
-                self._rows.void_trial(digest, trial)
+            request.trial = trial
+            self.release(request)
             raise
         finally:
             if is_suspect:
-                self._release(replica.name)
+                self._leave(replica.name)
 
-    def _release(self, name: str) -> None:
+    def _leave(self, name: str) -> None:
         self._suspects[name] -= 1
         if not self._suspects[name]:
             self._suspects.pop(name)
@@ -169,18 +167,31 @@
     async def _settle(self, digest: str) -> None:
         """Wait for probes if the request could be quarantined by them."""
         broken = self._detector.count_broken(digest)
-        crashes = self._beliefs.judge(digest).crashes
+        crashes = self._verdicts.judge(digest).crashes
         if broken and broken + crashes >= QUARANTINE_CRASHES:
             await self._detector.settle(digest)
 
-    def _begin_trial(self, digest: str, verdict: Verdict) -> None:
-        self._beliefs.add_trial(digest, verdict.trials, 0)
-        self._claimed[digest] = verdict.trials
-        _refused_counter.labels('tried').inc()
+    async def _claim_trial(
+        self, request: GuardedRequest, verdict: Verdict
+    ) -> float:
+        """Claim a trial; return the seconds to wait if it is not to be made."""
+        digest, number = request.digest, verdict.trials
+        if not await self._rows.claim_trial(digest, number):
+            return RECHECK_SECONDS
+        # Other nodes may have reported crashes, or a response, meanwhile.
+        now = self._timers.now()
+        wait_seconds = self._verdicts.judge(digest).retry_at - now
+        if wait_seconds > 0:
+            self._rows.void_trial(digest, number)
+            return wait_seconds
+        self._verdicts.add_trial(digest, number, 0)
+        request.trial = number
+        _admissions_counter.labels('tried').inc()
         self._timeline.record(
             'request-tried',
             digest,
-            trial=verdict.trials + 1,
+            trial=number + 1,
             crashes=verdict.crashes,
-            age=round(self._timers.now() - verdict.since, 3),
+            age=round(now - verdict.since, 3),
         )
+        return 0
--- a/packages/node/ladder_node/quarantine/rows.py
+++ b/packages/node/ladder_node/quarantine/rows.py
@@ -19,8 +19,8 @@
 from ladder_core.supervision import Component
 from ladder_core.timers import PeriodicCall, TimerService
 from ladder_node.feeds import FeedListener
-from ladder_node.quarantine.beliefs import RequestBeliefs
 from ladder_node.quarantine.peers import EvidenceRow
+from ladder_node.quarantine.verdicts import RequestVerdicts
 from ladder_node.quarantine.writer import CRASHES_TABLE, EvidenceWriter
 from ladder_policy.quarantine import Evidence
 
@@ -66,7 +66,7 @@
     ----------
     table : PartitionedTableClient
         Table service that holds the rows.
-    beliefs : RequestBeliefs
+    verdicts : RequestVerdicts
         Receives the evidence.
     writer : EvidenceWriter
         Writes the rows of this node.
@@ -80,13 +80,13 @@
     def __init__(
         self,
         table: PartitionedTableClient,
-        beliefs: RequestBeliefs,
+        verdicts: RequestVerdicts,
         writer: EvidenceWriter,
         node: str,
         timers: TimerService,
     ) -> None:
         self._table = table
-        self._beliefs = beliefs
+        self._verdicts = verdicts
         self._writer = writer
         self._node = node
         self._timers = timers
@@ -141,7 +141,7 @@
 
     def void_trial(self, digest: str, number: int) -> None:
         """Withdraw a trial without an outcome, so that it can be made again."""
-        self._beliefs.remove_trial(digest, number)
+        self._verdicts.remove_trial(digest, number)
         self._writer.queue(f'{digest}/{_TRIAL}/{number}', None)
 
     async def claim_trial(self, digest: str, number: int) -> bool:
@@ -171,7 +171,7 @@
 
     async def clean(self) -> None:
         """Remove the rows that are old and belong to no known request."""
-        self._beliefs.drop_expired()
+        self._verdicts.drop_expired()
         try:
             rows = await self._table.scan(CRASHES_TABLE)
         except _STORE_ERRORS as error:
@@ -179,7 +179,7 @@
             return
         for row in rows:
             digest = row.key.partition('/')[0]
-            if digest not in self._beliefs and self._is_old(row):
+            if digest not in self._verdicts and self._is_old(row):
                 self._writer.queue(row.key, None)
 
     def _apply(self, key: str, body: str) -> bool:
@@ -194,9 +194,9 @@
         if self._writer.is_removing(key):
             return True
         if kind == _TRIAL:
-            self._beliefs.add_trial(digest, int(name), age_seconds)
+            self._verdicts.add_trial(digest, int(name), age_seconds)
         else:
-            self._beliefs.add_crash(digest, name, age_seconds, evidence.node)
+            self._verdicts.add_crash(digest, name, age_seconds, evidence.node)
         return True
 
     def _withdraw(self, key: str) -> None:
@@ -207,9 +207,9 @@
             logger.warning('malformed row {} ignored: {}', key, error)
             return
         if kind == _TRIAL:
-            self._beliefs.remove_trial(digest, int(name))
+            self._verdicts.remove_trial(digest, int(name))
         else:
-            self._beliefs.remove_crash(digest, name, 'table')
+            self._verdicts.remove_crash(digest, name, 'table')
 
     def _is_old(self, row: Row) -> bool:
         """Return whether a row is old; a malformed one counts as old."""
--- a/packages/node/ladder_node/quarantine/tests/test_rows.py
+++ b/packages/node/ladder_node/quarantine/tests/test_rows.py
@@ -5,8 +5,8 @@
 from ladder_core.timeline import HybridClock, HybridTime, Timeline
 from ladder_core.timers import ManualTimerService
 from ladder_node.quarantine import EvidenceRow, EvidenceSender
-from ladder_node.quarantine.beliefs import RequestBeliefs
 from ladder_node.quarantine.rows import CrashRows
+from ladder_node.quarantine.verdicts import RequestVerdicts
 from ladder_node.quarantine.writer import CRASHES_TABLE, EvidenceWriter
 from ladder_policy.quarantine import RequestState
 from ladder_standins.memory_table import MemoryTable, TableFault
@@ -26,10 +26,10 @@
         self.timeline = Timeline('a', HybridClock(self.timers))
         self.table = MemoryTable()
         self.sender = RecordingSender()
-        self.beliefs = RequestBeliefs('a', self.timers, self.timeline)
+        self.verdicts = RequestVerdicts('a', self.timers, self.timeline)
         self.writer = EvidenceWriter(self.table, self.sender, self.timers)
         self.rows = CrashRows(
-            self.table, self.beliefs, self.writer, 'a', self.timers
+            self.table, self.verdicts, self.writer, 'a', self.timers
         )
 
     def list_keys(self):
@@ -58,7 +58,7 @@
 async def test_crash_of_another_node_is_applied_with_its_age(harness):
     rows = [harness.make_row(f'd/crash/r{n}@0', 30) for n in range(2)]
     harness.rows.change(rows, ())
-    verdict = harness.beliefs.judge('d')
+    verdict = harness.verdicts.judge('d')
     assert verdict.state is RequestState.quarantined
     assert verdict.retry_at < harness.timers.now()
     event = harness.list_events('request-quarantined')[0]
@@ -70,7 +70,7 @@
 async def test_clock_of_another_host_makes_no_crash_lie_in_the_future(harness):
     rows = [harness.make_row(f'd/crash/r{n}@0', -3600) for n in range(2)]
     harness.rows.change(rows, ())
-    assert harness.beliefs.judge('d').retry_at <= harness.timers.now() + 1
+    assert harness.verdicts.judge('d').retry_at <= harness.timers.now() + 1
 
 
 @pytest.mark.parametrize('key', ['d', 'd/crash', 'd/trial/x', ''])
@@ -78,27 +78,27 @@
     row = harness.make_row(key)
     harness.rows.change([row], [row])
     harness.rows.change([Row(CRASHES_TABLE, 'd/crash/r@0', '{', 1)], ())
-    assert 'd' not in harness.beliefs
+    assert 'd' not in harness.verdicts
 
 
 async def test_full_read_withdraws_rows_that_are_gone(harness):
     harness.rows.change([harness.make_row('d/crash/r@0')], ())
     harness.rows.replace([harness.make_row('e/crash/r@0')], 5)
-    assert 'd' not in harness.beliefs
-    assert 'e' in harness.beliefs
+    assert 'd' not in harness.verdicts
+    assert 'e' in harness.verdicts
 
 
 async def test_full_read_keeps_crashes_that_only_the_peers_know(harness):
     row = harness.make_row('d/crash/r@0')
     harness.rows.receive([EvidenceRow(row.key, row.body)])
     harness.rows.replace([], 5)
-    assert 'd' in harness.beliefs
+    assert 'd' in harness.verdicts
 
 
 async def test_row_that_is_being_removed_is_not_applied_again(harness):
     harness.writer.queue('d/crash/r@0', None)
     harness.rows.change([harness.make_row('d/crash/r@0')], ())
-    assert 'd' not in harness.beliefs
+    assert 'd' not in harness.verdicts
 
 
 async def test_rows_wait_for_the_table_and_the_peers_are_told_once(harness):
@@ -150,7 +150,7 @@
     write = Write(CRASHES_TABLE, row.key, row.body)
     harness.table.apply(Transaction('other', (), (write,)))
     assert not await harness.rows.claim_trial('d', 0)
-    assert harness.beliefs.find_evidence('d').trials == (0,)
+    assert harness.verdicts.find_evidence('d').trials == (0,)
     assert await harness.rows.claim_trial('d', 1)
 
 
@@ -168,4 +168,20 @@
     harness.rows.change([harness.make_row('d/crash/r@0')], ())
     await harness.timers.advance(601)
     await harness.rows.clean()
-    assert 'd' not in harness.beliefs
+    assert 'd' not in harness.verdicts
+
+
+async def test_writer_goes_on_after_an_unexpected_error(harness):
+    """Guards against evidence that waits for good."""
+    errors = [RuntimeError('unexpected')]
+    commit = harness.table.commit
+
+    async def fail_once(transaction):
+        if errors:
+            raise errors.pop()
+        return await commit(transaction)
+
+    harness.table.commit = fail_once
+    harness.rows.publish_crash('d', 'r@0')
+    await harness.timers.advance(2)
+    assert harness.list_keys() == ['d/crash/r@0']
--- a/packages/node/ladder_node/quarantine/verdicts.py
+++ b/packages/node/ladder_node/quarantine/verdicts.py
@@ -1,5 +1,7 @@
-"""What a node believes of requests, with one log line for each change."""
+"""The verdicts of a node on requests, with one log line for each change."""
 
+import contextlib
+from collections.abc import Iterator
 from types import MappingProxyType
 
 from prometheus_client import Counter, Gauge
@@ -23,7 +25,7 @@
 
 _verdicts_counter = Counter(
     'ladder_request_verdicts_total',
-    'Changes of what this node believes of requests, by the new belief',
+    'Changes of the verdicts of this node on requests, by the new verdict',
     ('verdict',),
 )
 _suspects_gauge = Gauge(
@@ -32,7 +34,7 @@
 )
 
 
-class RequestBeliefs:
+class RequestVerdicts:
     """
     Record evidence in a ledger, and log each verdict that changes.
 
@@ -62,7 +64,7 @@
         return digest in self._ledger
 
     def judge(self, digest: str) -> Verdict:
-        """Return what is believed of a request now."""
+        """Return the present verdict on a request."""
         return self._ledger.judge(digest, self._timers.now())
 
     def add_crash(
@@ -83,14 +85,9 @@
             Node that observed the crash.
 
         """
-        before = {
-            one: self.judge(one) for one in self._ledger.list_affected(digest)
-        }
         at = self._timers.now() - age_seconds
-        self._ledger.add_crash(digest, process, at)
-        for one, verdict in before.items():
-            self._log_change(one, verdict, source)
-        _suspects_gauge.set(len(self._ledger))
+        with self._log_changes(digest, source):
+            self._ledger.add_crash(digest, process, at)
 
     def add_trial(self, digest: str, number: int, age_seconds: float) -> None:
         """Record a trial of a request that began some seconds ago."""
@@ -99,9 +96,8 @@
 
     def remove_crash(self, digest: str, process: str, source: str) -> None:
         """Withdraw a crash under a request."""
-        before = self.judge(digest)
-        self._ledger.remove_crash(digest, process)
-        self._log_change(digest, before, source)
+        with self._log_changes(digest, source):
+            self._ledger.remove_crash(digest, process)
 
     def remove_trial(self, digest: str, number: int) -> None:
         """Withdraw a trial of a request."""
@@ -109,10 +105,8 @@
 
     def clear(self, digest: str, source: str) -> None:
         """Withdraw all evidence of a request."""
-        before = self.judge(digest)
-        self._ledger.clear(digest)
-        self._log_change(digest, before, source)
-        _suspects_gauge.set(len(self._ledger))
+        with self._log_changes(digest, source):
+            self._ledger.clear(digest)
 
     def find_evidence(self, digest: str) -> Evidence:
         """Return the crashes and trials of a request."""
@@ -125,6 +119,16 @@
             self._timeline.record('request-forgotten', digest)
         _suspects_gauge.set(len(self._ledger))
 
+    @contextlib.contextmanager
+    def _log_changes(self, digest: str, source: str) -> Iterator[None]:
+        """Log the verdicts that change with the evidence of one request."""
+        affected = self._ledger.list_affected(digest)
+        before = {one: self.judge(one) for one in affected}
+        yield
+        for one, verdict in before.items():
+            self._log_change(one, verdict, source)
+        _suspects_gauge.set(len(self._ledger))
+
     def _log_change(self, digest: str, before: Verdict, source: str) -> None:
         verdict = self.judge(digest)
         if verdict.state is before.state:
@@ -136,8 +140,7 @@
         }
         if source != self._node and not is_quarantine:
             return
-        # Crashes and trials that speak for the new belief, or spoke for the
-        # old one of a request that is now clear.
+        # A request that is clear has no evidence, so its former one is logged.
         grounds = before if verdict.state is RequestState.clear else verdict
         now = self._timers.now()
         self._timeline.record(
--- a/packages/policy/ladder_policy/quarantine/ledger.py
+++ b/packages/policy/ladder_policy/quarantine/ledger.py
@@ -26,7 +26,7 @@
 
 class RequestState(StrEnum):
     """
-    What is believed of a request.
+    Verdict on a request.
 
     Notes
     -----
@@ -44,12 +44,12 @@
 @dataclass(frozen=True, slots=True)
 class Verdict:
     """
-    What is believed of a request, and on which evidence.
+    Verdict on a request, with the evidence for it.
 
     Attributes
     ----------
     state : RequestState
-        What is believed.
+        State of the request.
     retry_at : float
         Time in seconds from which on the request may run.
     crashes : int
@@ -150,9 +150,10 @@
     def __init__(self, max_entries: int = _MAX_ENTRIES) -> None:
         self._max_entries = max_entries
         self._entries: dict[str, _Entry] = {}
-        self._victims: dict[str, set[str]] = {}
+        # The requests that were in flight at each process that crashed.
+        self._in_flight: dict[str, set[str]] = {}
         # The requests with enough crashes to explain those of others.
-        self._proven: set[str] = set()
+        self._explaining: set[str] = set()
 
     def __len__(self) -> int:
         """Return the number of requests with evidence."""
@@ -178,9 +179,9 @@
         """
         entry = self._open(digest)
         entry.crashes.setdefault(process, at)
-        self._victims.setdefault(process, set()).add(digest)
+        self._in_flight.setdefault(process, set()).add(digest)
         if len(entry.crashes) >= _PROOF_CRASHES:
-            self._proven.add(digest)
+            self._explaining.add(digest)
 
     def add_trial(self, digest: str, number: int, at: float) -> None:
         """Record that a trial of a request began."""
@@ -191,9 +192,9 @@
         entry = self._entries.get(digest)
         if entry is not None:
             entry.crashes.pop(process, None)
-            self._drop_victim(digest, process)
+            self._leave_process(digest, process)
             if len(entry.crashes) < _PROOF_CRASHES:
-                self._proven.discard(digest)
+                self._explaining.discard(digest)
             if entry.is_empty:
                 self._entries.pop(digest)
 
@@ -207,11 +208,11 @@
 
     def clear(self, digest: str) -> None:
         """Withdraw all evidence of a request."""
-        self._proven.discard(digest)
+        self._explaining.discard(digest)
         entry = self._entries.pop(digest, None)
         if entry is not None:
             for process in entry.crashes:
-                self._drop_victim(digest, process)
+                self._leave_process(digest, process)
 
     def find_evidence(self, digest: str) -> Evidence:
         """Return the crashes and trials of a request."""
@@ -229,7 +230,7 @@
         affected = {digest}
         if len(entry.crashes) + 1 >= _PROOF_CRASHES:
             affected.update(
-                *(self._victims[process] for process in entry.crashes)
+                *(self._in_flight[process] for process in entry.crashes)
             )
         return affected
 
@@ -243,7 +244,7 @@
 
     def judge(self, digest: str, now: float) -> Verdict:
         """
-        Return what is believed of a request.
+        Return the verdict on a request.
 
         Parameters
         ----------
@@ -271,7 +272,7 @@
     def _list_attributed(self, entry: _Entry) -> Iterator[str]:
         explaining = [
             self._entries[other].crashes
-            for other in self._proven
+            for other in self._explaining
             if self._count_crashes(other) > len(entry.crashes)
         ]
         for process in entry.crashes:
@@ -289,8 +290,8 @@
     def _count_crashes(self, digest: str) -> int:
         return len(self._entries[digest].crashes)
 
-    def _drop_victim(self, digest: str, process: str) -> None:
-        victims = self._victims.get(process, set())
-        victims.discard(digest)
-        if not victims:
-            self._victims.pop(process, None)
+    def _leave_process(self, digest: str, process: str) -> None:
+        requests = self._in_flight.get(process, set())
+        requests.discard(digest)
+        if not requests:
+            self._in_flight.pop(process, None)
