--- a/packages/node/ladder_node/batches/tests/test_crashing_requests.py
+++ b/packages/node/ladder_node/batches/tests/test_crashing_requests.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import json
+from types import SimpleNamespace
 from typing import cast
 
 import pytest
@@ -22,16 +23,28 @@
 )
 from ladder_node.batches.dispatcher import TaskDispatcher
 from ladder_node.batches.engines import EngineTracker
+from ladder_node.batches.open_batch import OpenBatch, OpenTask
 from ladder_node.batches.records import BatchHead
 from ladder_node.batches.registry import BatchRegistry
 from ladder_node.batches.result_writer import ResultWriter
-from ladder_node.batches.tests.fakes import HOST, FakeDeployment, make_batch
+from ladder_node.batches.runner import RunProgress, TaskRunner
+from ladder_node.batches.tests.fakes import (
+    HOST,
+    FakeDeployment,
+    make_batch,
+    make_task,
+)
 from ladder_node.batches.tests.replica_processes import (
     change_address,
     change_name,
     keep_address,
 )
-from ladder_node.quarantine import EvidenceRow
+from ladder_node.quarantine import (
+    CrashDetector,
+    EvidenceRow,
+    UnlimitedRuns,
+    component,
+)
 from ladder_standins.memory_table import TableFault
 
 CRASHING_BODY = b'crash'
@@ -100,6 +113,25 @@
     assert count_late_runs(deployment) <= MAX_LATE_RUNS
 
 
+async def test_without_the_quarantine_each_attempt_crashes_replicas(
+    monkeypatch,
+):
+    """The plain way to compare with; it shows that these tests can fail."""
+    monkeypatch.setattr(
+        component,
+        'QuarantineGuard',
+        lambda detector, *_: UnlimitedRuns(detector),
+    )
+    made = FakeDeployment(NODES, engines=4, scorers=4)
+    made.processes.crashing.add(CRASHING_BODY)
+    await made.start()
+    await call_repeatedly(made, 60)
+    crashes, late_runs = len(made.processes.crashes), count_late_runs(made)
+    await made.close()
+    assert crashes > MIN_CRASHES
+    assert late_runs > MAX_LATE_RUNS
+
+
 @pytest.mark.parametrize('rename', RESTARTS)
 async def test_task_that_crashes_engines_is_not_run_without_end(
     deployment, rename
@@ -310,6 +342,36 @@
     assert await outcomes([again]) == [200]
 
 
+async def test_task_is_looked_at_again_before_its_pause_is_over(deployment):
+    """
+    Guards against innocent tasks that wait for the pause of a guilty one.
+
+    A task that was refused between its assignment and its start was held back
+    for the whole pause, although another crash cleared it meanwhile.
+    """
+    node = deployment.nodes['a']
+    runner = TaskRunner(
+        node.engines, RefusingGuard(), deployment.timers, node.timeline
+    )
+    task = OpenTask(make_task('t', 'g'), 'digest')
+    engine = EngineTracker(node.replica_registry).find('e0')
+    batch = cast(OpenBatch, SimpleNamespace(batch_id='b'))
+    now = deployment.timers.now()
+    assert engine is not None
+    await runner.run(batch, task, RunProgress(engine, now))
+    assert now < task.not_before <= now + 1
+
+
+class RefusingGuard(UnlimitedRuns):
+    """Refuses every run for a long time."""
+
+    def __init__(self):
+        super().__init__(cast(CrashDetector, None))
+
+    async def admit(self, request):
+        raise QuarantinedRequestError('q', remedy='wait', retry_after=125)
+
+
 async def test_attempt_that_crashed_replicas_promises_nothing(deployment):
     with pytest.raises(TargetLostError) as caught:
         await call(deployment.nodes['a'], 0)
