--- a/packages/node/ladder_node/batches/intake.py
+++ b/packages/node/ladder_node/batches/intake.py
@@ -3,16 +3,15 @@
 import asyncio
 import time
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
 from prometheus_client import Histogram
 
 from ladder_clients.table import HistoryLostError, Row
 from ladder_core.errors import StoreUnavailableError
 from ladder_node.batches.dependencies import OwnerDependencies
-from ladder_node.batches.drafts import load_drafts
 from ladder_node.batches.fence import Fence
-from ladder_node.batches.open_batch import Draft, OpenBatch, Stage
+from ladder_node.batches.open_batch import OpenBatch, Stage
+from ladder_node.batches.reading import BatchReader
 from ladder_node.batches.records import (
     BATCHES_TABLE,
     BatchHead,
@@ -23,7 +22,6 @@
 )
 from ladder_node.batches.registry import BatchRegistry
 from ladder_node.batches.result_writer import ResultWriter
-from ladder_node.batches.spec import BatchSpec
 from ladder_node.batches.task_group import LeaseTaskGroup
 from ladder_node.feeds import LONG_POLL_SECONDS
 
@@ -32,9 +30,6 @@
 # The drafts of an ended batch are kept only if it was accepted within this
 # time. Groups of a step that ended earlier are not submitted again.
 _DRAFT_REUSE_SECONDS = 30
-# Batches that are read concurrently, by a few calls each. The connections to
-# the table are shared with lease renewals and with requests of callers.
-_MAX_CONCURRENT_READS = 4
 
 _batch_histogram = Histogram(
     'ladder_batch_seconds',
@@ -43,15 +38,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class _StoredBatch:
-    """Content of the rows of a batch."""
-
-    spec: BatchSpec
-    durable_task_ids: tuple[str, ...]
-    drafts: dict[str, Draft]
-
-
 class BatchIntake:
     """
     Follow the changes of the table of batches.
@@ -85,7 +71,7 @@
         self._on_end = on_end
         self._known: set[str] = set()
         self._confirmed_at: float | None = None
-        self._read_slots = asyncio.Semaphore(_MAX_CONCURRENT_READS)
+        self._reader = BatchReader(dependencies, fence)
 
     async def run(self, task_group: LeaseTaskGroup) -> None:
         """
@@ -196,8 +182,7 @@
         if age_seconds > head.retention_seconds + head.step_seconds:
             return
         result_writer = self._make_result_writer(batch_id)
-        async with self._read_slots:
-            found = await self._read(batch_id, head, result_writer)
+        found = await self._reader.read(batch_id, head, result_writer)
         if (
             self._registry.is_ended(batch_id)
             or len(found.durable_task_ids) >= head.total
@@ -227,41 +212,10 @@
         task_group.spawn(result_writer.run())
         self._on_open(batch)
 
-    async def _read(
-        self,
-        batch_id: str,
-        head: BatchHead,
-        result_writer: ResultWriter,
-    ) -> _StoredBatch:
-        store, table = self._dependencies.store, self._dependencies.table
-        while True:
-            try:
-                durable_task_ids, spec, drafts = await asyncio.gather(
-                    result_writer.load(),
-                    store.read_spec(batch_id, head),
-                    load_drafts(table, batch_id),
-                )
-            except StoreUnavailableError:
-                self._fence.check()
-                await self._dependencies.timers.sleep(_RETRY_INTERVAL_SECONDS)
-            else:
-                return _StoredBatch(spec, durable_task_ids, drafts)
-
-    async def _read_unfinished(
-        self,
-        batch_id: str,
-        head: BatchHead,
-    ) -> dict[str, Draft]:
-        index = await self._dependencies.store.read_result_index(batch_id)
-        if len(index.task_ids) >= head.total:
-            return {}
-        return await load_drafts(self._dependencies.table, batch_id)
-
     async def _keep_drafts(self, batch_id: str, head: BatchHead) -> None:
         """Cache the drafts of an ended batch, for groups submitted again."""
         try:
-            async with self._read_slots:
-                drafts = await self._read_unfinished(batch_id, head)
+            drafts = await self._reader.read_unfinished(batch_id, head)
         except StoreUnavailableError as error:
             self._dependencies.timeline.record(
                 'drafts-not-read',
--- a/packages/node/ladder_node/forwarding/forwarder.py
+++ b/packages/node/ladder_node/forwarding/forwarder.py
@@ -47,11 +47,6 @@
 )
 from ladder_node.replicas import ReplicaRecord
 
-# An attempt that takes longer than this many times the latency objective of the
-# route is abandoned if another replica is left to try.
-_ATTEMPT_OBJECTIVE_MULTIPLE = 2
-_MIN_ATTEMPT_SECONDS = 0.4
-
 _forwarded_histogram = Histogram(
     'ladder_forward_seconds',
     'Time from a request to the end of its answer, by service and outcome',
@@ -239,7 +234,7 @@
                 record_refusal(record, attempts, error, self._timers.now())
             except LadderError as error:
                 record_failure(record, attempts, error, self._timers.now())
-                if not self._may_repeat(route, attempts):
+                if not self._planner.may_repeat(route, attempts):
                     raise
         return response
 
@@ -252,7 +247,7 @@
     ) -> CompleteResponse | None:
         """Return the response, or None if another replica is to be tried."""
         started_at = self._timers.now()
-        limit = self._find_attempt_limit(route, attempts, record)
+        limit = self._planner.find_limit(route, attempts, record)
         try:
             async with asyncio.timeout(limit):
                 async with self._open(record, request, attempts) as response:
@@ -266,7 +261,7 @@
             record, attempts, response.status, started_at, self._timers.now()
         )
         is_failure = response.status >= MIN_SERVER_ERROR_STATUS
-        if is_failure and self._may_repeat(route, attempts):
+        if is_failure and self._planner.may_repeat(route, attempts):
             return None
         return CompleteResponse(
             response.status,
@@ -302,28 +297,3 @@
                 if not may_have_run:
                     attempts.sent_to.discard(record.name)
                 raise
-
-    def _find_attempt_limit(
-        self,
-        route: Route,
-        attempts: RequestAttempts,
-        record: ReplicaRecord,
-    ) -> float | None:
-        """Return the seconds for one attempt; None for all the time left."""
-        is_last = len(attempts.sent_to) + 1 >= route.max_attempts
-        if is_last or route.kind is not RouteKind.idempotent:
-            return None
-        others = {*attempts.tried, record.name}
-        if not self._selector.has_other(attempts.service, others):
-            return None
-        limit_seconds = (
-            _ATTEMPT_OBJECTIVE_MULTIPLE * route.latency_objective_seconds
-        )
-        return max(limit_seconds, _MIN_ATTEMPT_SECONDS)
-
-    def _may_repeat(self, route: Route, attempts: RequestAttempts) -> bool:
-        return (
-            route.kind is RouteKind.idempotent
-            and len(attempts.sent_to) < route.max_attempts
-            and self._selector.has_other(attempts.service, attempts.tried)
-        )
--- a/packages/node/ladder_node/forwarding/planner.py
+++ b/packages/node/ladder_node/forwarding/planner.py
@@ -1,4 +1,4 @@
-"""Choice of the replica of the next run, once the guard admits the run."""
+"""Decisions on the runs of a request: which replica, how long, and again."""
 
 from ladder_core.errors import (
     LadderError,
@@ -8,6 +8,7 @@
     TargetUnavailableError,
 )
 from ladder_core.timers import TimerService
+from ladder_core.values import Route, RouteKind
 from ladder_node.forwarding.attempts import (
     RETRY_AFTER_SECONDS,
     RequestAttempts,
@@ -17,6 +18,10 @@
 from ladder_node.replicas import ReplicaRecord
 from ladder_policy.quarantine import RequestState
 
+# An attempt that takes longer than this many times the latency objective of the
+# route is abandoned if another replica is left to try.
+_ATTEMPT_OBJECTIVE_MULTIPLE = 2
+_MIN_ATTEMPT_SECONDS = 0.4
 _RETRY_DELAY_SECONDS = 0.05
 # Refusals do not count as attempts, so they have a limit of their own.
 _MAX_REFUSALS = 8
@@ -24,7 +29,7 @@
 
 class RunPlanner:
     """
-    Choose the replica of each run of a request.
+    Decide on the runs of a request.
 
     Parameters
     ----------
@@ -66,6 +71,32 @@
         await self._admit(attempts)
         return self._require_replica(attempts)
 
+    def find_limit(
+        self,
+        route: Route,
+        attempts: RequestAttempts,
+        record: ReplicaRecord,
+    ) -> float | None:
+        """Return the seconds for one attempt; None for all the time left."""
+        is_last = len(attempts.sent_to) + 1 >= route.max_attempts
+        if is_last or route.kind is not RouteKind.idempotent:
+            return None
+        others = {*attempts.tried, record.name}
+        if not self._selector.has_other(attempts.service, others):
+            return None
+        limit_seconds = (
+            _ATTEMPT_OBJECTIVE_MULTIPLE * route.latency_objective_seconds
+        )
+        return max(limit_seconds, _MIN_ATTEMPT_SECONDS)
+
+    def may_repeat(self, route: Route, attempts: RequestAttempts) -> bool:
+        """Return whether a request that may have run may be sent again."""
+        return (
+            route.kind is RouteKind.idempotent
+            and len(attempts.sent_to) < route.max_attempts
+            and self._selector.has_other(attempts.service, attempts.tried)
+        )
+
     async def _admit(self, attempts: RequestAttempts) -> None:
         try:
             await self._guard.admit(attempts.guarded)
