Log how long a task waits for its next run, and for what

Nothing told a task that its own node held back from one that no engine could take: request-quarantined names a digest, and no line had the time between two runs.

Change: the line task-resumed and the histogram ladder_task_resume_seconds give the wait between two runs of a task, and how much of it the node held the task back.

--- a/packages/node/ladder_node/batches/open_batch.py
+++ b/packages/node/ladder_node/batches/open_batch.py
@@ -81,6 +81,8 @@
         Time in seconds before which the task is not started again.
     started_at : float
         Time in seconds of the first start; zero before that.
+    ended_at : float
+        Time in seconds of the end of the last run; zero before that.
     tokens_per_event : int
         Number of tokens in one event of the text.
     moves : int
@@ -96,6 +98,7 @@
     failed_scorings: int = 0
     not_before: float = 0
     started_at: float = 0
+    ended_at: float = 0
     tokens_per_event: int = 1
     moves: int = 0
 
--- a/packages/node/ladder_node/batches/runs.py
+++ b/packages/node/ladder_node/batches/runs.py
@@ -20,6 +20,15 @@
     'Time from the acceptance of a batch to the first run of a task',
     buckets=(0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8),
 )
+_resume_histogram = Histogram(
+    'ladder_task_resume_seconds',
+    'Time from the end of a run of a task to its next run, by what it waited'
+    ' for: held back by this node, or no engine with a free slot',
+    ('cause',),
+    buckets=(0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8),
+)
+# Shorter waits between two runs are counted, but not logged.
+_MIN_LOGGED_WAIT_SECONDS = 1
 
 
 class TaskRuns:
@@ -90,6 +99,8 @@
             task.started_at = self._timers.now()
             opened = batch.due - batch.head.step_seconds
             _wait_histogram.observe(max(task.started_at - opened, 0))
+        if task.ended_at:
+            self._record_resumption(batch, task, progress)
         if not task.draft.satisfies(batch.spec.min_version):
             task.draft.clear()
         key = batch.make_key(task)
@@ -166,6 +177,7 @@
         key = batch.make_key(task)
         self._runs.pop(key, None)
         self._asyncio_tasks.pop(key, None)
+        task.ended_at = self._timers.now()
         if task.stage is Stage.running:
             task.stage = Stage.waiting
         self._wake()
@@ -174,6 +186,29 @@
         if task.stage is Stage.waiting and not self._is_closed(batch):
             self._follow_up(batch, task)
 
+    def _record_resumption(
+        self, batch: OpenBatch, task: OpenTask, progress: RunProgress
+    ) -> None:
+        """Record how long a task waited for its next run, and for what."""
+        waited_seconds = self._timers.now() - task.ended_at
+        held_seconds = min(
+            max(task.not_before - task.ended_at, 0), waited_seconds
+        )
+        _resume_histogram.labels('held').observe(held_seconds)
+        _resume_histogram.labels('no-engine').observe(
+            waited_seconds - held_seconds
+        )
+        if waited_seconds < _MIN_LOGGED_WAIT_SECONDS:
+            return
+        self._dependencies.timeline.record(
+            'task-resumed',
+            task.task_id,
+            batch=batch.batch_id,
+            replica=progress.engine.record.name,
+            waited=round(waited_seconds, 3),
+            held=round(held_seconds, 3),
+        )
+
     def _is_closed(self, batch: OpenBatch) -> bool:
         return self._registry.find(batch.batch_id) is None
 
