Owe tasks and scoring calls whatever crashed under them

Trainers saw steps late or without sound groups after a burst of crashes: tasks that had met several by chance were never placed again, or given up, with their engines idle.

Cause: the quarantine took coincidence for guilt. A task holds an engine for seconds, so a burst of crashes meets it two or three times, and the pauses of 1, 5, 25 s that follow outlast its batch. The class: a safeguard for anonymous, repeatable input applied to work that the service itself has accepted and owes.

Change: tasks have no guard and scoring calls go through a forwarder of their own with UnlimitedRuns. A watched run names its listener, so tasks and scoring calls neither add evidence, nor clear any, nor heed it. Their digests, and what held back and isolated tasks in the dispatcher, are removed. RestartPause keeps one task from taking a fleet: 1 s after a second start in a row that was lost before its first event; a lost scoring call goes to one scorer at a time.

--- a/packages/node/ladder_node/batches/dependencies.py
+++ b/packages/node/ladder_node/batches/dependencies.py
@@ -10,7 +10,7 @@
 from ladder_core.timers import TimerService
 from ladder_node.batches.store import BatchStore
 from ladder_node.forwarding import Forwarder
-from ladder_node.quarantine import RunGuard
+from ladder_node.quarantine import CrashDetector
 from ladder_node.replicas import ReplicaRegistry
 from ladder_node.routes import ModelVersions, RouteCache
 
@@ -36,9 +36,9 @@
     client : ReplicaClient
         Sends tasks and load orders to engines.
     forwarder : Forwarder
-        Sends the calls that score texts.
-    guard : RunGuard
-        Refuses requests that crash replicas.
+        Sends the calls that score texts, without a guard.
+    detector : CrashDetector
+        Logs crashes of replicas with the tasks that ran there.
     replica_registry : ReplicaRegistry
         State of all replicas as this node knows it.
     routes : RouteCache
@@ -61,7 +61,7 @@
     result_retention_seconds: float
     client: ReplicaClient
     forwarder: Forwarder
-    guard: RunGuard
+    detector: CrashDetector
     replica_registry: ReplicaRegistry
     routes: RouteCache
     versions: ModelVersions
--- a/packages/node/ladder_node/batches/dispatcher.py
+++ b/packages/node/ladder_node/batches/dispatcher.py
@@ -16,9 +16,7 @@
 )
 from ladder_node.batches.registry import BatchRegistry, estimate_tokens
 from ladder_node.batches.runner import RunProgress
-from ladder_node.quarantine import RunGuard
 from ladder_node.routes import RouteCache
-from ladder_policy.quarantine import RequestState
 from ladder_policy.scheduling import choose_engine, order_tasks
 
 # Time without an event after which a run is resumed on another engine. A load
@@ -53,8 +51,6 @@
         Provides the engines with their free slots and token times.
     routes : RouteCache
         Provides the route of each batch.
-    guard : RunGuard
-        Delays tasks that crash engines.
     timers : TimerService
         Clock for due times and event time-outs.
 
@@ -65,13 +61,11 @@
         registry: BatchRegistry,
         engines: EngineTracker,
         routes: RouteCache,
-        guard: RunGuard,
         timers: TimerService,
     ) -> None:
         self._registry = registry
         self._engines = engines
         self._routes = routes
-        self._guard = guard
         self._timers = timers
 
     def list_by_urgency(self, service: str) -> list[WaitingTask]:
@@ -122,17 +116,11 @@
             now,
         )
         for batch, task in self.list_by_urgency(service):
-            wait_seconds = self._guard.find_wait(task.digest)
-            if wait_seconds:
-                task.not_before = now + wait_seconds
-                continue
             engine = self._choose(batch, task, usable, shortest_token_time)
             if engine is None:
                 left.append((batch, task))
                 continue
             engine.add_task(task.task_id, batch.spec.model, task.spec.group)
-            if self._guard.find_state(task.digest) is not RequestState.clear:
-                engine.suspects.add(task.task_id)
             start(batch, task, RunProgress(engine, now))
         return left
 
@@ -192,7 +180,6 @@
             for engine in usable
             if self._fits(engine, batch, task)
         }
-        fitting = self._isolate(task, fitting)
         chosen = choose_engine(
             (
                 engine.make_view(task.spec.group, now)
@@ -204,25 +191,6 @@
         )
         return fitting[chosen.name] if chosen else None
 
-    def _isolate(
-        self, task: OpenTask, fitting: dict[str, TrackedEngine]
-    ) -> dict[str, TrackedEngine]:
-        """
-        Return the engines without suspects, or all if the task may share one.
-
-        A task on trial shares no engine with a suspect, so that a crash says
-        which of them is the cause.
-        """
-        apart = {
-            name: engine
-            for name, engine in fitting.items()
-            if not engine.suspects
-        }
-        state = self._guard.find_state(task.digest)
-        if apart or state is RequestState.quarantined:
-            return apart
-        return fitting
-
     def _fits(
         self,
         engine: TrackedEngine,
--- a/packages/node/ladder_node/batches/engines.py
+++ b/packages/node/ladder_node/batches/engines.py
@@ -31,8 +31,6 @@
     ----------
     running : dict of str to str
         Model of each task that runs on the engine, by task id.
-    suspects : set of str
-        Tasks on the engine that may crash it.
     loading : str
         Model of which a version is being loaded; empty for none.
     orders : int or None
@@ -44,7 +42,6 @@
     def __init__(self, record: ReplicaRecord, fleet: FleetTokenTime) -> None:
         self.record = record
         self.running: dict[str, str] = {}
-        self.suspects: set[str] = set()
         self.loading = ''
         self.orders: int | None = None
         self._token_time = EngineTokenTime(fleet)
@@ -76,7 +73,6 @@
     def remove_task(self, task_id: str) -> None:
         """Free the slot of a task."""
         self.running.pop(task_id, None)
-        self.suspects.discard(task_id)
 
     def observe_token_time(self, token_seconds: float, now: float) -> None:
         """
--- a/packages/node/ladder_node/batches/open_batch.py
+++ b/packages/node/ladder_node/batches/open_batch.py
@@ -3,12 +3,12 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from ladder_clients.replicas import CallerRequest, TextEvent
+from ladder_clients.replicas import TextEvent
 from ladder_core.values import Route
 from ladder_node.batches.records import BatchHead, TaskResult, TaskState
 from ladder_node.batches.result_writer import ResultWriter
 from ladder_node.batches.spec import BatchSpec, TaskSpec
-from ladder_node.quarantine import identify_request
+from ladder_policy.scheduling import RestartPause
 
 
 class Stage(StrEnum):
@@ -69,8 +69,6 @@
     ----------
     spec : TaskSpec
         The task as the trainer submitted it.
-    digest : str
-        Identifies the task over all batches that contain it.
     draft : Draft
         The text as far as it has been generated.
     stage : Stage
@@ -87,11 +85,12 @@
         Number of tokens in one event of the text.
     moves : int
         Number of times that the task moved to a faster engine.
+    run_pause, scoring_pause : RestartPause
+        Pauses between runs, and between scoring calls, that are lost.
 
     """
 
     spec: TaskSpec
-    digest: str
     draft: Draft = field(default_factory=Draft)
     stage: Stage = Stage.waiting
     failed_runs: int = 0
@@ -101,6 +100,8 @@
     ended_at: float = 0
     tokens_per_event: int = 1
     moves: int = 0
+    run_pause: RestartPause = field(default_factory=RestartPause)
+    scoring_pause: RestartPause = field(default_factory=RestartPause)
 
     @property
     def task_id(self) -> str:
@@ -188,10 +189,7 @@
         Seconds since the batch was accepted.
 
     """
-    tasks = {
-        task.task_id: OpenTask(task, _identify_task(task))
-        for task in spec.tasks
-    }
+    tasks = {task.task_id: OpenTask(task) for task in spec.tasks}
     groups: dict[str, list[OpenTask]] = {}
     for task in tasks.values():
         groups.setdefault(task.spec.group, []).append(task)
@@ -207,22 +205,6 @@
     )
 
 
-def _identify_task(task: TaskSpec) -> str:
-    headers = tuple(
-        (name.encode('latin-1'), value.encode('latin-1'))
-        for name, value in task.headers
-    )
-    request = CallerRequest(
-        task.task_id,
-        b'POST',
-        task.target.encode(),
-        headers,
-        task.body,
-        task.task_id,
-    )
-    return identify_request(request)
-
-
 def needs_one_version(route: Route | None) -> bool:
     """Return whether a route requires one weight version for a whole text."""
     return route is not None and route.needs_one_version
--- a/packages/node/ladder_node/batches/runner.py
+++ b/packages/node/ladder_node/batches/runner.py
@@ -6,10 +6,10 @@
 from ladder_core.errors import (
     AnswerCorruptError,
     LadderError,
-    QuarantinedRequestError,
     RunFailedError,
     TargetChangedError,
     TargetFullError,
+    TargetLostError,
     TargetUnavailableError,
     TaskRejectedError,
 )
@@ -17,11 +17,7 @@
 from ladder_core.timers import TimerService
 from ladder_node.batches.engines import TrackedEngine
 from ladder_node.batches.open_batch import OpenBatch, OpenTask
-from ladder_node.quarantine import (
-    RECHECK_SECONDS,
-    GuardedRequest,
-    RunGuard,
-)
+from ladder_node.quarantine import CrashDetector
 
 # An engine that refused a task because it was full gets none for this time.
 _FULL_PAUSE_SECONDS = 0.3
@@ -76,8 +72,8 @@
     ----------
     client : ReplicaClient
         Sends the tasks and streams the events of their texts.
-    guard : RunGuard
-        Refuses tasks that crash engines.
+    detector : CrashDetector
+        Logs crashes of engines with the tasks that ran there.
     timers : TimerService
         Clock that events are timed with.
     timeline : Timeline
@@ -88,12 +84,12 @@
     def __init__(
         self,
         client: ReplicaClient,
-        guard: RunGuard,
+        detector: CrashDetector,
         timers: TimerService,
         timeline: Timeline,
     ) -> None:
         self._client = client
-        self._guard = guard
+        self._detector = detector
         self._timers = timers
         self._timeline = timeline
 
@@ -117,10 +113,9 @@
         """
         first = len(task.draft.event_texts)
         outcome = 'cancelled'
-        guarded = GuardedRequest(task.digest)
+        replica = progress.engine.replica
         try:
-            await self._guard.admit(guarded)
-            async with self._guard.watch(guarded, progress.engine.replica):
+            async with self._detector.watch(task.task_id, replica):
                 await self._generate(batch, task, progress)
             outcome = 'completed'
         except TaskRejectedError:
@@ -130,7 +125,6 @@
             outcome = error.kind
             self._handle_error(task, progress, error)
         finally:
-            self._guard.release(guarded)
             self._record_end(batch, task, progress, outcome, first + 1)
 
     def _record_end(
@@ -146,7 +140,6 @@
             'task-run-ended',
             task.task_id,
             batch=batch.batch_id,
-            content=task.digest,
             replica=progress.engine.record.name,
             outcome=outcome,
             first_event=first_event,
@@ -173,6 +166,7 @@
             _check_event(event, task, batch)
             gap = progress.record_event(self._timers.now())
             if progress.events == 1:
+                task.run_pause.record_progress()
                 _first_event_histogram.observe(gap)
             else:
                 now = self._timers.now()
@@ -195,13 +189,13 @@
         if isinstance(error, RunFailedError):
             task.failed_runs += 1
             record.record_failed_response(now)
-        elif isinstance(error, QuarantinedRequestError):
-            task.not_before = now + RECHECK_SECONDS
         elif isinstance(error, TargetFullError):
             record.pause(now + _FULL_PAUSE_SECONDS)
         elif isinstance(error, TargetChangedError):
             task.not_before = now + _RETRY_DELAY_SECONDS
         else:
+            if isinstance(error, TargetLostError) and not progress.events:
+                task.not_before = now + task.run_pause.record_loss()
             is_unreachable = isinstance(error, TargetUnavailableError)
             record.record_failure(now, is_unreachable=is_unreachable)
 
--- a/packages/node/ladder_node/batches/runs.py
+++ b/packages/node/ladder_node/batches/runs.py
@@ -66,7 +66,7 @@
         self._wake = wake
         self._runner = TaskRunner(
             dependencies.client,
-            dependencies.guard,
+            dependencies.detector,
             dependencies.timers,
             dependencies.timeline,
         )
--- a/packages/node/ladder_node/batches/scoring.py
+++ b/packages/node/ladder_node/batches/scoring.py
@@ -5,13 +5,12 @@
 from prometheus_client import Histogram
 
 from ladder_clients.replicas import CallerRequest
-from ladder_core.errors import LadderError, QuarantinedRequestError
+from ladder_core.errors import LadderError, TargetLostError
 from ladder_core.timers import TimerService
 from ladder_core.values import Route
 from ladder_node.batches.open_batch import OpenTask
 from ladder_node.batches.spec import ScorerSpec
 from ladder_node.forwarding import CompleteResponse, Forwarder
-from ladder_node.quarantine import RECHECK_SECONDS
 from ladder_node.routes import RouteCache
 
 _OK_STATUS = 200
@@ -87,6 +86,8 @@
             if task.failed_scorings >= route.max_attempts:
                 return None
             response = await self._call(route, request, task)
+            if response is not None:
+                task.scoring_pause.record_progress()
             if (
                 response is not None
                 and _OK_STATUS <= response.status < _MIN_REDIRECTION_STATUS
@@ -101,22 +102,36 @@
         request: CallerRequest,
         task: OpenTask,
     ) -> CompleteResponse | None:
-        limit = _TIMEOUT_FACTOR * route.timeout_seconds
+        limited = _limit(route, is_single=task.scoring_pause.has_losses)
         try:
             return await self._forwarder.forward(
-                replace(route, timeout_seconds=limit),
+                limited,
                 request,
-                limit,
+                limited.timeout_seconds,
                 task.count_failed_scoring,
             )
-        except QuarantinedRequestError:
-            await self._timers.sleep(RECHECK_SECONDS)
+        except TargetLostError:
+            await self._timers.sleep(task.scoring_pause.record_loss())
             return None
         except LadderError:
             # The forwarder has recorded the outcome and its reason.
             return None
 
 
+def _limit(route: Route, *, is_single: bool) -> Route:
+    """
+    Return a route with the limits of a scoring call.
+
+    A call under which scorers were lost is sent to a single one, so that it
+    does not end all of them.
+    """
+    if is_single:
+        return replace(route, max_attempts=1)
+    return replace(
+        route, timeout_seconds=_TIMEOUT_FACTOR * route.timeout_seconds
+    )
+
+
 def _make_request(scorer: ScorerSpec) -> CallerRequest:
     return CallerRequest(
         scorer.call_id,
--- a/packages/node/ladder_node/batches/session.py
+++ b/packages/node/ladder_node/batches/session.py
@@ -76,7 +76,6 @@
             self._registry,
             self._engines,
             dependencies.routes,
-            dependencies.guard,
             dependencies.timers,
         )
         self._placement = Placement(
--- a/packages/node/ladder_node/quarantine/__init__.py
+++ b/packages/node/ladder_node/quarantine/__init__.py
@@ -1,7 +1,6 @@
 """Quarantine of requests that crash the replicas that run them."""
 
 from ladder_node.quarantine.base import (
-    RECHECK_SECONDS,
     GuardedRequest,
     RunGuard,
     UnlimitedRuns,
@@ -24,7 +23,6 @@
 
 __all__ = (
     'EVIDENCE_PATH',
-    'RECHECK_SECONDS',
     'CrashDetector',
     'CrashListener',
     'EvidenceApp',
--- a/packages/node/ladder_node/quarantine/base.py
+++ b/packages/node/ladder_node/quarantine/base.py
@@ -9,10 +9,6 @@
 from ladder_node.quarantine.detector import CrashDetector
 from ladder_policy.quarantine import RequestState
 
-# Time after which a request that is held back is looked at again: another node
-# may have cleared it before its pause is over.
-RECHECK_SECONDS = 1
-
 
 @dataclass(slots=True, eq=False)
 class GuardedRequest:
@@ -38,8 +34,8 @@
 
     Notes
     -----
-    Every path that sends a request to replicas asks a guard before each run,
-    runs the request inside `watch`, and releases it in the end.
+    A path that sends a caller's request to replicas asks a guard before each
+    run, runs the request inside `watch`, and releases it in the end.
 
     """
 
@@ -64,15 +60,6 @@
     def release(self, request: GuardedRequest) -> None:
         """End an attempt, and withdraw a trial that has not begun."""
 
-    @abstractmethod
-    def find_wait(self, digest: str) -> float:
-        """
-        Return the seconds after which to ask for a request again.
-
-        Zero means that it may be admitted now; the result is at most
-        `RECHECK_SECONDS`.
-        """
-
     @abstractmethod
     def find_state(self, digest: str) -> RequestState:
         """Return the state of a request by the present verdict."""
@@ -92,6 +79,11 @@
     """
     Admits every run; crashes are detected and logged.
 
+    Explanation
+    -----------
+    Scoring calls are work that the service owes, so none is refused for the
+    crashes of replicas.
+
     Parameters
     ----------
     detector : CrashDetector
@@ -108,10 +100,6 @@
     def release(self, request: GuardedRequest) -> None:
         """Do nothing."""
 
-    def find_wait(self, digest: str) -> float:
-        """Return zero."""
-        return 0
-
     def find_state(self, digest: str) -> RequestState:
         """Return that the request is clear."""
         return RequestState.clear
--- a/packages/node/ladder_node/quarantine/component.py
+++ b/packages/node/ladder_node/quarantine/component.py
@@ -61,6 +61,7 @@
         detector = CrashDetector(
             registry, probe or TcpProbe(timers), timers, timeline
         )
+        self._detector = detector
         self._guard = QuarantineGuard(
             detector, verdicts, rows, node, timers, timeline
         )
@@ -77,9 +78,14 @@
 
     @property
     def guard(self) -> RunGuard:
-        """The guard of all runs at replicas."""
+        """The guard of the requests of callers."""
         return self._guard
 
+    @property
+    def detector(self) -> CrashDetector:
+        """Detects the crashes under all runs, guarded or not."""
+        return self._detector
+
     def receive(self, rows: Sequence[EvidenceRow]) -> None:
         """Apply evidence that another node has sent directly."""
         self._rows.receive(rows)
--- a/packages/node/ladder_node/quarantine/detector.py
+++ b/packages/node/ladder_node/quarantine/detector.py
@@ -39,7 +39,7 @@
 
 
 class CrashListener(ABC):
-    """Receives what becomes of the requests that a node sends to replicas."""
+    """Is told what becomes of the runs that it watches."""
 
     @abstractmethod
     def record_crash(self, digest: str, process: str) -> None:
@@ -60,13 +60,21 @@
         """Record that a replica responded to a request completely."""
 
 
+@dataclass(frozen=True, slots=True)
+class _WatchedRun:
+    """Name of what runs at a replica, and who is told what becomes of it."""
+
+    name: str
+    listener: CrashListener | None
+
+
 @dataclass(slots=True)
 class _BrokenRuns:
-    """Requests whose runs at one process broke without a response."""
+    """Runs at one process that broke without a response."""
 
     replica: Replica
     broken_at: float
-    digests: dict[str, None] = field(default_factory=dict)
+    runs: dict[_WatchedRun, None] = field(default_factory=dict)
     probe: asyncio.Task[None] | None = None
 
 
@@ -106,7 +114,6 @@
         self._probe = probe
         self._timers = timers
         self._timeline = timeline
-        self._listeners: list[CrashListener] = []
         self._broken: dict[str, _BrokenRuns] = {}
         self._crashed: OrderedDict[str, None] = OrderedDict()
         self._probes: set[asyncio.Task[None]] = set()
@@ -124,108 +131,111 @@
             with suppress(asyncio.CancelledError):
                 await probe
 
-    def subscribe(self, listener: CrashListener) -> None:
-        """Register a listener to crashes and responses."""
-        self._listeners.append(listener)
-
     def watch(
-        self, digest: str, replica: Replica
+        self,
+        name: str,
+        replica: Replica,
+        listener: CrashListener | None = None,
     ) -> AbstractAsyncContextManager[None]:
         """
         Return a context manager whose body runs a request at a replica.
 
         Parameters
         ----------
-        digest : str
-            Digest of the request.
+        name : str
+            Digest of a request, or id of a task.
         replica : Replica
             Replica that the request is sent to.
+        listener : CrashListener, optional
+            Is told what becomes of the run; crashes are logged in any case.
 
         """
-        return self._watch(digest, replica)
+        return self._watch(_WatchedRun(name, listener), replica)
 
-    async def settle(self, digest: str) -> None:
+    async def settle(self, name: str, listener: CrashListener) -> None:
         """Wait for the probes of the replicas at which a request broke."""
+        run = _WatchedRun(name, listener)
         probes = [
-            runs.probe
-            for runs in self._broken.values()
-            if runs.probe is not None and digest in runs.digests
+            broken.probe
+            for broken in self._broken.values()
+            if broken.probe is not None and run in broken.runs
         ]
         if probes:
             await asyncio.wait(probes)
 
-    def count_broken(self, digest: str) -> int:
+    def count_broken(self, name: str, listener: CrashListener) -> int:
         """Return the number of processes at which a request just broke."""
         self._drop_old()
-        return sum(digest in runs.digests for runs in self._broken.values())
+        run = _WatchedRun(name, listener)
+        return sum(run in broken.runs for broken in self._broken.values())
 
     @asynccontextmanager
     async def _watch(
-        self, digest: str, replica: Replica
+        self, run: _WatchedRun, replica: Replica
     ) -> AsyncIterator[None]:
         try:
             yield
         except (RunFailedError, TaskRejectedError):
-            self._record_response(digest, replica)
+            self._record_response(run, replica)
             raise
         except TargetLostError:
-            self._record_broken(digest, replica, is_connection_lost=True)
+            self._record_broken(run, replica, is_connection_lost=True)
             raise
         except MayHaveRunError:
-            self._record_broken(digest, replica, is_connection_lost=False)
+            self._record_broken(run, replica, is_connection_lost=False)
             raise
-        self._record_response(digest, replica)
+        self._record_response(run, replica)
 
-    def _record_response(self, digest: str, replica: Replica) -> None:
+    def _record_response(self, run: _WatchedRun, replica: Replica) -> None:
         """Take a response as a proof that the process is alive."""
-        runs = self._broken.get(make_process_name(replica))
-        if runs is not None and runs.probe is None:
-            self._forget(runs, 'alive')
-        for listener in self._listeners:
-            listener.record_response(digest)
+        broken = self._broken.get(make_process_name(replica))
+        if broken is not None and broken.probe is None:
+            self._forget(broken, 'alive')
+        if run.listener is not None:
+            run.listener.record_response(run.name)
 
     def _record_broken(
-        self, digest: str, replica: Replica, *, is_connection_lost: bool
+        self, run: _WatchedRun, replica: Replica, *, is_connection_lost: bool
     ) -> None:
         process = make_process_name(replica)
         if process in self._crashed:
-            self._report(digest, process)
+            _report(run, process)
             return
         if _is_leaving(self._registry, replica):
             _broken_runs_counter.labels('leaving').inc()
             return
-        runs = self._broken.setdefault(
+        broken = self._broken.setdefault(
             process, _BrokenRuns(replica, self._timers.now())
         )
-        runs.digests[digest] = None
-        if is_connection_lost and runs.probe is None:
-            runs.probe = asyncio.create_task(self._probe_process(runs))
-            self._probes.add(runs.probe)
-            runs.probe.add_done_callback(self._probes.discard)
+        broken.runs[run] = None
+        if is_connection_lost and broken.probe is None:
+            broken.probe = asyncio.create_task(self._probe_process(broken))
+            self._probes.add(broken.probe)
+            broken.probe.add_done_callback(self._probes.discard)
         self._check_registry()
 
-    async def _probe_process(self, runs: _BrokenRuns) -> None:
+    async def _probe_process(self, broken: _BrokenRuns) -> None:
         try:
-            is_gone = await self._probe.is_gone(runs.replica.address)
+            is_gone = await self._probe.is_gone(broken.replica.address)
         finally:
-            runs.probe = None
+            broken.probe = None
         if is_gone:
-            self._confirm(runs, 'refused')
+            self._confirm(broken, 'refused')
 
     def _check_registry(self) -> None:
         self._drop_old()
-        for runs in tuple(self._broken.values()):
-            record = self._registry.find(runs.replica.name)
+        for broken in tuple(self._broken.values()):
+            record = self._registry.find(broken.replica.name)
             if record is None:
                 continue
-            if record.replica.started_at > runs.replica.started_at:
-                self._confirm(runs, 'restarted')
+            if record.replica.started_at > broken.replica.started_at:
+                self._confirm(broken, 'restarted')
             elif record.replica.is_leaving:
-                self._forget(runs, 'leaving')
+                self._forget(broken, 'leaving')
 
-    def _confirm(self, runs: _BrokenRuns, evidence: str) -> None:
-        process = make_process_name(runs.replica)
-        if self._broken.get(process) is not runs:
+    def _confirm(self, broken: _BrokenRuns, evidence: str) -> None:
+        process = make_process_name(broken.replica)
+        if self._broken.get(process) is not broken:
             # The list has withdrawn these runs while they were probed.
             return
         self._broken.pop(process)
@@ -234,30 +244,33 @@
             self._crashed.popitem(last=False)
         self._timeline.record(
             'replica-crashed',
-            runs.replica.name,
+            broken.replica.name,
             process=process,
             evidence=evidence,
-            age=round(self._timers.now() - runs.broken_at, 3),
-            in_flight=len(runs.digests),
-            contents=','.join(list(runs.digests)[:_MAX_LOGGED_REQUESTS]),
+            age=round(self._timers.now() - broken.broken_at, 3),
+            in_flight=len(broken.runs),
+            contents=','.join(
+                run.name for run in list(broken.runs)[:_MAX_LOGGED_REQUESTS]
+            ),
         )
-        for digest in runs.digests:
-            self._report(digest, process)
-
-    def _report(self, digest: str, process: str) -> None:
-        _broken_runs_counter.labels('crashed').inc()
-        for listener in self._listeners:
-            listener.record_crash(digest, process)
+        for run in broken.runs:
+            _report(run, process)
 
-    def _forget(self, runs: _BrokenRuns, verdict: str) -> None:
-        self._broken.pop(make_process_name(runs.replica), None)
-        _broken_runs_counter.labels(verdict).inc(len(runs.digests))
+    def _forget(self, broken: _BrokenRuns, verdict: str) -> None:
+        self._broken.pop(make_process_name(broken.replica), None)
+        _broken_runs_counter.labels(verdict).inc(len(broken.runs))
 
     def _drop_old(self) -> None:
         oldest = self._timers.now() - _CONFIRMATION_SECONDS
-        for runs in tuple(self._broken.values()):
-            if runs.broken_at < oldest and runs.probe is None:
-                self._forget(runs, 'unconfirmed')
+        for broken in tuple(self._broken.values()):
+            if broken.broken_at < oldest and broken.probe is None:
+                self._forget(broken, 'unconfirmed')
+
+
+def _report(run: _WatchedRun, process: str) -> None:
+    _broken_runs_counter.labels('crashed').inc()
+    if run.listener is not None:
+        run.listener.record_crash(run.name, process)
 
 
 def _is_leaving(registry: ReplicaRegistry, replica: Replica) -> bool:
--- a/packages/node/ladder_node/quarantine/guard.py
+++ b/packages/node/ladder_node/quarantine/guard.py
@@ -11,11 +11,7 @@
 from ladder_core.timeline import Timeline
 from ladder_core.timers import TimerService
 from ladder_core.values import Replica
-from ladder_node.quarantine.base import (
-    RECHECK_SECONDS,
-    GuardedRequest,
-    RunGuard,
-)
+from ladder_node.quarantine.base import GuardedRequest, RunGuard
 from ladder_node.quarantine.detector import CrashDetector, CrashListener
 from ladder_node.quarantine.rows import CrashRows
 from ladder_node.quarantine.verdicts import RequestVerdicts
@@ -25,6 +21,9 @@
     Verdict,
 )
 
+# Time after which a caller may ask again for a trial that was not to be had.
+_CLAIM_RETRY_SECONDS = 1
+
 _admissions_counter = prometheus_client.Counter(
     'ladder_quarantined_requests_total',
     'Runs of quarantined requests, by whether a trial was admitted',
@@ -77,7 +76,6 @@
         self._timers = timers
         self._timeline = timeline
         self._suspects: Counter[str] = Counter()
-        detector.subscribe(self)
 
     async def admit(self, request: GuardedRequest) -> None:
         """Return if the request is not quarantined, or has its trial now."""
@@ -104,11 +102,6 @@
             self._rows.void_trial(request.digest, request.trial)
             request.trial = None
 
-    def find_wait(self, digest: str) -> float:
-        """Return the seconds after which to ask for a request again."""
-        retry_at = self._verdicts.judge(digest).retry_at
-        return min(max(retry_at - self._timers.now(), 0), RECHECK_SECONDS)
-
     def find_state(self, digest: str) -> RequestState:
         """Return the state of a request by the present verdict."""
         return self._verdicts.judge(digest).state
@@ -145,7 +138,7 @@
         if is_suspect:
             self._suspects[replica.name] += 1
         try:
-            async with self._detector.watch(request.digest, replica):
+            async with self._detector.watch(request.digest, replica, self):
                 yield
         except NotRunError:
             # The next replica may run the request in the same trial.
@@ -166,10 +159,10 @@
 
     async def _settle(self, digest: str) -> None:
         """Wait for probes if the request could be quarantined by them."""
-        broken = self._detector.count_broken(digest)
+        broken = self._detector.count_broken(digest, self)
         crashes = self._verdicts.judge(digest).crashes
         if broken and broken + crashes >= QUARANTINE_CRASHES:
-            await self._detector.settle(digest)
+            await self._detector.settle(digest, self)
 
     async def _claim_trial(
         self, request: GuardedRequest, verdict: Verdict
@@ -177,7 +170,7 @@
         """Claim a trial; return the seconds to wait if it is not to be made."""
         digest, number = request.digest, verdict.trials
         if not await self._rows.claim_trial(digest, number):
-            return RECHECK_SECONDS
+            return _CLAIM_RETRY_SECONDS
         # Other nodes may have reported crashes, or a response, meanwhile.
         now = self._timers.now()
         wait_seconds = self._verdicts.judge(digest).retry_at - now
--- a/packages/policy/ladder_policy/scheduling/__init__.py
+++ b/packages/policy/ladder_policy/scheduling/__init__.py
@@ -9,6 +9,7 @@
     plan_loads,
 )
 from ladder_policy.scheduling.order import TaskView, order_tasks
+from ladder_policy.scheduling.restarts import RestartPause
 from ladder_policy.scheduling.token_time import EngineTokenTime, FleetTokenTime
 
 __all__ = (
@@ -18,6 +19,7 @@
     'FleetTokenTime',
     'LoadDecision',
     'ModelNeed',
+    'RestartPause',
     'TaskView',
     'assign_homes',
     'choose_engine',
