Log each batch that the holder finds, and why it is not opened yet

Change: batch-found, batch-not-read with the error, and batch-expired.

Measured: tests of whole batches and takeovers pass. The cause is not traced by this.

--- a/packages/node/ladder_node/batches/intake.py
+++ b/packages/node/ladder_node/batches/intake.py
@@ -163,6 +163,9 @@
             head = decode_head(heads[batch_id])
             if head is None:
                 continue
+            self._dependencies.timeline.record(
+                'batch-found', batch_id, accepted_by=head.node
+            )
             age_seconds = _find_age_seconds(head, max_age_seconds)
             if not self._registry.is_ended(batch_id):
                 task_group.spawn(
@@ -180,6 +183,9 @@
     ) -> None:
         """Read a batch, register it and start writing its results."""
         if age_seconds > head.retention_seconds + head.step_seconds:
+            self._dependencies.timeline.record(
+                'batch-expired', batch_id, age=round(age_seconds, 3)
+            )
             return
         result_writer = self._make_result_writer(batch_id)
         found = await self._reader.read(batch_id, head, result_writer)
--- a/packages/node/ladder_node/batches/reading.py
+++ b/packages/node/ladder_node/batches/reading.py
@@ -78,7 +78,10 @@
                         store.read_spec(batch_id, head),
                         load_drafts(table, batch_id),
                     )
-                except StoreUnavailableError:
+                except StoreUnavailableError as error:
+                    self._dependencies.timeline.record(
+                        'batch-not-read', batch_id, error=error.message
+                    )
                     self._fence.check()
                     await self._dependencies.timers.sleep(
                         _RETRY_INTERVAL_SECONDS
