Send nothing to a process whose address a later one has

Trainers saw steps late after crashes: tasks went again and again, each 0.1 s, to engines that had ended, while other engines had room.

Cause: the entry of a process that crashed stays listed until it lapses, up to three status intervals, and the next process listens at its address long before. Its refusal (421) was taken for a passing change, so neither the listing of the later process nor the refusal rested the old one. The class: a belief that is not revised by the evidence at hand.

Change: AddressIndex marks listed processes whose address a later start has; they get nothing more (replica-superseded) and are evidence of a crash like a later start under the same name. A refusal by another process rests the replica like a refused connection, on all paths that send.

--- a/packages/node/ladder_node/batches/engines.py
+++ b/packages/node/ladder_node/batches/engines.py
@@ -140,12 +140,14 @@
         ]
 
     def list_active(self, service: str, now: float) -> list[TrackedEngine]:
-        """Return the engines of a service that are not lost nor leaving."""
+        """Return the engines of a service that are neither lost nor leaving."""
         self._drop_removed()
         return [
             self._track(record)
             for record in self._replica_registry.list_service(service)
-            if not record.replica.is_leaving and not record.is_failing(now)
+            if not record.replica.is_leaving
+            and not record.has_ended
+            and not record.is_failing(now)
         ]
 
     def list_running(self) -> list[TrackedEngine]:
--- a/packages/node/ladder_node/batches/runner.py
+++ b/packages/node/ladder_node/batches/runner.py
@@ -7,7 +7,6 @@
     AnswerCorruptError,
     LadderError,
     RunFailedError,
-    TargetChangedError,
     TargetFullError,
     TargetLostError,
     TargetUnavailableError,
@@ -21,8 +20,6 @@
 
 # An engine that refused a task because it was full gets none for this time.
 _FULL_PAUSE_SECONDS = 0.3
-# Delay of a task whose target has been replaced by another process.
-_RETRY_DELAY_SECONDS = 0.1
 
 _runs_counter = Counter(
     'ladder_task_runs_total',
@@ -191,8 +188,6 @@
             record.record_failed_response(now)
         elif isinstance(error, TargetFullError):
             record.pause(now + _FULL_PAUSE_SECONDS)
-        elif isinstance(error, TargetChangedError):
-            task.not_before = now + _RETRY_DELAY_SECONDS
         else:
             if isinstance(error, TargetLostError) and not progress.events:
                 task.not_before = now + task.run_pause.record_loss()
--- a/packages/node/ladder_node/batches/tests/replica_processes.py
+++ b/packages/node/ladder_node/batches/tests/replica_processes.py
@@ -4,7 +4,11 @@
 from dataclasses import replace
 
 from ladder_clients.transport import TargetProbe
-from ladder_core.errors import TargetLostError, TargetUnavailableError
+from ladder_core.errors import (
+    TargetChangedError,
+    TargetLostError,
+    TargetUnavailableError,
+)
 
 RESTART_SECONDS = 2.5
 
@@ -18,7 +22,9 @@
     the address that `rename` returns. `crashes` holds the time of each crash
     and the body that caused it, `runs` the time of each run and its body.
     Calls of scorers take `call_seconds`, and a process crashes `crash_seconds`
-    after the start of the run.
+    after the start of the run. With `keeps_entries` the entry of an ended
+    process stays listed, and with `is_listing_late` the next process is not
+    listed either; `misdirected` counts the runs sent to such addresses.
     """
 
     def __init__(self, timers):
@@ -32,6 +38,9 @@
         self.call_seconds = 0
         self.crash_seconds = 0
         self.probes = []
+        self.keeps_entries = False
+        self.is_listing_late = False
+        self.misdirected = 0
         self._ended = {}
 
     @contextlib.asynccontextmanager
@@ -64,8 +73,13 @@
         )
 
     def check_running(self, replica):
-        if self.is_ended(replica):
-            raise TargetUnavailableError('refused', remedy='wait')
+        if not self.is_ended(replica):
+            return
+        _, waiting = self._ended[replica.name, replica.started_at]
+        if waiting is None:
+            self.misdirected += 1
+            raise TargetChangedError('changed', remedy='send elsewhere')
+        raise TargetUnavailableError('refused', remedy='wait')
 
     def restart_due(self):
         now = self.timers.now()
@@ -76,8 +90,12 @@
                 started = self.rename(
                     replace(replica, started_at=self.starts), self.starts
                 )
+                removed = {replica.name} - {started.name}
                 for registry in self.registries:
-                    registry.change([started], {replica.name} - {started.name})
+                    registry.change(
+                        [] if self.is_listing_late else [started],
+                        [] if self.keeps_entries else removed,
+                    )
 
 
 class ProcessRun:
--- a/packages/node/ladder_node/batches/tests/test_crash_waves.py
+++ b/packages/node/ladder_node/batches/tests/test_crash_waves.py
@@ -21,6 +21,10 @@
     FakeDeployment,
     make_batch,
 )
+from ladder_node.batches.tests.replica_processes import (
+    RESTART_SECONDS,
+    change_name,
+)
 from ladder_node.quarantine import EvidenceRow, identify_request
 
 NODES = ('a', 'b', 'c')
@@ -32,6 +36,8 @@
 EVENTS = 150
 WAVE_SECONDS = 3.2
 RETENTION_SECONDS = 40
+# The entry of a process that crashed lapses after three status intervals.
+LAPSE_SECONDS = 3.6
 
 
 class IdleWatch:
@@ -206,6 +212,48 @@
         node.quarantine.receive(rows)
 
 
+async def test_tasks_are_not_sent_to_engines_that_another_process_replaced(
+    deployment,
+):
+    """
+    Guards against runs at engines that ended, while others have room.
+
+    A crashed engine stays listed until its entry lapses, and another process
+    listens at its address by then; tasks went there each 0.1 s.
+    """
+    deployment.processes.rename = change_name
+    deployment.processes.keeps_entries = True
+    batch = make_batch(groups=2, size=8)
+    lengthen(deployment, batch.tasks)
+    idle_watch = IdleWatch(deployment, batch.tasks)
+    await deployment.submit(batch)
+    await run_waves(deployment, idle_watch, 3, 'b')
+    await watch(deployment, idle_watch, 20, 'b')
+    await assert_all_complete(deployment, 'b', batch.tasks)
+    assert not deployment.processes.misdirected
+    superseded = deployment.nodes['a'].list_events('replica-superseded')
+    assert {event.subject for event in superseded} >= {'e0', 'e1', 'e2', 'e3'}
+
+
+async def test_engine_at_whose_address_another_process_answers_is_rested(
+    deployment,
+):
+    """The next process is not listed yet, so only its refusals show it."""
+    deployment.processes.rename = change_name
+    deployment.processes.keeps_entries = True
+    deployment.processes.is_listing_late = True
+    batch = make_batch(groups=2, size=8)
+    lengthen(deployment, batch.tasks)
+    await deployment.submit(batch)
+    await deployment.advance(1)
+    registry = deployment.nodes['a'].replica_registry
+    for name in ('e0', 'e1', 'e2'):
+        deployment.processes.end(registry.find(name).replica)
+    await deployment.advance(RESTART_SECONDS + LAPSE_SECONDS)
+    # The rests double from 0.4 s, so at most four of them begin.
+    assert deployment.processes.misdirected <= 3 * 8 * 4
+
+
 async def test_scoring_calls_that_meet_waves_of_crashes_are_made_at_once(
     deployment,
 ):
--- a/packages/node/ladder_node/forwarding/outcomes.py
+++ b/packages/node/ladder_node/forwarding/outcomes.py
@@ -2,11 +2,7 @@
 
 from prometheus_client import Counter
 
-from ladder_core.errors import (
-    LadderError,
-    TargetChangedError,
-    TargetFullError,
-)
+from ladder_core.errors import LadderError, TargetFullError
 from ladder_node.forwarding.attempts import RequestAttempts
 from ladder_node.replicas import ReplicaRecord
 
@@ -52,7 +48,7 @@
     _attempts_counter.labels(attempts.service, error.kind).inc()
     if isinstance(error, TargetFullError):
         record.pause(now + _FULL_PAUSE_SECONDS)
-    elif not isinstance(error, TargetChangedError):
+    else:
         record.record_failure(now, is_unreachable=True)
 
 
--- a/packages/node/ladder_node/quarantine/detector.py
+++ b/packages/node/ladder_node/quarantine/detector.py
@@ -86,9 +86,9 @@
     -----------
     A broken connection is no crash. A process has crashed if its address
     refuses connections, or if the list of replicas shows a later start under
-    the same name. A replica that was leaving, that does not answer or whose
-    entry is removed has not crashed: it ended for another reason, or may be
-    alive behind a network partition.
+    the same name or at the same address. A replica that was leaving, that does
+    not answer or whose entry is removed has not crashed: it ended for another
+    reason, or may be alive behind a network partition.
 
     Parameters
     ----------
@@ -230,6 +230,8 @@
                 continue
             if record.replica.started_at > broken.replica.started_at:
                 self._confirm(broken, 'restarted')
+            elif record.has_ended:
+                self._confirm(broken, 'superseded')
             elif record.replica.is_leaving:
                 self._forget(broken, 'leaving')
 
--- a/packages/node/ladder_node/quarantine/tests/test_detector.py
+++ b/packages/node/ladder_node/quarantine/tests/test_detector.py
@@ -161,6 +161,19 @@
     assert harness.read_events()[0].fields['evidence'] == 'restarted'
 
 
+async def test_later_start_at_the_same_address_shows_a_crash(harness):
+    """
+    Guards against crashes that nobody counts.
+
+    The next process has another name, and listens before the probe connects.
+    """
+    await harness.run('a', lose())
+    await harness.timers.advance(1)
+    harness.registry.change([replace(REPLICA, name='s', started_at=9)], [])
+    assert harness.crashes == [('a', 'r@5')]
+    assert harness.read_events()[0].fields['evidence'] == 'superseded'
+
+
 async def test_run_that_breaks_after_the_restart_is_listed_counts(harness):
     harness.registry.change([replace(REPLICA, started_at=9)], [])
     await harness.run('a', lose())
--- a/packages/node/ladder_node/replicas/record.py
+++ b/packages/node/ladder_node/replicas/record.py
@@ -23,6 +23,7 @@
     def __init__(self, replica: Replica) -> None:
         self.replica = replica
         self.in_flight = 0
+        self._has_ended = False
         self._backoff = FailureBackoff()
         self._rate = SuccessRate()
         self._mean_seconds: float | None = None
@@ -34,6 +35,11 @@
         """Name of the replica."""
         return self.replica.name
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether a later process is known to have the address."""
+        return self._has_ended
+
     @property
     def mean_seconds(self) -> float | None:
         """Running mean of the durations of responses; None before the first."""
@@ -47,6 +53,7 @@
         """Return whether a new request may be sent to the replica."""
         return (
             not self.replica.is_leaving
+            and not self._has_ended
             and now >= self._paused_until
             and self._backoff.allows(now)
         )
@@ -57,6 +64,10 @@
             return False
         return now - self._failing_since > _FAILING_SECONDS
 
+    def record_end(self) -> None:
+        """Record that the process has ended, although it is still listed."""
+        self._has_ended = True
+
     def pause(self, until: float) -> None:
         """Allow no request before a time, since the replica was full."""
         self._paused_until = max(self._paused_until, until)
--- a/packages/node/ladder_node/replicas/registry.py
+++ b/packages/node/ladder_node/replicas/registry.py
@@ -7,6 +7,7 @@
 from ladder_core.timeline import Timeline
 from ladder_core.timers import TimerService
 from ladder_core.values import Replica
+from ladder_node.replicas.addresses import AddressIndex
 from ladder_node.replicas.record import ReplicaRecord
 
 # Entries that expired while the table service was unavailable are written again
@@ -33,6 +34,7 @@
         self._timers = timers
         self._timeline = timeline
         self._records: dict[str, ReplicaRecord] = {}
+        self._addresses = AddressIndex()
         self._missing_until: dict[str, float] = {}
         self._listeners: list[Callable[[], None]] = []
         self._has_read = False
@@ -121,18 +123,35 @@
         self._missing_until.pop(replica.name, None)
         record = self._records.get(replica.name)
         if record is None or _is_another_process(record.replica, replica):
-            self._records[replica.name] = ReplicaRecord(replica)
-            self._record_event('replica-listed', replica)
+            self._add(replica)
         else:
             if replica.is_leaving and not record.replica.is_leaving:
                 self._record_event('replica-leaving', replica)
             record.replica = replica
         _replicas_gauge.set(len(self._records))
 
+    def _add(self, replica: Replica) -> None:
+        """Add a process, and find out which one has its address now."""
+        known = self._records.get(replica.name)
+        if known is not None:
+            self._addresses.discard(known)
+        record = ReplicaRecord(replica)
+        self._records[replica.name] = record
+        self._addresses.add(record)
+        self._record_event('replica-listed', replica)
+        latest = self._addresses.find_latest(replica.address)
+        for earlier in self._addresses.list_earlier(latest):
+            if not earlier.has_ended:
+                earlier.record_end()
+                self._record_event(
+                    'replica-superseded', earlier.replica, by=latest.name
+                )
+
     def _remove(self, name: str) -> None:
         self._missing_until.pop(name, None)
         record = self._records.pop(name, None)
         if record is not None:
+            self._addresses.discard(record)
             self._record_event('replica-gone', record.replica)
         _replicas_gauge.set(len(self._records))
 
@@ -142,12 +161,15 @@
             if now >= until:
                 self._remove(name)
 
-    def _record_event(self, kind: str, replica: Replica) -> None:
+    def _record_event(
+        self, kind: str, replica: Replica, **details: str
+    ) -> None:
         self._timeline.record(
             kind,
             replica.name,
             service=replica.service,
             address=replica.address,
+            **details,
         )
 
     def _notify(self) -> None:
--- a/packages/node/ladder_node/replicas/tests/test_registry.py
+++ b/packages/node/ladder_node/replicas/tests/test_registry.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 import pytest
 
 from ladder_core.timeline import HybridClock, Timeline
@@ -74,3 +76,39 @@
     assert record.is_failing(now=1)
     record.record_success(0.1, now=1)
     assert not record.is_failing(now=1)
+
+
+def test_process_whose_address_a_later_one_has_gets_no_request(registry):
+    registry.change([make('c', started_at=9)], [])
+    later = replace(make('d', started_at=12), address='c:1')
+    registry.change([later], [])
+    assert registry.find('c').has_ended
+    assert not registry.find('c').allows(now=0)
+    assert registry.find('d').allows(now=0)
+    # A full read lists the old entry once more.
+    registry.replace([make('c', started_at=9), later], 0)
+    assert not registry.find('c').allows(now=0)
+    assert registry.find('d').allows(now=0)
+
+
+def test_old_entry_that_is_listed_late_is_no_later_process(registry):
+    registry.change([make('c', started_at=9)], [])
+    earlier = replace(make('d', started_at=5), address='c:1')
+    registry.change([earlier], [])
+    assert registry.find('c').allows(now=0)
+    assert not registry.find('d').allows(now=0)
+
+
+def test_process_that_starts_again_under_its_name_gets_requests(registry):
+    registry.change([replace(make('c', started_at=9), address='a:1')], [])
+    assert not registry.find('a').allows(now=0)
+    registry.change([make('a', started_at=12)], [])
+    assert registry.find('a').allows(now=0)
+    assert not registry.find('c').allows(now=0)
+
+
+def test_address_of_a_removed_process_is_forgotten(registry):
+    registry.change([replace(make('c', started_at=9), address='a:1')], ['a'])
+    registry.change([], ['c'])
+    registry.change([make('a', started_at=4)], [])
+    assert registry.find('a').allows(now=0)
