Bound each response in time and size

One such replica could hold a node's memory and processor for good.

Cause: the time-out without a received byte began anew at each byte, and was the only one on bodies and on heads of streams.

The connection is closed, the replica rested at once (AnswerEndlessError), the request repeated where its route allows; response cut and ladder_responses_cut_total say so, task-run-ended has the reason. Such an answer is no evidence of a crash.

--- a/packages/clients/ladder_clients/exchanges/__init__.py
+++ b/packages/clients/ladder_clients/exchanges/__init__.py
@@ -2,6 +2,7 @@
 
 from ladder_clients.exchanges.errors import (
     AbandonedError,
+    ResponseTooLargeError,
     SilentConnectionError,
     TransportBrokenError,
     TransportError,
@@ -25,6 +26,7 @@
     'OutgoingRequest',
     'PendingExchanges',
     'PoolLimits',
+    'ResponseTooLargeError',
     'SilentConnectionError',
     'Timeouts',
     'TransportBrokenError',
--- a/packages/clients/ladder_clients/exchanges/connection.py
+++ b/packages/clients/ladder_clients/exchanges/connection.py
@@ -22,6 +22,8 @@
 # Reading pauses while more received bytes than this wait for the parser, so
 # that TCP flow control slows the peer down.
 _MAX_BUFFERED_BYTES = 262_144
+# Interim responses (1xx) before the response; more are no protocol.
+_MAX_INTERIM_RESPONSES = 16
 
 
 class PersistentConnection(asyncio.Protocol):
@@ -132,15 +134,17 @@
         Raises
         ------
         TransportError
-            The connection broke, or nothing was received for that long.
+            The connection broke, nothing was received for that long, or only
+            interim responses came.
 
         """
-        while True:
+        for _ in range(_MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event(read_seconds)
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise self._make_broken_error('it closed without an answer')
+        raise self._make_broken_error('interim responses came without end')
 
     async def read_chunk(self, read_seconds: float) -> bytes:
         """
--- a/packages/clients/ladder_clients/exchanges/errors.py
+++ b/packages/clients/ladder_clients/exchanges/errors.py
@@ -23,6 +23,12 @@
     kind = 'transport-broken'
 
 
+class ResponseTooLargeError(TransportBrokenError):
+    """The response has more bytes than the exchange allows."""
+
+    kind = 'response-too-large'
+
+
 class SilentConnectionError(TransportError):
     """The peer sent nothing within a time-out."""
 
--- a/packages/clients/ladder_clients/exchanges/messages.py
+++ b/packages/clients/ladder_clients/exchanges/messages.py
@@ -5,6 +5,8 @@
 
 _RESPONSE_TIMEOUT_SECONDS = 5
 _CONNECT_TIMEOUT_SECONDS = 2
+# The time-out of a whole body as a multiple of that up to the head.
+_BODY_TIMEOUT_FACTOR = 4
 
 Header = tuple[bytes, bytes]
 
@@ -20,7 +22,8 @@
         Longest duration of the exchange; None for streams. What it covers
         depends on the caller: the whole exchange, or up to the response head.
     read_seconds : float
-        Longest time without a received byte.
+        Longest time without a received byte; also the longest time up to the
+        head if there is no total.
     connect_seconds : float
         Longest time for making a connection.
 
@@ -30,6 +33,20 @@
     read_seconds: float = _RESPONSE_TIMEOUT_SECONDS
     connect_seconds: float = _CONNECT_TIMEOUT_SECONDS
 
+    @property
+    def head_seconds(self) -> float:
+        """Longest time up to the head of the response, in seconds."""
+        if self.total_seconds is None:
+            return self.read_seconds
+        return self.total_seconds
+
+    @property
+    def body_seconds(self) -> float | None:
+        """Longest time for a body that is read as a whole; None for streams."""
+        if self.total_seconds is None:
+            return None
+        return _BODY_TIMEOUT_FACTOR * self.total_seconds
+
 
 @dataclass(frozen=True, slots=True)
 class OutgoingRequest:
--- a/packages/clients/ladder_clients/exchanges/pool.py
+++ b/packages/clients/ladder_clients/exchanges/pool.py
@@ -154,7 +154,8 @@
             The request to send.
         timeouts : Timeouts, optional
             Time-outs; `total_seconds` covers the exchange up to the head of
-            the response. The defaults of `Timeouts` apply if absent.
+            the response, and a whole body may take four times as long. The
+            defaults of `Timeouts` apply if absent.
         needs_new_connection : bool, optional
             Whether the request must not reuse a connection.
 
@@ -294,18 +295,15 @@
     timeouts: Timeouts,
 ) -> StreamedResponse:
     try:
-        async with asyncio.timeout(timeouts.total_seconds):
+        async with asyncio.timeout(timeouts.head_seconds):
             connection.send(request)
             head = await connection.read_head(timeouts.read_seconds)
     except TimeoutError as error:
         raise SilentConnectionError(
-            f'{connection.address}: no answer'
-            f' within {timeouts.total_seconds} s',
+            f'{connection.address}: no answer within {timeouts.head_seconds} s',
             remedy='read back whether the request took effect',
         ) from error
     headers = tuple(
         (bytes(name), bytes(text)) for name, text in head.headers.raw_items()
     )
-    return StreamedResponse(
-        connection, head.status_code, headers, timeouts.read_seconds
-    )
+    return StreamedResponse(connection, head.status_code, headers, timeouts)
--- a/packages/clients/ladder_clients/exchanges/responses.py
+++ b/packages/clients/ladder_clients/exchanges/responses.py
@@ -1,11 +1,28 @@
 """HTTP response whose body is read as it arrives."""
 
+import asyncio
+
+from loguru import logger
+from prometheus_client import Counter
+
 from ladder_clients.exchanges.connection import PersistentConnection
-from ladder_clients.exchanges.errors import TransportBrokenError
-from ladder_clients.exchanges.messages import Header, find_header
+from ladder_clients.exchanges.errors import (
+    ResponseTooLargeError,
+    SilentConnectionError,
+)
+from ladder_clients.exchanges.messages import Header, Timeouts, find_header
 
-# Largest body that `StreamedResponse.read` accepts.
-_MAX_BODY_BYTES = 67_108_864
+# Largest body that `StreamedResponse.read` accepts by default: twice the
+# largest object of the store.
+_MAX_BODY_BYTES = 16_777_216
+# Bytes of a body that is cut which are logged.
+_LOGGED_BYTES = 64
+
+_cut_counter = Counter(
+    'ladder_responses_cut_total',
+    'Responses that were cut because they did not end, by the limit',
+    ('limit',),
+)
 
 
 class StreamedResponse:
@@ -20,9 +37,9 @@
         HTTP status code.
     headers : tuple of Header
         Header fields as they were received, names in their original case.
-    read_seconds : float
-        Longest time without a received byte while the body is read, in
-        seconds.
+    timeouts : Timeouts
+        Longest time without a received byte while the body is read, and for a
+        whole body.
 
     """
 
@@ -31,12 +48,12 @@
         connection: PersistentConnection,
         status: int,
         headers: tuple[Header, ...],
-        read_seconds: float,
+        timeouts: Timeouts,
     ) -> None:
         self.status = status
         self.headers = headers
         self._connection = connection
-        self._read_seconds = read_seconds
+        self._timeouts = timeouts
         self._is_complete = False
 
     @property
@@ -69,28 +86,60 @@
         """
         if self._is_complete:
             return b''
-        chunk = await self._connection.read_chunk(self._read_seconds)
+        chunk = await self._connection.read_chunk(self._timeouts.read_seconds)
         self._is_complete = not chunk
         return chunk
 
-    async def read(self) -> bytes:
+    async def read(self, max_bytes: int = _MAX_BODY_BYTES) -> bytes:
         """
         Read and return the whole body.
 
+        Parameters
+        ----------
+        max_bytes : int, optional
+            Largest size of the body; 16 MiB by default.
+
         Raises
         ------
+        ResponseTooLargeError
+            The body is larger than that.
         TransportError
-            The body was truncated, or is larger than 64 MiB.
+            The body was truncated, or did not end in time.
 
         """
-        parts = []
-        size = 0
+        body = bytearray()
+        try:
+            async with asyncio.timeout(self._timeouts.body_seconds):
+                await self._read_into(body, max_bytes)
+        except TimeoutError as error:
+            self._record_cut('time', body)
+            raise SilentConnectionError(
+                f'{self._connection.address}: the answer did not end within'
+                f' {self._timeouts.body_seconds} s',
+                remedy='read back whether the request took effect',
+            ) from error
+        return bytes(body)
+
+    async def _read_into(self, body: bytearray, max_bytes: int) -> None:
         while chunk := await self.read_chunk():
-            parts.append(chunk)
-            size += len(chunk)
-            if size > _MAX_BODY_BYTES:
-                raise TransportBrokenError(
-                    f'an answer is over {_MAX_BODY_BYTES} bytes',
+            body += chunk
+            if len(body) > max_bytes:
+                self._record_cut('size', body)
+                raise ResponseTooLargeError(
+                    f'{self._connection.address}: an answer is over'
+                    f' {max_bytes} bytes',
                     remedy='read it in parts',
                 )
-        return b''.join(parts)
+
+    def _record_cut(self, limit: str, body: bytes | bytearray) -> None:
+        """Count and log a response that is cut, with its first bytes."""
+        _cut_counter.labels(limit).inc()
+        logger.warning(
+            'response cut: {} sent status {} and {} bytes of a body, limit {};'
+            ' it begins with {}',
+            self._connection.address,
+            self.status,
+            len(body),
+            limit,
+            bytes(body[:_LOGGED_BYTES]),
+        )
--- a/packages/core/ladder_core/errors/__init__.py
+++ b/packages/core/ladder_core/errors/__init__.py
@@ -17,6 +17,7 @@
 )
 from ladder_core.errors.runs import (
     AnswerCorruptError,
+    AnswerEndlessError,
     AnswerNotKeptError,
     DeadlineError,
     InProgressError,
@@ -36,6 +37,7 @@
 
 __all__ = (
     'AnswerCorruptError',
+    'AnswerEndlessError',
     'AnswerNotKeptError',
     'BadRequestError',
     'ConflictError',
--- a/packages/core/ladder_core/errors/runs.py
+++ b/packages/core/ladder_core/errors/runs.py
@@ -45,6 +45,12 @@
     kind = 'answer-corrupt'
 
 
+class AnswerEndlessError(AnswerCorruptError):
+    """The response of the target is larger than any response may be."""
+
+    kind = 'answer-endless'
+
+
 class InProgressError(MayHaveRunError):
     """The outcome of a call with the same idempotency key is not yet known."""
 
--- a/packages/node/ladder_node/batches/runner.py
+++ b/packages/node/ladder_node/batches/runner.py
@@ -5,6 +5,7 @@
 from ladder_clients.replicas import ReplicaClient, TaskRequest, TextEvent
 from ladder_core.errors import (
     AnswerCorruptError,
+    AnswerEndlessError,
     LadderError,
     RunFailedError,
     TargetFullError,
@@ -109,7 +110,7 @@
 
         """
         first = len(task.draft.event_texts)
-        outcome = 'cancelled'
+        outcome, reason = 'cancelled', ''
         replica = progress.engine.replica
         try:
             async with self._detector.watch(task.task_id, replica):
@@ -119,10 +120,10 @@
             outcome = 'rejected'
             raise
         except LadderError as error:
-            outcome = error.kind
+            outcome, reason = error.kind, error.message
             self._handle_error(task, progress, error)
         finally:
-            self._record_end(batch, task, progress, outcome, first + 1)
+            self._record_end(batch, task, progress, outcome, first + 1, reason)
 
     def _record_end(
         self,
@@ -131,6 +132,7 @@
         progress: RunProgress,
         outcome: str,
         first_event: int,
+        reason: str,
     ) -> None:
         _runs_counter.labels(outcome).inc()
         self._timeline.record(
@@ -143,6 +145,7 @@
             events=progress.events,
             versions=sorted(set(task.draft.versions)),
             seconds=round(self._timers.now() - progress.started_at, 3),
+            reason=reason,
         )
 
     async def _generate(
@@ -191,13 +194,20 @@
         else:
             if isinstance(error, TargetLostError) and not progress.events:
                 task.not_before = now + task.run_pause.record_loss()
-            is_unreachable = isinstance(error, TargetUnavailableError)
+            is_unreachable = isinstance(
+                error, TargetUnavailableError | AnswerEndlessError
+            )
             record.record_failure(now, is_unreachable=is_unreachable)
 
 
 def _check_event(event: TextEvent, task: OpenTask, batch: OpenBatch) -> None:
-    """Raise an error for an event out of order or from too old weights."""
+    """Raise an error for an event that does not belong to the text."""
     expected = len(task.draft.event_texts) + 1
+    if task.spec.max_tokens and event.number > task.spec.max_tokens:
+        raise AnswerEndlessError(
+            f'event {event.number} is beyond {task.spec.max_tokens} tokens',
+            remedy='resume the text on another engine',
+        )
     if event.number != expected:
         raise AnswerCorruptError(
             f'event {event.number} came in place of {expected}',
--- a/packages/node/ladder_node/batches/tests/test_whole_batches.py
+++ b/packages/node/ladder_node/batches/tests/test_whole_batches.py
@@ -4,6 +4,7 @@
 import time
 from typing import cast
 
+import msgspec
 import pytest
 
 from ladder_clients.table import StoreOutcomeUnknownError, Transaction, Write
@@ -23,6 +24,7 @@
     fail_run,
     make_batch,
     make_routes,
+    make_task,
     reject,
 )
 from ladder_standins.memory_table import TableFault
@@ -543,3 +545,22 @@
     while not task.done():
         await deployment.timers.advance(0.05)
     return task.result()
+
+
+async def test_text_with_more_events_than_tokens_is_cut(deployment):
+    """
+    Guards against a stream of valid events that never ends.
+
+    The text of the task may have 10 tokens, so at most 10 events; the engine
+    goes on, and is rested.
+    """
+    node = deployment.nodes['a']
+    task = msgspec.structs.replace(make_task('t', 'g'), max_tokens=10)
+    node.engines.lengths['t'] = 1000
+    await deployment.submit(make_batch(tasks=(task,)))
+    await deployment.advance(2)
+    ended = node.list_events('task-run-ended')
+    assert ended[0].fields['outcome'] == 'answer-endless'
+    assert 'beyond 10 tokens' in ended[0].fields['reason']
+    assert all(int(event.fields['events']) <= 11 for event in ended)
+    assert len(ended) < 20
--- a/packages/node/ladder_node/forwarding/outcomes.py
+++ b/packages/node/ladder_node/forwarding/outcomes.py
@@ -2,7 +2,11 @@
 
 from prometheus_client import Counter
 
-from ladder_core.errors import LadderError, TargetFullError
+from ladder_core.errors import (
+    AnswerEndlessError,
+    LadderError,
+    TargetFullError,
+)
 from ladder_node.forwarding.attempts import RequestAttempts
 from ladder_node.replicas import ReplicaRecord
 
@@ -59,5 +63,6 @@
     now: float,
 ) -> None:
     """Record an attempt without a response that may have run the request."""
-    record.record_failure(now)
+    is_endless = isinstance(error, AnswerEndlessError)
+    record.record_failure(now, is_unreachable=is_endless)
     _attempts_counter.labels(attempts.service, error.kind).inc()
--- a/packages/node/ladder_node/forwarding/tests/test_forwarder.py
+++ b/packages/node/ladder_node/forwarding/tests/test_forwarder.py
@@ -7,6 +7,7 @@
 from ladder_clients.transport import TargetProbe
 from ladder_core.errors import (
     AnswerCorruptError,
+    AnswerEndlessError,
     DeadlineError,
     Execution,
     TargetFullError,
@@ -304,3 +305,11 @@
     await harness.forward()
     await harness.forward()
     assert harness.tried == ['leith', 'govan', 'govan']
+
+
+async def test_replica_whose_answer_has_no_end_is_rested(harness):
+    error = AnswerEndlessError('over the limit', remedy='send elsewhere')
+    harness.replicas.scripts['leith'] = [error]
+    await harness.forward()
+    await harness.forward()
+    assert harness.tried == ['leith', 'govan', 'govan']
--- a/packages/node/ladder_node/quarantine/peers.py
+++ b/packages/node/ladder_node/quarantine/peers.py
@@ -91,7 +91,7 @@
         limits = Timeouts(_TIMEOUT_SECONDS, _TIMEOUT_SECONDS, _TIMEOUT_SECONDS)
         try:
             async with self._pool.exchange(peer, request, limits) as response:
-                await response.read()
+                await response.read(_MAX_BODY_BYTES)
         except (TransportError, OverloadedError) as error:
             _sent_counter.labels(error.kind).inc()
             logger.debug('notice of crashes not sent to {}: {}', peer, error)
--- a/packages/node/ladder_node/replicas/record.py
+++ b/packages/node/ladder_node/replicas/record.py
@@ -90,7 +90,12 @@
             )
 
     def record_failure(self, now: float, is_unreachable: bool = False) -> None:
-        """Record a request that failed, or that could not be sent at all."""
+        """
+        Record a request that failed.
+
+        The replica is rested at once if nothing could be sent to it, or if its
+        response had no end.
+        """
         self._backoff.record_failure(now, is_unreachable)
         self._rate.record_outcome(is_success=False, now=now)
         if self._failing_since is None:
