Send nothing to a replica that said in an answer that it leaves

Nothing read the header: a replica whose row said ready, or whose row the node could not read, got requests, tasks, scoring calls and orders until it was gone.

Change: the replica client notes the header of every answer, after the checks that it is the replica's own answer to this request (id, 421), and asks again right before a request is written, after the connection is there. Departures keeps the processes, by name and start and at most 1,024, apart from their entries; the registry marks them as leaving whatever is listed, reported, or lapses and comes back, so selection, loads, moves and the detection of crashes follow without change. One line (replica-said-leaving) with what was listed and how old that was, and a counter.

--- a/packages/cli/ladder_cli/explain.py
+++ b/packages/cli/ladder_cli/explain.py
@@ -20,6 +20,7 @@
         'member-gone',
         'replica-gone',
         'replica-leaving',
+        'replica-said-leaving',
         'replica-superseded',
         'routes-in-force',
         'started',
--- a/packages/clients/ladder_clients/exchanges/pool.py
+++ b/packages/clients/ladder_clients/exchanges/pool.py
@@ -21,7 +21,7 @@
 import re
 import socket
 from collections import defaultdict
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
 from prometheus_client import Counter, Gauge
@@ -142,6 +142,7 @@
         timeouts: Timeouts | None = None,
         *,
         needs_new_connection: bool = False,
+        before_send: Callable[[], None] | None = None,
     ) -> AsyncIterator[StreamedResponse]:
         """
         Send a request and yield the response once its head has arrived.
@@ -158,6 +159,9 @@
             defaults of `Timeouts` apply if absent.
         needs_new_connection : bool, optional
             Whether the request must not reuse a connection.
+        before_send : callable, optional
+            Called when the connection is there, right before the request is
+            written; an error that it raises ends the exchange.
 
         Yields
         ------
@@ -178,7 +182,7 @@
         timeouts = timeouts or Timeouts()
         connection = await self._take(address, timeouts, needs_new_connection)
         try:
-            response = await _send(connection, request, timeouts)
+            response = await _send(connection, request, timeouts, before_send)
             yield response
             self._keep(connection, response)
         finally:
@@ -293,7 +297,10 @@
     connection: PersistentConnection,
     request: OutgoingRequest,
     timeouts: Timeouts,
+    before_send: Callable[[], None] | None,
 ) -> StreamedResponse:
+    if before_send is not None:
+        before_send()
     try:
         async with asyncio.timeout(timeouts.head_seconds):
             connection.send(request)
--- a/packages/clients/ladder_clients/exchanges/tests/test_endless_responses.py
+++ b/packages/clients/ladder_clients/exchanges/tests/test_endless_responses.py
@@ -103,7 +103,7 @@
 
 @pytest.fixture
 def log_lines():
-    lines = []
+    lines: list[str] = []
     sink = logger.add(lines.append, format='{message}')
     yield lines
     logger.remove(sink)
--- a/packages/clients/ladder_clients/replicas/__init__.py
+++ b/packages/clients/ladder_clients/replicas/__init__.py
@@ -1,6 +1,6 @@
 """Interface and messages of clients of replicas of services and models."""
 
-from ladder_clients.replicas.base import ReplicaClient
+from ladder_clients.replicas.base import DepartureRecorder, ReplicaClient
 from ladder_clients.replicas.messages import (
     CallerRequest,
     OrderOutcome,
@@ -11,6 +11,7 @@
 
 __all__ = (
     'CallerRequest',
+    'DepartureRecorder',
     'OrderOutcome',
     'ReplicaClient',
     'TaskRequest',
--- a/packages/clients/ladder_clients/replicas/base.py
+++ b/packages/clients/ladder_clients/replicas/base.py
@@ -15,6 +15,23 @@
 from ladder_core.values import Replica
 
 
+class DepartureRecorder(ABC):
+    """
+    Knows the replica processes that are leaving.
+
+    A replica that leaves says so in its responses, which may be long before
+    its entry in the list of replicas changes.
+    """
+
+    @abstractmethod
+    def record_leaving(self, replica: Replica) -> None:
+        """Record that the process of a replica said that it leaves."""
+
+    @abstractmethod
+    def is_leaving(self, replica: Replica) -> bool:
+        """Return whether the process of a replica is leaving."""
+
+
 class ReplicaClient(ABC):
     """Client that sends requests, tasks and orders to replicas."""
 
--- a/packages/core/ladder_core/errors/__init__.py
+++ b/packages/core/ladder_core/errors/__init__.py
@@ -32,6 +32,7 @@
 from ladder_core.errors.targets import (
     TargetChangedError,
     TargetFullError,
+    TargetLeavingError,
     TargetUnavailableError,
 )
 
@@ -58,6 +59,7 @@
     'StoreUnavailableError',
     'TargetChangedError',
     'TargetFullError',
+    'TargetLeavingError',
     'TargetLostError',
     'TargetRefusedError',
     'TargetTimeoutError',
--- a/packages/core/ladder_core/errors/targets.py
+++ b/packages/core/ladder_core/errors/targets.py
@@ -9,6 +9,12 @@
     kind = 'target-unavailable'
 
 
+class TargetLeavingError(TargetUnavailableError):
+    """The target is leaving, so nothing was sent to it."""
+
+    kind = 'target-leaving'
+
+
 class TargetFullError(TargetUnavailableError):
     """The target has no free slot for the request at present."""
 
--- a/packages/node/ladder_node/replicas/record.py
+++ b/packages/node/ladder_node/replicas/record.py
@@ -18,11 +18,21 @@
     replica : Replica
         Latest state that the replica has published.
 
+    Attributes
+    ----------
+    replica : Replica
+        Latest state, corrected by what this node knows better.
+    in_flight : int
+        Number of requests of this node that are in flight at the replica.
+    listed_at : float
+        Time in seconds at which its entry was read last.
+
     """
 
     def __init__(self, replica: Replica) -> None:
         self.replica = replica
         self.in_flight = 0
+        self.listed_at: float = 0
         self._has_ended = False
         self._backoff = FailureBackoff()
         self._rate = SuccessRate()
--- a/packages/node/ladder_node/replicas/registry.py
+++ b/packages/node/ladder_node/replicas/registry.py
@@ -8,6 +8,7 @@
 from ladder_core.timers import TimerService
 from ladder_core.values import Replica
 from ladder_node.replicas.addresses import AddressIndex
+from ladder_node.replicas.departed import DepartedProcesses
 from ladder_node.replicas.record import ReplicaRecord
 
 # Entries that expired while the table service was unavailable are written again
@@ -28,9 +29,15 @@
     timeline : Timeline
         Records replicas that are listed, leave or are removed.
 
+    Attributes
+    ----------
+    departed : DepartedProcesses
+        Processes that said that they leave, whatever is listed of them.
+
     """
 
     def __init__(self, timers: TimerService, timeline: Timeline) -> None:
+        self.departed = DepartedProcesses()
         self._timers = timers
         self._timeline = timeline
         self._records: dict[str, ReplicaRecord] = {}
@@ -116,10 +123,11 @@
         """Update a replica by a state that did not come from the list."""
         record = self._records.get(replica.name)
         if record is not None:
-            record.replica = replica
+            record.replica = self.departed.correct(replica)
             self._notify()
 
-    def _update(self, replica: Replica) -> None:
+    def _update(self, listed: Replica) -> None:
+        replica = self.departed.correct(listed)
         self._missing_until.pop(replica.name, None)
         record = self._records.get(replica.name)
         if record is None or _is_another_process(record.replica, replica):
@@ -128,6 +136,7 @@
             if replica.is_leaving and not record.replica.is_leaving:
                 self._record_event('replica-leaving', replica)
             record.replica = replica
+        self._records[replica.name].listed_at = self._timers.now()
         _replicas_gauge.set(len(self._records))
 
     def _add(self, replica: Replica) -> None:
