Count replicas that end under a request without refusing connections

Cause: an end was known by a refused connection or by a later start under the same name only; an entry that was removed was taken for leaving.

A replica that only was silent is none, as before: it may be cut off by chance, and its test stays.

--- a/packages/node/ladder_node/batches/tests/replica_processes.py
+++ b/packages/node/ladder_node/batches/tests/replica_processes.py
@@ -25,6 +25,7 @@
     after the start of the run. With `keeps_entries` the entry of an ended
     process stays listed, and with `is_listing_late` the next process is not
     listed either; `misdirected` counts the runs sent to such addresses.
+    Without `is_refusing` an ended process answers no connection.
     """
 
     def __init__(self, timers):
@@ -38,6 +39,7 @@
         self.call_seconds = 0
         self.crash_seconds = 0
         self.probes = []
+        self.is_refusing = True
         self.keeps_entries = False
         self.is_listing_late = False
         self.misdirected = 0
@@ -67,7 +69,7 @@
 
     async def is_gone(self, address):
         self.probes.append(address)
-        return any(
+        return self.is_refusing and any(
             replica is not None and replica.address == address
             for _, replica in self._ended.values()
         )
--- a/packages/node/ladder_node/batches/tests/test_crashing_requests.py
+++ b/packages/node/ladder_node/batches/tests/test_crashing_requests.py
@@ -105,6 +105,23 @@
     assert count_late_runs(deployment) <= MAX_LATE_RUNS
 
 
+@pytest.mark.parametrize('rename', RESTARTS)
+async def test_request_that_ends_replicas_silently_is_not_sent_without_end(
+    deployment, rename
+):
+    """
+    Guards against ends that are counted nowhere.
+
+    The address refuses no connection, and the entry lapses or another process
+    is listed before the probe is over.
+    """
+    deployment.processes.is_refusing = False
+    deployment.processes.rename = rename
+    await call_repeatedly(deployment, 60)
+    assert len(deployment.processes.crashes) >= MIN_CRASHES
+    assert count_late_runs(deployment) <= MAX_LATE_RUNS
+
+
 async def test_without_the_quarantine_each_attempt_crashes_replicas(
     monkeypatch,
 ):
--- a/packages/node/ladder_node/quarantine/detector.py
+++ b/packages/node/ladder_node/quarantine/detector.py
@@ -24,7 +24,7 @@
 from ladder_core.timeline import Timeline
 from ladder_core.timers import TimerService
 from ladder_core.values import Replica
-from ladder_node.replicas import ReplicaRegistry
+from ladder_node.replicas import ReplicaRecord, ReplicaRegistry
 
 # Time within which a replica whose connection broke may be listed as restarted.
 _CONFIRMATION_SECONDS = 8
@@ -74,6 +74,7 @@
 
     replica: Replica
     broken_at: float
+    is_connection_lost: bool = False
     runs: dict[_WatchedRun, None] = field(default_factory=dict)
     probe: asyncio.Task[None] | None = None
 
@@ -85,10 +86,11 @@
     Explanation
     -----------
     A broken connection is no crash. A process has crashed if its address
-    refuses connections, or if the list of replicas shows a later start under
-    the same name or at the same address. A replica that was leaving, that does
-    not answer or whose entry is removed has not crashed: it ended for another
-    reason, or may be alive behind a network partition.
+    refuses connections, if the list of replicas shows a later start under the
+    same name or at the same address, or if its entry lapses after its
+    connections broke. A replica that was leaving or only silent has not
+    crashed: it ended for another reason, or may be alive behind a network
+    partition.
 
     Parameters
     ----------
@@ -208,6 +210,7 @@
             process, _BrokenRuns(replica, self._timers.now())
         )
         broken.runs[run] = None
+        broken.is_connection_lost |= is_connection_lost
         if is_connection_lost and broken.probe is None:
             broken.probe = asyncio.create_task(self._probe_process(broken))
             self._probes.add(broken.probe)
@@ -226,13 +229,10 @@
         self._drop_old()
         for broken in tuple(self._broken.values()):
             record = self._registry.find(broken.replica.name)
-            if record is None:
-                continue
-            if record.replica.started_at > broken.replica.started_at:
-                self._confirm(broken, 'restarted')
-            elif record.has_ended:
-                self._confirm(broken, 'superseded')
-            elif record.replica.is_leaving:
+            evidence = _find_evidence(broken, record)
+            if evidence:
+                self._confirm(broken, evidence)
+            elif record is not None and record.replica.is_leaving:
                 self._forget(broken, 'leaving')
 
     def _confirm(self, broken: _BrokenRuns, evidence: str) -> None:
@@ -275,6 +275,20 @@
         run.listener.record_crash(run.name, process)
 
 
+def _find_evidence(broken: _BrokenRuns, record: ReplicaRecord | None) -> str:
+    """
+    Return what the list of replicas says of the end of a process, or ''.
+
+    A lost connection and an entry that lapsed later show an end. A process
+    that only was silent may be alive behind a network partition.
+    """
+    if record is None:
+        return 'lapsed' if broken.is_connection_lost else ''
+    if record.replica.started_at > broken.replica.started_at:
+        return 'restarted'
+    return 'superseded' if record.has_ended else ''
+
+
 def _is_leaving(registry: ReplicaRegistry, replica: Replica) -> bool:
     record = registry.find(replica.name)
     return record is None or record.replica.is_leaving
--- a/packages/node/ladder_node/quarantine/tests/test_detector.py
+++ b/packages/node/ladder_node/quarantine/tests/test_detector.py
@@ -215,6 +215,24 @@
     assert not harness.crashes
 
 
+async def test_entry_that_lapses_after_the_connection_broke_shows_a_crash(
+    harness,
+):
+    """A process that ends with its host refuses no connection."""
+    await harness.run('a', lose())
+    await harness.timers.advance(4)
+    harness.registry.change([], ['r'])
+    assert harness.crashes == [('a', 'r@5')]
+    assert harness.read_events()[0].fields['evidence'] == 'lapsed'
+
+
+async def test_entry_that_lapses_long_after_the_break_is_no_crash(harness):
+    await harness.run('a', lose())
+    await harness.timers.advance(9)
+    harness.registry.change([], ['r'])
+    assert not harness.crashes
+
+
 async def test_silent_replica_that_is_removed_later_is_no_crash(harness):
     """A host without power, or behind a partition, answers no probe either."""
     await harness.run('a', TargetTimeoutError('silent', remedy='wait'))
