Owe the work of training steps whatever crashed under it

CrashGuard judged the generations and scoring calls of steps like callers' requests, by model and prompt, and StepProducer took the refusal as final. Evidence by reading, and by the tests below.

Change: a generation or scoring call of a step is owed: it has no guard, makes no suspect and heeds no verdict. If an engine is lost before the first chunk, the step's pause comes before the next attempt, which is 2 s at most (4 s before). Callers stay guarded. Only a plan that allows no engine ends a group.

With all engines lost under one prompt the circuits stay open for 2 to 16 s and the other group waits too, as without a guard before; no figure of a real fleet.

--- a/packages/node/ladder_node/dispatch/engine_selector.py
+++ b/packages/node/ladder_node/dispatch/engine_selector.py
@@ -48,6 +48,9 @@
     deadline : float
         Time on the timer service's clock, in seconds, after which the caller
         no longer waits.
+    is_owed : bool
+        Whether it is work of a training step. That is owed whatever crashed
+        under it, so it is never refused as a cause of crashes.
 
     """
 
@@ -64,6 +67,7 @@
     min_version: int = 0
     tried_engines: list[str] = field(default_factory=list)
     deadline: float = inf
+    is_owed: bool = False
 
 
 class EngineSelector:
--- a/packages/node/ladder_node/dispatch/failures.py
+++ b/packages/node/ladder_node/dispatch/failures.py
@@ -63,13 +63,17 @@
         """Allow all attempts again, because one has made progress."""
         self._attempts_left = self._max_attempts
 
+    def stop(self) -> None:
+        """Allow no further attempt."""
+        self._attempts_left = 0
+
     def add(self, error: LadderError) -> None:
         """Record the error of a failed attempt."""
         self._attempts_left -= 1
         if isinstance(error, _FINAL_ERRORS):
             # A response that lacks a part can't be continued, and no caller
             # waits beyond the deadline.
-            self._attempts_left = 0
+            self.stop()
         if isinstance(error, MayHaveRunError):
             self._may_have_run = error
         else:
--- a/packages/node/ladder_node/dispatch/generation.py
+++ b/packages/node/ladder_node/dispatch/generation.py
@@ -79,7 +79,7 @@
     timers : TimerService
         Clock on which deadlines are checked.
     guard : RequestGuard, optional
-        Isolates requests that crash engines; by default none are isolated.
+        Isolates callers' requests that crash engines; by default none are.
     retries : RetryPolicy, optional
         Decides whether a failed attempt is retried; by default always.
     regions : RegionPolicy, optional
@@ -100,7 +100,8 @@
         self._targets = targets
         self._engines = engines
         self._timers = timers
-        self._guard = guard or UnguardedRequests()
+        self._unguarded = UnguardedRequests()
+        self._guard = guard or self._unguarded
         self._retries = retries or UnlimitedRetries()
         self._selector = EngineSelector(
             targets,
@@ -159,17 +160,24 @@
     ) -> AsyncIterator[Chunk]:
         """Run a generation on one engine, from where the last attempt ended."""
         await self._targets.ensure_fresh()
+        has_begun = False
         try:
             async with (
                 self._assign(generation) as target,
                 closing(self._run(target, generation, progress)) as chunks,
             ):
                 async for chunk in chunks:
+                    has_begun = True
                     failures.reset_attempts()
                     self._check_deadline(generation)
                     yield chunk
         except ATTEMPT_ERRORS as error:
             failures.add(error)
+            is_lost = isinstance(error, TargetLostError)
+            if generation.is_owed and is_lost and not has_begun:
+                # The step starts it again after a pause, so that work which
+                # ends engines at its start does not end all of them.
+                failures.stop()
 
     def _check_deadline(self, generation: Generation) -> None:
         if self._timers.now() > generation.deadline:
@@ -182,7 +190,8 @@
         self,
         generation: Generation,
     ) -> AbstractAsyncContextManager[Target]:
-        return self._guard.assign(
+        guard = self._unguarded if generation.is_owed else self._guard
+        return guard.assign(
             make_request_digest(generation.model, generation.prompt),
             partial(self._selector.choose, generation),
             partial(self._selector.list_usable, generation),
--- a/packages/node/ladder_node/dispatch/services.py
+++ b/packages/node/ladder_node/dispatch/services.py
@@ -32,12 +32,18 @@
 
 @dataclass(frozen=True, slots=True)
 class _TargetQuery:
-    """Criteria for targets; a repeatable call may be sent to several."""
+    """
+    Criteria for targets.
+
+    A repeatable call may be sent to several; one that is owed is work of a
+    training step, and never refused as a cause of crashes.
+    """
 
     kind: HostKind
     pool: str
     digest: str
     is_repeatable: bool
+    is_owed: bool = False
 
 
 class ServiceDispatcher:
@@ -51,7 +57,7 @@
     services : ServiceClient
         Client that makes calls to a replica.
     guard : RequestGuard, optional
-        Isolates calls that crash services; by default none are isolated.
+        Isolates callers' calls that crash services; by default none are.
     retries : RetryPolicy, optional
         Decides whether a failed attempt is retried; by default always.
 
@@ -65,7 +71,8 @@
         retries: RetryPolicy | None = None,
     ) -> None:
         self._targets = targets
-        self._guard = guard or UnguardedRequests()
+        self._unguarded = UnguardedRequests()
+        self._guard = guard or self._unguarded
         self._retries = retries or UnlimitedRetries()
         self._services = services
         self._scorer = ScorerClient(services)
@@ -151,6 +158,7 @@
                 pool,
                 make_request_digest(prompt, text),
                 is_repeatable=True,
+                is_owed=True,
             ),
             send,
         )
@@ -183,7 +191,8 @@
         send: Callable[[Target], Awaitable[Result]],
     ) -> Result:
         await self._targets.ensure_fresh()
-        async with self._guard.assign(
+        guard = self._unguarded if query.is_owed else self._guard
+        async with guard.assign(
             query.digest,
             partial(self._choose, query),
             partial(self._list_usable, query),
--- a/packages/node/ladder_node/dispatch/tests/test_crashes.py
+++ b/packages/node/ladder_node/dispatch/tests/test_crashes.py
@@ -183,3 +183,36 @@
     assert registry.read('b') is SuspicionState.refused
     await timers.advance(86_400)
     assert registry.read('b') is SuspicionState.clear
+
+
+async def test_work_of_a_step_is_run_whatever_crashed_under_its_prompt():
+    """
+    Guards against sound samples of a step that are refused for a day.
+
+    Two engines end under a sample by chance, or under a caller's request with
+    the same prompt.
+    """
+    timers = ManualTimerService()
+    engines, registry = Engines(), MemorySuspectRegistry(timers)
+    node = make_node(engines, registry, timers)
+    digest = make_request_digest('m', 'sound')
+    registry.write(digest, SuspicionState.refused)
+    owed = Generation('m', ('',), (), 'sound', 1, is_owed=True)
+    engines.go_on.set()
+    assert [chunk async for chunk in node.generate(owed)][-1].end
+    assert registry.read(digest) is SuspicionState.refused
+    with pytest.raises(PoisonousRequestError):
+        await run(node, 'sound')
+
+
+async def test_crashes_under_the_work_of_a_step_make_no_suspect():
+    timers = ManualTimerService()
+    engines, registry = Engines(), MemorySuspectRegistry(timers)
+    node = make_node(engines, registry, timers)
+    owed = Generation('m', ('',), (), POISON, 1, is_owed=True)
+    with pytest.raises(LadderError):
+        async for _ in node.generate(owed):
+            await timers.settle()
+    assert engines.crashed
+    digest = make_request_digest('m', POISON)
+    assert registry.read(digest) is SuspicionState.clear
--- a/packages/node/ladder_node/steps/producer.py
+++ b/packages/node/ladder_node/steps/producer.py
@@ -5,7 +5,6 @@
 from ladder_core.errors import (
     ForbiddenError,
     LadderError,
-    PoisonousRequestError,
 )
 from ladder_core.supervision import Component
 from ladder_core.timers import TimerService
@@ -24,8 +23,7 @@
 from ladder_node.steps.staleness import StalenessGuard
 
 _BASE_BACKOFF_SECONDS = 0.5
-_MAX_BACKOFF_DOUBLINGS = 3
-_FINAL_ERRORS = (PoisonousRequestError, ForbiddenError)
+_MAX_BACKOFF_DOUBLINGS = 2
 
 
 class StepProducer(Component):
@@ -145,7 +143,7 @@
     async def _run_key(self, key: SampleKey) -> None:
         try:
             sample = await self._produce(key)
-        except _FINAL_ERRORS as error:
+        except ForbiddenError as error:
             self._failures[key.group] = error
             self._stop_group(key.group)
             self._events.record_given_up(key.group, error)
@@ -161,7 +159,7 @@
         while True:
             try:
                 return await self._run_hedged(partial)
-            except _FINAL_ERRORS:
+            except ForbiddenError:
                 raise
             except Exception as error:
                 # Unexpected exceptions are retried too, so that a defect in
--- a/packages/node/ladder_node/steps/samples.py
+++ b/packages/node/ladder_node/steps/samples.py
@@ -197,6 +197,7 @@
             excluded_engines=tuple(partial.excluded_engines),
             tried_engines=partial.tried_engines,
             min_version=min_version,
+            is_owed=True,
         )
 
 
