--- a/packages/node/ladder_node/batches/tests/replica_processes.py
+++ b/packages/node/ladder_node/batches/tests/replica_processes.py
@@ -7,6 +7,7 @@
 from ladder_core.errors import (
     TargetChangedError,
     TargetLostError,
+    TargetTimeoutError,
     TargetUnavailableError,
 )
 
@@ -25,7 +26,8 @@
     after the start of the run. With `keeps_entries` the entry of an ended
     process stays listed, and with `is_listing_late` the next process is not
     listed either; `misdirected` counts the runs sent to such addresses.
-    Without `is_refusing` an ended process answers no connection.
+    Without `is_refusing` an ended process answers no connection, and with
+    `is_silent` its runs time out.
     """
 
     def __init__(self, timers):
@@ -40,6 +42,7 @@
         self.crash_seconds = 0
         self.probes = []
         self.is_refusing = True
+        self.is_silent = False
         self.keeps_entries = False
         self.is_listing_late = False
         self.misdirected = 0
@@ -54,7 +57,7 @@
                 await self.timers.sleep(self.crash_seconds)
             self.crashes.append((self.timers.now(), body))
             self.end(replica)
-            raise lose()
+            raise time_out() if self.is_silent else lose()
         yield ProcessRun(self, replica)
 
     def end(self, replica):
@@ -130,5 +133,9 @@
     return replace(replica, name=name, address=f'{name}:1')
 
 
+def time_out():
+    return TargetTimeoutError('silent', remedy='resume')
+
+
 def lose():
     return TargetLostError('lost', remedy='resume')
--- a/packages/node/ladder_node/batches/tests/test_crashing_requests.py
+++ b/packages/node/ladder_node/batches/tests/test_crashing_requests.py
@@ -122,6 +122,23 @@
     assert count_late_runs(deployment) <= MAX_LATE_RUNS
 
 
+async def test_request_that_silences_replicas_is_not_sent_without_end(
+    deployment,
+):
+    """
+    Guards against ends whose connections neither break nor are refused.
+
+    The runs time out, the entries lapse, and the next processes have other
+    names and addresses.
+    """
+    deployment.processes.is_refusing = False
+    deployment.processes.is_silent = True
+    deployment.processes.rename = change_address
+    await call_repeatedly(deployment, 60)
+    assert len(deployment.processes.crashes) >= MIN_CRASHES
+    assert count_late_runs(deployment) <= MAX_LATE_RUNS
+
+
 async def test_without_the_quarantine_each_attempt_crashes_replicas(
     monkeypatch,
 ):
