--- a/packages/node/ladder_node/batches/tests/replica_processes.py
+++ b/packages/node/ladder_node/batches/tests/replica_processes.py
@@ -2,6 +2,7 @@
 
 import contextlib
 from dataclasses import replace
+from enum import Enum, auto
 
 from ladder_clients.transport import TargetProbe
 from ladder_core.errors import (
@@ -14,6 +15,16 @@
 RESTART_SECONDS = 2.5
 
 
+class EndManner(Enum):
+    """Whether the address of an ended process refuses connections."""
+
+    refuses = auto()
+    # Runs break, and new connections are not answered.
+    unreachable = auto()
+    # Runs time out, too.
+    silent = auto()
+
+
 class ReplicaProcesses(TargetProbe):
     """
     Processes of the replicas of a deployment.
@@ -26,8 +37,7 @@
     after the start of the run. With `keeps_entries` the entry of an ended
     process stays listed, and with `is_listing_late` the next process is not
     listed either; `misdirected` counts the runs sent to such addresses.
-    Without `is_refusing` an ended process answers no connection, and with
-    `is_silent` its runs time out.
+    `end_manner` says how an ended process is seen.
     """
 
     def __init__(self, timers):
@@ -41,8 +51,7 @@
         self.call_seconds = 0
         self.crash_seconds = 0
         self.probes = []
-        self.is_refusing = True
-        self.is_silent = False
+        self.end_manner = EndManner.refuses
         self.keeps_entries = False
         self.is_listing_late = False
         self.misdirected = 0
@@ -57,7 +66,7 @@
                 await self.timers.sleep(self.crash_seconds)
             self.crashes.append((self.timers.now(), body))
             self.end(replica)
-            raise time_out() if self.is_silent else lose()
+            raise time_out() if self.end_manner is EndManner.silent else lose()
         yield ProcessRun(self, replica)
 
     def end(self, replica):
@@ -72,7 +81,7 @@
 
     async def is_gone(self, address):
         self.probes.append(address)
-        return self.is_refusing and any(
+        return self.end_manner is EndManner.refuses and any(
             replica is not None and replica.address == address
             for _, replica in self._ended.values()
         )
--- a/packages/node/ladder_node/batches/tests/test_crashing_requests.py
+++ b/packages/node/ladder_node/batches/tests/test_crashing_requests.py
@@ -26,6 +26,7 @@
 )
 from ladder_node.batches.tests.replica_processes import (
     RESTART_SECONDS,
+    EndManner,
     change_address,
     change_name,
     keep_address,
@@ -115,7 +116,7 @@
     The address refuses no connection, and the entry lapses or another process
     is listed before the probe is over.
     """
-    deployment.processes.is_refusing = False
+    deployment.processes.end_manner = EndManner.unreachable
     deployment.processes.rename = rename
     await call_repeatedly(deployment, 60)
     assert len(deployment.processes.crashes) >= MIN_CRASHES
@@ -131,8 +132,7 @@
     The runs time out, the entries lapse, and the next processes have other
     names and addresses.
     """
-    deployment.processes.is_refusing = False
-    deployment.processes.is_silent = True
+    deployment.processes.end_manner = EndManner.silent
     deployment.processes.rename = change_address
     await call_repeatedly(deployment, 60)
     assert len(deployment.processes.crashes) >= MIN_CRASHES
