--- a/packages/clients/ladder_clients/replicas/__init__.py
+++ b/packages/clients/ladder_clients/replicas/__init__.py
@@ -1,8 +1,13 @@
 """Interface and messages of clients of replicas of services and models."""
 
-from ladder_clients.replicas.base import DepartureRecorder, ReplicaClient
+from ladder_clients.replicas.base import (
+    DepartureRecorder,
+    RateLimits,
+    ReplicaClient,
+)
 from ladder_clients.replicas.messages import (
     CallerRequest,
+    CallKind,
     OrderOutcome,
     TaskRequest,
     TextEvent,
@@ -10,9 +15,11 @@
 )
 
 __all__ = (
+    'CallKind',
     'CallerRequest',
     'DepartureRecorder',
     'OrderOutcome',
+    'RateLimits',
     'ReplicaClient',
     'TaskRequest',
     'TextEvent',
--- a/packages/clients/ladder_clients/replicas/base.py
+++ b/packages/clients/ladder_clients/replicas/base.py
@@ -7,6 +7,7 @@
 from ladder_clients.exchanges import StreamedResponse
 from ladder_clients.replicas.messages import (
     CallerRequest,
+    CallKind,
     OrderOutcome,
     TaskRequest,
     TextEvent,
@@ -32,6 +33,33 @@
         """Return whether the process of a replica is leaving."""
 
 
+class RateLimits(ABC):
+    """
+    Knows the request rates that replica processes limit.
+
+    A replica in need names in its responses the rate that it accepts from all
+    nodes together; a response that names none ends the limit.
+    """
+
+    @abstractmethod
+    def record(self, replica: Replica, rate: float | None) -> None:
+        """
+        Record what a response of a replica says of its rate.
+
+        Parameters
+        ----------
+        replica : Replica
+            Replica whose process has answered.
+        rate : float or None
+            Requests a second from all nodes together; None for no limit.
+
+        """
+
+    @abstractmethod
+    def count(self, replica: Replica, kind: CallKind) -> None:
+        """Count a request that is written to a replica."""
+
+
 class ReplicaClient(ABC):
     """Client that sends requests, tasks and orders to replicas."""
 
--- a/packages/clients/ladder_clients/replicas/messages.py
+++ b/packages/clients/ladder_clients/replicas/messages.py
@@ -117,6 +117,15 @@
     ends_runs: bool = False
 
 
+class CallKind(StrEnum):
+    """Kind of a call to a replica."""
+
+    request = 'request'
+    task = 'task'
+    order = 'order'
+    report = 'report'
+
+
 class OrderOutcome(StrEnum):
     """Response of a replica to an order."""
 
