Keep the rate limits of replicas in the sum over all nodes

What callers saw: a replica in need that named a limit went on to get what its load and its idle connections earned it, from all nodes.

Cause: no part of the node read the limit, and a node can't keep it alone, since it knows only what it sends itself. Class: a bound that all nodes share is kept by none, or by each alone.

Change: one live node issues the permits of a limited process (rendezvous hashing over the live members), the others apply to it for each request; the permit is used right where the request is written and given back if nothing was. All paths go through it in the client of replicas: callers' requests, streams, tasks, scoring calls, orders and reports. More urgent requests go first; those that were denied are told when to come back, one after the other. Callers whom no replica may serve are refused at once; tasks and scoring calls wait without an attempt counted. An issuer that doesn't answer, or that is not the issuer by its own list, grants nothing; a new one begins without a burst. A limit belongs to a process, outlives its entry, and ends with an answer without it; the issuer tells the end to those that apply.

Weighed: an even share of each node. Shares by demand lag by a heartbeat. Permits cost one exchange between nodes for each request to a limited replica.

Tests: fakes of replica clients answer for limits; an attribute that no test set was removed from the fake engines.

--- a/packages/clients/ladder_clients/replicas/__init__.py
+++ b/packages/clients/ladder_clients/replicas/__init__.py
@@ -2,10 +2,13 @@
 
 from ladder_clients.replicas.base import (
     DepartureRecorder,
-    RateLimits,
+    PermitDenial,
+    RateLimiter,
     ReplicaClient,
+    Reservation,
 )
 from ladder_clients.replicas.messages import (
+    CONTROL_PRIORITY,
     CallerRequest,
     CallKind,
     OrderOutcome,
@@ -15,12 +18,15 @@
 )
 
 __all__ = (
+    'CONTROL_PRIORITY',
     'CallKind',
     'CallerRequest',
     'DepartureRecorder',
     'OrderOutcome',
-    'RateLimits',
+    'PermitDenial',
+    'RateLimiter',
     'ReplicaClient',
+    'Reservation',
     'TaskRequest',
     'TextEvent',
     'VersionOrder',
--- a/packages/clients/ladder_clients/replicas/base.py
+++ b/packages/clients/ladder_clients/replicas/base.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass
 
 from ladder_clients.exchanges import StreamedResponse
 from ladder_clients.replicas.messages import (
@@ -33,9 +34,45 @@
         """Return whether the process of a replica is leaving."""
 
 
-class RateLimits(ABC):
+@dataclass(frozen=True, slots=True)
+class PermitDenial:
     """
-    Knows the request rates that replica processes limit.
+    Why no request may be sent to a replica that limits their rate.
+
+    Attributes
+    ----------
+    rate : float
+        Requests a second that the replica accepts from all nodes together.
+    retry_seconds : float
+        Time after which the request should be sent again, so that requests
+        return one after the other.
+
+    """
+
+    rate: float
+    retry_seconds: float
+
+
+class Reservation(ABC):
+    """The right to write one request to a replica."""
+
+    @abstractmethod
+    def use(self) -> None:
+        """
+        Use the reservation; called right before the request is written.
+
+        Raises
+        ------
+        TargetLimitedError
+            The right has expired, or the replica has named a limit since the
+            reservation.
+
+        """
+
+
+class RateLimiter(ABC):
+    """
+    Keeps the request rates that replica processes limit.
 
     A replica in need names in its responses the rate that it accepts from all
     nodes together; a response that names none ends the limit.
@@ -56,8 +93,37 @@
         """
 
     @abstractmethod
-    def count(self, replica: Replica, kind: CallKind) -> None:
-        """Count a request that is written to a replica."""
+    def reserve(
+        self, replica: Replica, kind: CallKind, priority: int
+    ) -> AbstractAsyncContextManager[Reservation]:
+        """
+        Reserve the right to write one request to a replica.
+
+        Parameters
+        ----------
+        replica : Replica
+            Replica that the request is for.
+        kind : CallKind
+            Kind of the request, by which it is counted.
+        priority : int
+            Priority of the request; the lowest number is the most urgent.
+
+        Raises
+        ------
+        TargetLimitedError
+            No request may be sent to the replica at present.
+
+        """
+
+    @abstractmethod
+    def find_rate(self, replica: Replica) -> float | None:
+        """Return the rate that a replica limits; None for no limit."""
+
+    @abstractmethod
+    def find_denial(
+        self, replica: Replica, priority: int
+    ) -> PermitDenial | None:
+        """Return why no request of a priority may be sent; None if it may."""
 
 
 class ReplicaClient(ABC):
@@ -168,3 +234,13 @@
     @abstractmethod
     def count_idle(self, replica: Replica) -> int:
         """Return the number of idle connections to a replica."""
+
+    @abstractmethod
+    def find_rate(self, replica: Replica) -> float | None:
+        """Return the requests a second that a replica limits, or None."""
+
+    @abstractmethod
+    def find_denial(
+        self, replica: Replica, priority: int
+    ) -> PermitDenial | None:
+        """Return why no request of a priority may be sent; None if it may."""
--- a/packages/clients/ladder_clients/replicas/messages.py
+++ b/packages/clients/ladder_clients/replicas/messages.py
@@ -25,6 +25,8 @@
         The whole body; empty for none.
     caller : str
         Identifies the caller, for example by its address; empty if unknown.
+    priority : int
+        Priority among requests for a scarce replica; zero is the highest.
 
     """
 
@@ -34,6 +36,7 @@
     headers: tuple[Header, ...]
     body: bytes
     caller: str = ''
+    priority: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +57,8 @@
     last_event : int
         Number of the last event that the caller has, from which the run is
         resumed; zero for none.
+    priority : int
+        Priority among requests for a scarce replica; zero is the highest.
 
     """
 
@@ -62,6 +67,7 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     last_event: int = 0
+    priority: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,6 +123,10 @@
     ends_runs: bool = False
 
 
+# Orders and questions about the state go before all work that needs them.
+CONTROL_PRIORITY = -1
+
+
 class CallKind(StrEnum):
     """Kind of a call to a replica."""
 
--- a/packages/core/ladder_core/errors/__init__.py
+++ b/packages/core/ladder_core/errors/__init__.py
@@ -33,6 +33,7 @@
     TargetChangedError,
     TargetFullError,
     TargetLeavingError,
+    TargetLimitedError,
     TargetUnavailableError,
 )
 
@@ -60,6 +61,7 @@
     'TargetChangedError',
     'TargetFullError',
     'TargetLeavingError',
+    'TargetLimitedError',
     'TargetLostError',
     'TargetRefusedError',
     'TargetTimeoutError',
--- a/packages/core/ladder_core/errors/targets.py
+++ b/packages/core/ladder_core/errors/targets.py
@@ -21,6 +21,12 @@
     kind = 'target-full'
 
 
+class TargetLimitedError(TargetUnavailableError):
+    """The target limits the rate of requests; none is permitted at present."""
+
+    kind = 'target-limited'
+
+
 class TargetChangedError(TargetUnavailableError):
     """A different process answers at the address of the target."""
 
--- a/packages/node/ladder_node/batches/dispatcher.py
+++ b/packages/node/ladder_node/batches/dispatcher.py
@@ -121,7 +121,8 @@
                 left.append((batch, task))
                 continue
             engine.add_task(task.task_id, batch.spec.model, task.spec.group)
-            start(batch, task, RunProgress(engine, now))
+            progress = RunProgress(engine, now, self._find_priority(batch))
+            start(batch, task, progress)
         return left
 
     def list_runs_to_move(
@@ -203,10 +204,16 @@
             return False
         if version < batch.spec.min_version:
             return False
+        if not engine.permits(self._find_priority(batch)):
+            return False
         if task.draft.versions and needs_one_version(self.find_route(batch)):
             return version == task.draft.versions[-1]
         return True
 
+    def _find_priority(self, batch: OpenBatch) -> int:
+        route = self.find_route(batch)
+        return route.priority if route else 0
+
     def _should_move(
         self,
         batch: OpenBatch,
--- a/packages/node/ladder_node/batches/engines.py
+++ b/packages/node/ladder_node/batches/engines.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from ladder_clients.replicas import ReplicaClient
 from ladder_core.values import Replica
 from ladder_node.replicas import ReplicaRecord, ReplicaRegistry
 from ladder_policy.scheduling import (
@@ -26,6 +27,8 @@
     fleet : FleetTokenTime
         Average token time of all engines, used as the estimate for an engine
         without events of its own.
+    client : ReplicaClient
+        Knows whether the engine limits the rate of requests.
 
     Attributes
     ----------
@@ -39,11 +42,18 @@
 
     """
 
-    def __init__(self, record: ReplicaRecord, fleet: FleetTokenTime) -> None:
+    def __init__(
+        self,
+        record: ReplicaRecord,
+        fleet: FleetTokenTime,
+        client: ReplicaClient,
+    ) -> None:
         self.record = record
         self.running: dict[str, str] = {}
         self.loading = ''
         self.orders: int | None = None
+        self._begun: set[str] = set()
+        self._client = client
         self._token_time = EngineTokenTime(fleet)
         self._prefixes: dict[str, None] = {}
 
@@ -54,8 +64,18 @@
 
     @property
     def free_slots(self) -> int:
-        """Number of further tasks that can run at the same time."""
-        return max(self.replica.slots - len(self.running), 0)
+        """
+        Number of further tasks that can be started now.
+
+        At an engine that limits its requests no more tasks wait for permits
+        than it allows a second.
+        """
+        free = self.replica.slots - len(self.running)
+        rate = self._client.find_rate(self.replica)
+        if rate is not None:
+            waiting = len(self.running) - len(self._begun)
+            free = min(free, max(int(rate), 1) - waiting)
+        return max(free, 0)
 
     @property
     def has_converged(self) -> bool:
@@ -70,9 +90,19 @@
         if len(self._prefixes) > _MAX_TRACKED_PREFIXES:
             self._prefixes.pop(next(iter(self._prefixes)))
 
+    def record_begin(self, task_id: str) -> None:
+        """Record that a task has produced its first event."""
+        if task_id in self.running:
+            self._begun.add(task_id)
+
     def remove_task(self, task_id: str) -> None:
         """Free the slot of a task."""
         self.running.pop(task_id, None)
+        self._begun.discard(task_id)
+
+    def permits(self, priority: int) -> bool:
+        """Return whether a request of a priority may be sent now."""
+        return self._client.find_denial(self.replica, priority) is None
 
     def observe_token_time(self, token_seconds: float, now: float) -> None:
         """
@@ -118,11 +148,16 @@
     ----------
     replica_registry : ReplicaRegistry
         Lists the replicas of each service with their health.
+    client : ReplicaClient
+        Knows which engines limit the rate of requests.
 
     """
 
-    def __init__(self, replica_registry: ReplicaRegistry) -> None:
+    def __init__(
+        self, replica_registry: ReplicaRegistry, client: ReplicaClient
+    ) -> None:
         self._replica_registry = replica_registry
+        self._client = client
         self._tracked: dict[str, TrackedEngine] = {}
         self._fleet = FleetTokenTime()
 
@@ -162,7 +197,7 @@
     def _track(self, record: ReplicaRecord) -> TrackedEngine:
         engine = self._tracked.get(record.name)
         if engine is None or engine.record is not record:
-            engine = TrackedEngine(record, self._fleet)
+            engine = TrackedEngine(record, self._fleet, self._client)
             self._tracked[record.name] = engine
         return engine
 
--- a/packages/node/ladder_node/batches/loading.py
+++ b/packages/node/ladder_node/batches/loading.py
@@ -5,7 +5,7 @@
 from prometheus_client import Counter
 
 from ladder_clients.replicas import OrderOutcome, ReplicaClient, VersionOrder
-from ladder_core.errors import LadderError
+from ladder_core.errors import LadderError, TargetLimitedError
 from ladder_core.timeline import Timeline
 from ladder_core.timers import TimerService
 from ladder_core.values import Replica
@@ -19,6 +19,9 @@
 _LOAD_TIMEOUT_SECONDS = 6
 _RETRY_INTERVAL_SECONDS = 0.5
 
+# After these nothing is loaded, and no state of the engine is unknown.
+_FINAL_OUTCOMES = frozenset((OrderOutcome.invalid, TargetLimitedError.kind))
+
 _orders_counter = Counter(
     'ladder_version_orders_total',
     'Orders to load a version, by the answer',
@@ -89,7 +92,7 @@
         outcome = 'lost'
         try:
             outcome = await self._order(engine, decision, ends_runs)
-            if outcome != OrderOutcome.invalid:
+            if outcome not in _FINAL_OUTCOMES:
                 outcome = await self._await_load(engine, decision, outcome)
         finally:
             engine.loading = ''
@@ -137,6 +140,9 @@
         engine.orders = None
         try:
             outcome = await self._client.order_version(engine.replica, order)
+        except TargetLimitedError as error:
+            engine.orders = before
+            return error.kind
         except LadderError as error:
             engine.record.record_failure(self._timers.now())
             return error.kind
--- a/packages/node/ladder_node/batches/runner.py
+++ b/packages/node/ladder_node/batches/runner.py
@@ -9,6 +9,7 @@
     LadderError,
     RunFailedError,
     TargetFullError,
+    TargetLimitedError,
     TargetLostError,
     TargetUnavailableError,
     TaskRejectedError,
@@ -41,6 +42,8 @@
     ----------
     engine : TrackedEngine
         Engine on which the task runs.
+    priority : int
+        Priority of the task among requests for a scarce engine.
     started_at, last_at : float
         Times in seconds of the start of the run and of its last event.
     events : int
@@ -48,8 +51,11 @@
 
     """
 
-    def __init__(self, engine: TrackedEngine, now: float) -> None:
+    def __init__(
+        self, engine: TrackedEngine, now: float, priority: int = 0
+    ) -> None:
         self.engine = engine
+        self.priority = priority
         self.started_at = now
         self.last_at = now
         self.events = 0
@@ -160,12 +166,14 @@
             task.spec.headers,
             task.spec.body,
             len(task.draft.event_texts),
+            progress.priority,
         )
         events = self._client.generate(progress.engine.replica, request)
         async for event in events:
             _check_event(event, task, batch)
             gap = progress.record_event(self._timers.now())
             if progress.events == 1:
+                progress.engine.record_begin(task.task_id)
                 task.run_pause.record_progress()
                 _first_event_histogram.observe(gap)
             else:
@@ -191,7 +199,7 @@
             record.record_failed_response(now)
         elif isinstance(error, TargetFullError):
             record.pause(now + _FULL_PAUSE_SECONDS)
-        else:
+        elif not isinstance(error, TargetLimitedError):
             if isinstance(error, TargetLostError) and not progress.events:
                 task.not_before = now + task.run_pause.record_loss()
             is_unreachable = isinstance(
--- a/packages/node/ladder_node/batches/scoring.py
+++ b/packages/node/ladder_node/batches/scoring.py
@@ -5,7 +5,11 @@
 from prometheus_client import Histogram
 
 from ladder_clients.replicas import CallerRequest
-from ladder_core.errors import LadderError, TargetLostError
+from ladder_core.errors import (
+    LadderError,
+    TargetLimitedError,
+    TargetLostError,
+)
 from ladder_core.timers import TimerService
 from ladder_core.values import Route
 from ladder_node.batches.open_batch import OpenTask
@@ -113,6 +117,9 @@
         except TargetLostError:
             await self._timers.sleep(task.scoring_pause.record_loss())
             return None
+        except TargetLimitedError as error:
+            await self._timers.sleep(error.retry_after or 0)
+            return None
         except LadderError:
             # The forwarder has recorded the outcome and its reason.
             return None
--- a/packages/node/ladder_node/batches/session.py
+++ b/packages/node/ladder_node/batches/session.py
@@ -13,6 +13,7 @@
 
 from prometheus_client import Gauge
 
+from ladder_clients.replicas import CONTROL_PRIORITY
 from ladder_core.values import RouteKind
 from ladder_node.batches.cleaner import BatchCleaner
 from ladder_node.batches.dependencies import OwnerDependencies
@@ -71,7 +72,9 @@
             dependencies.is_outage_shared,
         )
         self._registry = BatchRegistry(dependencies.timers)
-        self._engines = EngineTracker(dependencies.replica_registry)
+        self._engines = EngineTracker(
+            dependencies.replica_registry, dependencies.client
+        )
         self._dispatcher = TaskDispatcher(
             self._registry,
             self._engines,
@@ -235,6 +238,8 @@
         engine = self._engines.find(load.engine)
         if engine is None or engine.loading:
             return
+        if not engine.permits(CONTROL_PRIORITY):
+            return
         engine.loading = load.model
         ends_runs = any(
             needs_one_version(self._dispatcher.find_route(batch))
--- a/packages/node/ladder_node/batches/tests/fakes.py
+++ b/packages/node/ladder_node/batches/tests/fakes.py
@@ -5,10 +5,15 @@
 from dataclasses import replace
 
 from ladder_clients.objects import ObjectStore
-from ladder_clients.replicas import OrderOutcome, ReplicaClient, TextEvent
+from ladder_clients.replicas import (
+    OrderOutcome,
+    PermitDenial,
+    ReplicaClient,
+    TextEvent,
+)
 from ladder_core.errors import (
     RunFailedError,
-    TargetUnavailableError,
+    TargetLimitedError,
     TaskRejectedError,
 )
 from ladder_core.timeline import HybridClock, HybridTime, Timeline
@@ -70,6 +75,33 @@
         return b'scored'
 
 
+class ReplicaLimits:
+    """Replicas that limit requests to a rate, with what they denied."""
+
+    def __init__(self, timers):
+        self.timers = timers
+        self.rates = {}
+        self.free_at = {}
+        self.denials = 0
+
+    def find_denial(self, replica):
+        seconds = self.free_at.get(replica.name, 0) - self.timers.now()
+        if replica.name not in self.rates or seconds <= 0:
+            return None
+        return PermitDenial(self.rates[replica.name], seconds)
+
+    def check(self, replica):
+        denial = self.find_denial(replica)
+        if denial is not None:
+            self.denials += 1
+            raise TargetLimitedError(
+                'no permit', remedy='wait', retry_after=denial.retry_seconds
+            )
+        rate = self.rates.get(replica.name)
+        if rate:
+            self.free_at[replica.name] = self.timers.now() + 1 / rate
+
+
 class FakeEngines(ReplicaClient):
     """
     Engines whose events have the text ``task.number``.
@@ -89,17 +121,23 @@
         self.faults = {}
         self.scores = {}
         self.seconds = {}
+        self.limits = ReplicaLimits(timers)
         self.orders = []
         self.runs = []
         self.calls = []
         self.running = set()
         self.accepted = {}
         self.load_seconds = 1
-        self.is_unreachable = False
 
     def count_idle(self, replica):
         return 0
 
+    def find_rate(self, replica):
+        return self.limits.rates.get(replica.name)
+
+    def find_denial(self, replica, priority):
+        return self.limits.find_denial(replica)
+
     def find_signature(self, response):
         return 'signature'
 
@@ -107,6 +145,7 @@
     async def open(
         self, replica, request, timeout_seconds, *, needs_new_connection=False
     ):
+        self.limits.check(replica)
         self.calls.append(request.request_id)
         async with self.processes.run(replica, request.body) as process:
             await process.work()
@@ -114,6 +153,7 @@
             yield FakeResponse(statuses.pop(0) if statuses else 200)
 
     async def generate(self, replica, task):
+        self.limits.check(replica)
         run = (replica.name, task.task_id, task.last_event)
         self.runs.append(run)
         self.running.add(run)
@@ -140,8 +180,6 @@
 
     def take_fault(self, task_id):
         faults = self.faults.get(task_id, [])
-        if self.is_unreachable:
-            raise TargetUnavailableError('cut', remedy='wait')
         fault = faults.pop(0) if faults else None
         if isinstance(fault, Exception):
             raise fault
--- a/packages/node/ladder_node/batches/tests/test_whole_batches.py
+++ b/packages/node/ladder_node/batches/tests/test_whole_batches.py
@@ -170,7 +170,7 @@
     node = deployment.nodes['a']
     dependencies = node.owner._dependencies
     registry = BatchRegistry(deployment.timers)
-    engines = EngineTracker(node.replica_registry)
+    engines = EngineTracker(node.replica_registry, node.engines)
     dispatcher = TaskDispatcher(
         registry, engines, node.routes, deployment.timers
     )
--- a/packages/node/ladder_node/forwarding/attempts.py
+++ b/packages/node/ladder_node/forwarding/attempts.py
@@ -72,6 +72,8 @@
         Names of the replicas that did not run the request.
     refusals : int
         Number of refusals, repeated ones of a replica included.
+    priority : int
+        Priority of the request; zero is the highest.
     on_failed_run : callable
         Called for each response that reports a failed run.
 
@@ -85,6 +87,7 @@
     sent_to: set[str] = field(default_factory=set)
     refused_by: set[str] = field(default_factory=set)
     refusals: int = 0
+    priority: int = 0
     on_failed_run: Callable[[], None] = _ignore
 
     @property
--- a/packages/node/ladder_node/forwarding/forwarder.py
+++ b/packages/node/ladder_node/forwarding/forwarder.py
@@ -13,6 +13,7 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator, Callable
+from dataclasses import replace
 
 from prometheus_client import Histogram
 
@@ -121,6 +122,7 @@
 
         """
         limit = min(seconds, route.timeout_seconds)
+        request = replace(request, priority=route.priority)
         attempts = self._begin(route, request, limit)
         if on_failure is not None:
             attempts.on_failed_run = on_failure
@@ -160,6 +162,7 @@
             The request may have run.
 
         """
+        request = replace(request, priority=route.priority)
         attempts = self._begin(route, request, seconds)
         try:
             async with self._open_any(request, attempts) as response:
@@ -193,6 +196,7 @@
             not may_repeat,
             started_at,
             started_at + seconds,
+            priority=request.priority,
         )
 
     def _record_end(
--- a/packages/node/ladder_node/forwarding/outcomes.py
+++ b/packages/node/ladder_node/forwarding/outcomes.py
@@ -6,6 +6,7 @@
     AnswerEndlessError,
     LadderError,
     TargetFullError,
+    TargetLimitedError,
 )
 from ladder_node.forwarding.attempts import RequestAttempts
 from ladder_node.replicas import ReplicaRecord
@@ -52,7 +53,7 @@
     _attempts_counter.labels(attempts.service, error.kind).inc()
     if isinstance(error, TargetFullError):
         record.pause(now + _FULL_PAUSE_SECONDS)
-    else:
+    elif not isinstance(error, TargetLimitedError):
         record.record_failure(now, is_unreachable=True)
 
 
--- a/packages/node/ladder_node/forwarding/planner.py
+++ b/packages/node/ladder_node/forwarding/planner.py
@@ -3,6 +3,7 @@
 from ladder_core.errors import (
     LadderError,
     QuarantinedRequestError,
+    TargetLimitedError,
     TargetLostError,
     TargetTimeoutError,
     TargetUnavailableError,
@@ -82,7 +83,9 @@
         if is_last or route.kind is not RouteKind.idempotent:
             return None
         others = {*attempts.tried, record.name}
-        if not self._selector.has_other(attempts.service, others):
+        if not self._selector.has_other(
+            attempts.service, others, attempts.priority
+        ):
             return None
         limit_seconds = (
             _ATTEMPT_OBJECTIVE_MULTIPLE * route.latency_objective_seconds
@@ -94,7 +97,9 @@
         return (
             route.kind is RouteKind.idempotent
             and len(attempts.sent_to) < route.max_attempts
-            and self._selector.has_other(attempts.service, attempts.tried)
+            and self._selector.has_other(
+                attempts.service, attempts.tried, attempts.priority
+            )
         )
 
     async def _admit(self, attempts: RequestAttempts) -> None:
@@ -108,7 +113,7 @@
     def _require_replica(self, attempts: RequestAttempts) -> ReplicaRecord:
         record = self._find_replica(attempts)
         if record is None:
-            raise _make_exhausted_error(attempts)
+            raise self._make_exhausted_error(attempts)
         return record
 
     def _find_replica(self, attempts: RequestAttempts) -> ReplicaRecord | None:
@@ -120,21 +125,31 @@
         if state is not RequestState.clear:
             occupied.update(self._guard.list_occupied())
         record = self._selector.select(
-            attempts.service, attempts.tried | occupied
+            attempts.service, attempts.tried | occupied, attempts.priority
         )
         is_apart = record is None or record.name not in occupied
         if state is RequestState.quarantined and not is_apart:
             return None
         return record
 
-
-def _make_exhausted_error(attempts: RequestAttempts) -> LadderError:
-    """Return the error of a request that no replica is left to try for."""
-    if attempts.sent_to:
-        return TargetTimeoutError(
-            f'no replica of {attempts.service} is left to try',
-            remedy='read back whether the request took effect',
-        )
+    def _make_exhausted_error(self, attempts: RequestAttempts) -> LadderError:
+        """Return the error of a request that no replica is left to try for."""
+        if attempts.sent_to:
+            return TargetTimeoutError(
+                f'no replica of {attempts.service} is left to try',
+                remedy='read back whether the request took effect',
+            )
+        denial = self._selector.find_denial(attempts.service, attempts.priority)
+        if denial is not None:
+            return TargetLimitedError(
+                f'all replicas of {attempts.service} limit their requests',
+                remedy='send the request again later',
+                retry_after=round(denial.retry_seconds, 3),
+            )
+        return _make_unavailable_error(attempts)
+
+
+def _make_unavailable_error(attempts: RequestAttempts) -> LadderError:
     return TargetUnavailableError(
         f'no replica of {attempts.service} takes requests now',
         remedy='send the request again later',
--- a/packages/node/ladder_node/forwarding/selector.py
+++ b/packages/node/ladder_node/forwarding/selector.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Mapping
 
-from ladder_clients.replicas import ReplicaClient
+from ladder_clients.replicas import PermitDenial, ReplicaClient
 from ladder_core.timers import TimerService
 from ladder_core.values import Route
 from ladder_node.replicas import ReplicaRecord, ReplicaRegistry
@@ -54,7 +54,9 @@
         weights = [share.weight for share in route.shares]
         return self._random.choices(route.shares, weights)[0].service
 
-    def select(self, service: str, tried: set[str]) -> ReplicaRecord | None:
+    def select(
+        self, service: str, tried: set[str], priority: int
+    ) -> ReplicaRecord | None:
         """
         Return the replica to send to, or None if no replica accepts requests.
 
@@ -65,13 +67,14 @@
         tried : set of str
             Names of replicas that the request was sent to. They are used
             again only if there is no other replica.
+        priority : int
+            Priority of the request, for replicas that limit their requests.
 
         """
-        now = self._timers.now()
         allowed = {
             record.name: record
-            for record in self._registry.list_service(service)
-            if record.allows(now)
+            for record in self._list_allowed(service)
+            if self._client.find_denial(record.replica, priority) is None
         }
         names = set(allowed) - tried or set(allowed)
         chosen = choose_forward_target(
@@ -79,14 +82,42 @@
         )
         return allowed[chosen.name] if chosen else None
 
-    def has_other(self, service: str, tried: set[str]) -> bool:
+    def has_other(self, service: str, tried: set[str], priority: int) -> bool:
         """Return whether there is a usable replica that was not tried."""
-        now = self._timers.now()
         return any(
-            record.name not in tried and record.allows(now)
-            for record in self._registry.list_service(service)
+            record.name not in tried
+            and self._client.find_denial(record.replica, priority) is None
+            for record in self._list_allowed(service)
         )
 
+    def find_denial(self, service: str, priority: int) -> PermitDenial | None:
+        """
+        Return the denial of the replica that permits a request first.
+
+        Returns
+        -------
+        PermitDenial or None
+            None if a replica takes requests without a permit, or none at all.
+
+        """
+        denials = [
+            self._client.find_denial(record.replica, priority)
+            for record in self._list_allowed(service)
+        ]
+        found = [denial for denial in denials if denial is not None]
+        if len(found) < len(denials):
+            return None
+        return min(found, key=lambda denial: denial.retry_seconds, default=None)
+
+    def _list_allowed(self, service: str) -> list[ReplicaRecord]:
+        """Return the replicas of a service that are usable but for limits."""
+        now = self._timers.now()
+        return [
+            record
+            for record in self._registry.list_service(service)
+            if record.allows(now)
+        ]
+
     def _describe(self, record: ReplicaRecord) -> ForwardCandidate:
         replica = record.replica
         return ForwardCandidate(
@@ -96,6 +127,7 @@
             distance=self._find_distance(replica.data_centre),
             idle_connections=self._client.count_idle(replica),
             mean_seconds=record.mean_seconds,
+            is_limited=self._client.find_rate(replica) is not None,
             is_healthy=record.is_healthy(self._timers.now()),
         )
 
--- a/packages/node/ladder_node/forwarding/tests/test_forwarder.py
+++ b/packages/node/ladder_node/forwarding/tests/test_forwarder.py
@@ -3,7 +3,11 @@
 
 import pytest
 
-from ladder_clients.replicas import CallerRequest, ReplicaClient
+from ladder_clients.replicas import (
+    CallerRequest,
+    PermitDenial,
+    ReplicaClient,
+)
 from ladder_clients.transport import TargetProbe
 from ladder_core.errors import (
     AnswerCorruptError,
@@ -11,6 +15,7 @@
     DeadlineError,
     Execution,
     TargetFullError,
+    TargetLimitedError,
     TargetLostError,
     TargetTimeoutError,
     TargetUnavailableError,
@@ -41,12 +46,20 @@
 
     def __init__(self):
         self.scripts = {}
+        self.rates = {}
+        self.denials = {}
         self.sent = []
         self.new_connections = []
 
     def count_idle(self, replica):
         return 0
 
+    def find_rate(self, replica):
+        return self.rates.get(replica.name)
+
+    def find_denial(self, replica, priority):
+        return self.denials.get(replica.name)
+
     def find_signature(self, response):
         return 'p'
 
@@ -313,3 +326,36 @@
     await harness.forward()
     await harness.forward()
     assert harness.tried == ['leith', 'govan', 'govan']
+
+
+async def test_request_goes_to_a_replica_that_permits_it(harness):
+    for name in ('leith', 'govan'):
+        harness.replicas.denials[name] = PermitDenial(1, 2)
+    await harness.forward()
+    assert harness.tried == ['inverness']
+
+
+async def test_replica_without_a_limit_is_preferred(harness):
+    harness.replicas.rates['leith'] = 1
+    await harness.forward()
+    assert harness.tried == ['govan']
+
+
+async def test_request_that_no_replica_permits_is_refused_at_once(harness):
+    for name, seconds in (('leith', 3), ('govan', 2), ('inverness', 4)):
+        harness.replicas.denials[name] = PermitDenial(1, seconds)
+    with pytest.raises(TargetLimitedError) as refused:
+        async with asyncio.timeout(0.1):
+            await harness.forward()
+    assert refused.value.retry_after == 2
+    assert refused.value.execution is Execution.not_run
+    assert not harness.tried
+
+
+async def test_denied_permit_is_no_failure_of_the_replica(harness):
+    harness.replicas.scripts['leith'] = [
+        TargetLimitedError('no permit', remedy='wait') for _ in range(9)
+    ]
+    for _ in range(9):
+        await harness.forward()
+    assert harness.registry.find('leith').is_healthy(harness.timers.now())
--- a/packages/node/ladder_node/rate_limits/__init__.py
+++ b/packages/node/ladder_node/rate_limits/__init__.py
@@ -1,5 +1,27 @@
 """Request rates that replicas limit for all nodes together."""
 
+from ladder_node.rate_limits.issuer import (
+    PermitApplication,
+    PermitOutcome,
+    PermitReply,
+)
 from ladder_node.rate_limits.known import KnownLimits
+from ladder_node.rate_limits.limiter import SharedRateLimiter
+from ladder_node.rate_limits.peers import (
+    PERMIT_PATH,
+    HttpPermitSender,
+    PermitApp,
+    PermitSender,
+)
 
-__all__ = ('KnownLimits',)
+__all__ = (
+    'PERMIT_PATH',
+    'HttpPermitSender',
+    'KnownLimits',
+    'PermitApp',
+    'PermitApplication',
+    'PermitOutcome',
+    'PermitReply',
+    'PermitSender',
+    'SharedRateLimiter',
+)
--- a/packages/node/ladder_node/rate_limits/known.py
+++ b/packages/node/ladder_node/rate_limits/known.py
@@ -2,11 +2,12 @@
 
 from collections import Counter, OrderedDict
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 from prometheus_client import Counter as CounterMetric
 from prometheus_client import Gauge
 
-from ladder_clients.replicas import CallKind, RateLimits
+from ladder_clients.replicas import CallKind
 from ladder_core.timeline import Timeline
 from ladder_core.timers import TimerService
 from ladder_core.values import Replica
@@ -26,6 +27,7 @@
 )
 
 ProcessKey = tuple[str, int]
+_Entry = TypeVar('_Entry')
 
 
 def make_process_key(replica: Replica) -> ProcessKey:
@@ -40,6 +42,8 @@
 
     Attributes
     ----------
+    replica : Replica
+        Replica whose process has named it.
     rate : float
         Requests a second that the process accepts from all nodes together.
     named_at : float
@@ -51,13 +55,14 @@
 
     """
 
+    replica: Replica
     rate: float
     named_at: float
     logged_at: float
     unlogged: Counter[CallKind] = field(default_factory=Counter)
 
 
-class KnownLimits(RateLimits):
+class KnownLimits:
     """
     Remember which processes limit the rate of their requests.
 
@@ -80,20 +85,30 @@
         self._timers = timers
         self._timeline = timeline
         self._limits: OrderedDict[ProcessKey, KnownLimit] = OrderedDict()
+        self._ends: OrderedDict[ProcessKey, float] = OrderedDict()
 
     def find(self, replica: Replica) -> KnownLimit | None:
         """Return the limit of the process of a replica, or None."""
         return self._limits.get(make_process_key(replica))
 
+    def find_end(self, key: ProcessKey) -> float | None:
+        """Return the time at which the limit of a process ended, or None."""
+        return self._ends.get(key)
+
     def record(self, replica: Replica, rate: float | None) -> None:
         """Record the rate that a response names; None if it names none."""
         key = make_process_key(replica)
-        known = self._limits.pop(key, None)
-        if rate is None:
-            if known is not None:
-                self._record_event('replica-limit-ended', replica, known.rate)
-        else:
-            self._name(replica, rate, known)
+        if rate is not None:
+            self._name(replica, rate)
+        elif key in self._limits:
+            self.end(key)
+
+    def end(self, key: ProcessKey) -> None:
+        """Record that a process does not limit its rate any more."""
+        _put(self._ends, key, self._timers.now())
+        limit = self._limits.pop(key, None)
+        if limit is not None:
+            self._record_event('replica-limit-ended', limit.replica, limit.rate)
         _limited_gauge.set(len(self._limits))
 
     def count(self, replica: Replica, kind: CallKind) -> None:
@@ -116,10 +131,10 @@
         limit.unlogged.clear()
         limit.logged_at = now
 
-    def _name(
-        self, replica: Replica, rate: float, known: KnownLimit | None
-    ) -> None:
+    def _name(self, replica: Replica, rate: float) -> None:
         now = self._timers.now()
+        key = make_process_key(replica)
+        known = self._limits.get(key)
         if known is None or known.rate != rate:
             self._record_event(
                 'replica-limit-named',
@@ -127,12 +142,12 @@
                 rate,
                 before=known.rate if known else 'none',
             )
-        limit = known or KnownLimit(rate, now, now)
+        limit = known or KnownLimit(replica, rate, now, now)
         limit.rate = rate
         limit.named_at = now
-        self._limits[make_process_key(replica)] = limit
-        if len(self._limits) > _MAX_PROCESSES:
-            self._limits.popitem(last=False)
+        _put(self._limits, key, limit)
+        self._ends.pop(key, None)
+        _limited_gauge.set(len(self._limits))
 
     def _record_event(
         self, kind: str, replica: Replica, rate: float, **details: object
@@ -145,3 +160,13 @@
             rate=rate,
             **details,
         )
+
+
+def _put(
+    entries: OrderedDict[ProcessKey, _Entry], key: ProcessKey, entry: _Entry
+) -> None:
+    """Add an entry as the newest, and forget the oldest of too many."""
+    entries.pop(key, None)
+    entries[key] = entry
+    if len(entries) > _MAX_PROCESSES:
+        entries.popitem(last=False)
--- a/packages/policy/ladder_policy/routing/forward.py
+++ b/packages/policy/ladder_policy/routing/forward.py
@@ -29,6 +29,8 @@
         Open connections to the target that carry no request.
     mean_seconds : float or None
         Running mean of the duration of its responses; None before the first.
+    is_limited : bool
+        Whether it limits the rate of requests from all nodes.
     is_healthy : bool
         Whether its last request was answered and few of its requests fail.
 
@@ -40,6 +42,7 @@
     distance: int = 0
     idle_connections: int = 0
     mean_seconds: float | None = None
+    is_limited: bool = False
     is_healthy: bool = True
 
 
@@ -54,7 +57,8 @@
     Requests stay with one target while it is healthy and has free slots, so
     that few connections are needed and these stay warm. Otherwise a healthy
     target is preferred to one that failed, a fast one to a slow one, a free
-    one to a full one, and a near one to a distant one.
+    one to a full one, and a near one to a distant one. A target that limits
+    its requests is used when the others are half full.
 
     Parameters
     ----------
@@ -88,7 +92,10 @@
         # other half is left to other nodes.
         used_halves = 2 * candidate.in_flight // max(candidate.slots, 1)
         return (
-            (not candidate.is_healthy, used_halves + 2 * is_slow),
+            (
+                not candidate.is_healthy,
+                used_halves + 2 * is_slow + candidate.is_limited,
+            ),
             candidate.distance,
             not candidate.idle_connections,
             candidate.in_flight,
