Log the software version of each run, and a line for each stream

Change: the version of an entry is decoded and named wherever a run, a move or a listing is logged; another version under the same name is another process.

--- a/packages/clients/ladder_clients/replicas/messages.py
+++ b/packages/clients/ladder_clients/replicas/messages.py
@@ -27,6 +27,12 @@
         Identifies the caller, for example by its address; empty if unknown.
     priority : int
         Priority among requests for a scarce replica; zero is the highest.
+    last_event : int
+        Number of the last event of a stream that the caller has, after which
+        the stream goes on; zero for none.
+    first_attempt : str
+        Identifies the attempt of the caller that brought the first event of
+        the stream; empty if the request names none.
 
     """
 
@@ -37,6 +43,8 @@
     body: bytes
     caller: str = ''
     priority: int = 0
+    last_event: int = 0
+    first_attempt: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/ladder_core/values/replicas.py
+++ b/packages/core/ladder_core/values/replicas.py
@@ -34,6 +34,8 @@
     started_at : int
         Start time in milliseconds since the Unix epoch; distinguishes
         successive processes with the same name.
+    software_version : str
+        Version of the software of the process; empty if it is not known.
 
     """
 
@@ -49,3 +51,13 @@
     accepted_orders: int = 0
     is_busy: bool = False
     started_at: int = 0
+    software_version: str = ''
+
+    @property
+    def software_id(self) -> str:
+        """
+        Identify the software whose parts of a text fit together.
+
+        It is the version; a process of unknown version has an id of its own.
+        """
+        return self.software_version or f'{self.name}@{self.started_at}'
--- a/packages/node/ladder_node/batches/runner.py
+++ b/packages/node/ladder_node/batches/runner.py
@@ -146,6 +146,7 @@
             task.task_id,
             batch=batch.batch_id,
             replica=progress.engine.record.name,
+            software=progress.engine.replica.software_id,
             outcome=outcome,
             first_event=first_event,
             events=progress.events,
--- a/packages/node/ladder_node/batches/runs.py
+++ b/packages/node/ladder_node/batches/runs.py
@@ -134,6 +134,7 @@
                 batch=batch.batch_id,
                 reason=reason,
                 replica=progress.engine.record.name,
+                software=progress.engine.replica.software_id,
                 events=len(task.draft.event_texts),
             )
             if reason == 'slow':
@@ -205,6 +206,8 @@
             task.task_id,
             batch=batch.batch_id,
             replica=progress.engine.record.name,
+            software=progress.engine.replica.software_id,
+            events=len(task.draft.event_texts),
             waited=round(waited_seconds, 3),
             held=round(held_seconds, 3),
         )
--- a/packages/node/ladder_node/forwarding/attempts.py
+++ b/packages/node/ladder_node/forwarding/attempts.py
@@ -10,6 +10,7 @@
     LadderError,
     TargetUnavailableError,
 )
+from ladder_core.values import Replica
 from ladder_node.quarantine import GuardedRequest
 from ladder_node.replicas import ReplicaRecord
 
@@ -74,6 +75,8 @@
         Number of refusals, repeated ones of a replica included.
     priority : int
         Priority of the request; zero is the highest.
+    answered_by : Replica or None
+        Replica that has answered last.
     on_failed_run : callable
         Called for each response that reports a failed run.
 
@@ -88,6 +91,7 @@
     refused_by: set[str] = field(default_factory=set)
     refusals: int = 0
     priority: int = 0
+    answered_by: Replica | None = None
     on_failed_run: Callable[[], None] = _ignore
 
     @property
--- a/packages/node/ladder_node/forwarding/forwarder.py
+++ b/packages/node/ladder_node/forwarding/forwarder.py
@@ -31,7 +31,6 @@
     CompleteResponse,
     RequestAttempts,
     make_deadline_error,
-    track_request,
 )
 from ladder_node.forwarding.outcomes import (
     MIN_SERVER_ERROR_STATUS,
@@ -40,6 +39,7 @@
     record_response,
 )
 from ladder_node.forwarding.planner import RunPlanner
+from ladder_node.forwarding.run_sender import RunSender
 from ladder_node.forwarding.selector import ReplicaSelector
 from ladder_node.quarantine import (
     GuardedRequest,
@@ -85,6 +85,7 @@
     ) -> None:
         self._selector = selector
         self._client = client
+        self._sender = RunSender(client, guard, timers)
         self._guard = guard
         self._planner = RunPlanner(selector, guard, timers)
         self._timers = timers
@@ -164,11 +165,17 @@
         """
         request = replace(request, priority=route.priority)
         attempts = self._begin(route, request, seconds)
+        outcome = 'cancelled'
         try:
             async with self._open_any(request, attempts) as response:
                 yield response
+            outcome = str(response.status)
+        except LadderError as error:
+            outcome = error.kind
+            raise
         finally:
             self._guard.release(attempts.guarded)
+            self._record_stream_end(route, request, attempts, outcome)
 
     @contextlib.asynccontextmanager
     async def _open_any(
@@ -178,7 +185,9 @@
         while True:
             record = await self._planner.plan(attempts)
             try:
-                async with self._open(record, request, attempts) as response:
+                async with self._sender.open(
+                    record, request, attempts
+                ) as response:
                     yield response
                     return
             except TargetUnavailableError as error:
@@ -223,6 +232,29 @@
             refused_by=','.join(sorted(attempts.refused_by)),
         )
 
+    def _record_stream_end(
+        self,
+        route: Route,
+        request: CallerRequest,
+        attempts: RequestAttempts,
+        outcome: str,
+    ) -> None:
+        replica = attempts.answered_by
+        self._timeline.record(
+            'stream-ended',
+            request.request_id,
+            content=attempts.guarded.digest,
+            route=route.name,
+            service=attempts.service,
+            outcome=outcome,
+            seconds=round(self._timers.now() - attempts.started_at, 4),
+            replica=replica.name if replica else '',
+            software=replica.software_id if replica else '',
+            first_attempt=request.first_attempt,
+            last_event=request.last_event,
+            refused_by=','.join(sorted(attempts.refused_by)),
+        )
+
     async def _attempt_replicas(
         self,
         route: Route,
@@ -254,7 +286,9 @@
         limit = self._planner.find_limit(route, attempts, record)
         try:
             async with asyncio.timeout(limit):
-                async with self._open(record, request, attempts) as response:
+                async with self._sender.open(
+                    record, request, attempts
+                ) as response:
                     body = await response.read()
         except TimeoutError as error:
             raise TargetTimeoutError(
@@ -274,30 +308,3 @@
             record.name,
             self._client.find_signature(response),
         )
-
-    @contextlib.asynccontextmanager
-    async def _open(
-        self,
-        record: ReplicaRecord,
-        request: CallerRequest,
-        attempts: RequestAttempts,
-    ) -> AsyncIterator[StreamedResponse]:
-        left = attempts.deadline - self._timers.now()
-        may_have_run = record.name in attempts.sent_to
-        with track_request(record):
-            attempts.sent_to.add(record.name)
-            try:
-                async with (
-                    self._guard.watch(attempts.guarded, record.replica),
-                    self._client.open(
-                        record.replica,
-                        request,
-                        max(left, 0),
-                        needs_new_connection=attempts.needs_new_connection,
-                    ) as response,
-                ):
-                    yield response
-            except TargetUnavailableError:
-                if not may_have_run:
-                    attempts.sent_to.discard(record.name)
-                raise
--- a/packages/node/ladder_node/replicas/registry.py
+++ b/packages/node/ladder_node/replicas/registry.py
@@ -147,7 +147,9 @@
         record = ReplicaRecord(replica)
         self._records[replica.name] = record
         self._addresses.add(record)
-        self._record_event('replica-listed', replica)
+        self._record_event(
+            'replica-listed', replica, software=replica.software_id
+        )
         latest = self._addresses.find_latest(replica.address)
         for earlier in self._addresses.list_earlier(latest):
             if not earlier.has_ended:
@@ -190,5 +192,6 @@
     return (
         known.address != replica.address
         or known.started_at != replica.started_at
+        or known.software_version != replica.software_version
         or known.service != replica.service
     )
