--- a/packages/node/ladder_node/batches/tests/fakes.py
+++ b/packages/node/ladder_node/batches/tests/fakes.py
@@ -104,7 +104,8 @@
 
 class FakeEngines(ReplicaClient):
     """
-    Engines whose events have the text ``task.number``.
+    Engines whose events have the text ``task.number``, and the software version
+    of the engine if it has one.
 
     `lengths` holds the number of events of each task. `faults` holds the
     faults of a task's next runs: an error, or the number of events after which
@@ -169,7 +170,8 @@
                     )
                     process.check()
                     version = self.find_version(replica)
-                    yield TextEvent(number, f'{task.task_id}.{number}', version)
+                    text = f'{task.task_id}.{number}{replica.software_version}'
+                    yield TextEvent(number, text, version)
         finally:
             self.running.discard(run)
 
@@ -351,7 +353,15 @@
 class FakeDeployment:
     """Nodes with a shared table and object store, engines and a scorer."""
 
-    def __init__(self, nodes=('a',), engines=2, slots=8, table=None, scorers=1):
+    def __init__(
+        self,
+        nodes=('a',),
+        engines=2,
+        slots=8,
+        table=None,
+        scorers=1,
+        software=('',),
+    ):
         self.timers = DeploymentTimers()
         self.processes = ReplicaProcesses(self.timers)
         self.table = table(self.timers) if table else MemoryTable()
@@ -370,6 +380,7 @@
                 'leith',
                 slots,
                 versions={MODEL: 1},
+                software_version=software[number % len(software)],
             )
             for number in range(engines)
         ]
