Continue texts of tasks only at the software that began them

What trainers got: texts whose parts two software versions of the engines wrote.

Cause: the software version of an engine was no part of the state of a text, so no decision could heed it. Class: a text (or a request, or a row) is continued by a process that has the right name and not the right state. Here it concerned each continuation alike: after lost connections and engines, moves, and takeovers.

Change: a draft carries the software of its first event, in memory, in the cache for later batches and in its saved rows; rows of earlier builds name none and fit nothing, so such texts start anew. Engines of other software don't fit. A resumed run whose engine's name another process has by now drops its events; so a restart under the same name, with an entry that comes late, joins nothing either. Processes replaced under their name count as ended.

Tests: fake engines name a software version, since one of unknown version is equal to itself only; `Draft.append` takes it.

--- a/packages/node/ladder_node/batches/dispatcher.py
+++ b/packages/node/ladder_node/batches/dispatcher.py
@@ -10,6 +10,7 @@
     find_shortest_token_time,
 )
 from ladder_node.batches.open_batch import (
+    Draft,
     OpenBatch,
     OpenTask,
     needs_one_version,
@@ -17,7 +18,11 @@
 from ladder_node.batches.registry import BatchRegistry, estimate_tokens
 from ladder_node.batches.runner import RunProgress
 from ladder_node.routes import RouteCache
-from ladder_policy.scheduling import choose_engine, order_tasks
+from ladder_policy.scheduling import (
+    choose_engine,
+    order_tasks,
+    should_start_anew,
+)
 
 # Time without an event after which a run is resumed on another engine. A load
 # halts all runs of an engine for about 1 s. The first event of a run takes
@@ -117,11 +122,21 @@
         )
         for batch, task in self.list_by_urgency(service):
             engine = self._choose(batch, task, usable, shortest_token_time)
+            starts_anew = engine is None
+            if starts_anew:
+                engine = self._choose_other_software(
+                    batch, task, usable, shortest_token_time
+                )
             if engine is None:
                 left.append((batch, task))
                 continue
             engine.add_task(task.task_id, batch.spec.model, task.spec.group)
-            progress = RunProgress(engine, now, self._find_priority(batch))
+            progress = RunProgress(
+                engine,
+                now,
+                self._find_priority(batch),
+                starts_anew=starts_anew,
+            )
             start(batch, task, progress)
         return left
 
@@ -174,12 +189,14 @@
         task: OpenTask,
         usable: Sequence[TrackedEngine],
         shortest_token_time: float,
+        draft: Draft | None = None,
     ) -> TrackedEngine | None:
+        """Return the engine for a task with its draft, or with another."""
         now = self._timers.now()
         fitting = {
             engine.record.name: engine
             for engine in usable
-            if self._fits(engine, batch, task)
+            if self._fits(engine, batch, draft or task.draft)
         }
         chosen = choose_engine(
             (
@@ -192,11 +209,42 @@
         )
         return fitting[chosen.name] if chosen else None
 
+    def _choose_other_software(
+        self,
+        batch: OpenBatch,
+        task: OpenTask,
+        usable: Sequence[TrackedEngine],
+        shortest_token_time: float,
+    ) -> TrackedEngine | None:
+        """Return an engine at which a text starts anew, or None to wait."""
+        engine = None
+        if task.draft.event_texts:
+            engine = self._choose(
+                batch, task, usable, shortest_token_time, Draft()
+            )
+        if engine is None:
+            task.stranded_at = None
+            return None
+        now = self._timers.now()
+        if task.stranded_at is None:
+            task.stranded_at = now
+        made_tokens = len(task.draft.event_texts) * task.tokens_per_event
+        service = engine.replica.service
+        starts_anew = should_start_anew(
+            now - task.stranded_at,
+            made_tokens * shortest_token_time,
+            has_engine=any(
+                task.draft.fits_software(active.replica.software_id)
+                for active in self._engines.list_active(service, now)
+            ),
+        )
+        return engine if starts_anew else None
+
     def _fits(
         self,
         engine: TrackedEngine,
         batch: OpenBatch,
-        task: OpenTask,
+        draft: Draft,
     ) -> bool:
         model = batch.spec.model
         version = engine.replica.versions.get(model, 0)
@@ -206,8 +254,10 @@
             return False
         if not engine.permits(self._find_priority(batch)):
             return False
-        if task.draft.versions and needs_one_version(self.find_route(batch)):
-            return version == task.draft.versions[-1]
+        if not draft.fits_software(engine.replica.software_id):
+            return False
+        if draft.versions and needs_one_version(self.find_route(batch)):
+            return version == draft.versions[-1]
         return True
 
     def _find_priority(self, batch: OpenBatch) -> int:
@@ -228,7 +278,8 @@
         others = [
             engine
             for engine in self._engines.list_usable(service, now)
-            if engine is not progress.engine and self._fits(engine, batch, task)
+            if engine is not progress.engine
+            and self._fits(engine, batch, task.draft)
         ]
         if not others:
             return False
--- a/packages/node/ladder_node/batches/drafts.py
+++ b/packages/node/ladder_node/batches/drafts.py
@@ -48,12 +48,16 @@
         Text of each event.
     versions : list of int
         Weight version that produced each event.
+    software_id : str
+        Identifies the software of the engines that wrote the text; empty in
+        rows of earlier builds, whose texts start anew.
 
     """
 
     first: int
     parts: list[str]
     versions: list[int]
+    software_id: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,6 +177,7 @@
             start + 1,
             draft.event_texts[start:end],
             draft.versions[start:end],
+            draft.software_id,
         )
 
     def _make_write(
@@ -252,6 +257,7 @@
         if piece.first == len(draft.event_texts) + 1:
             draft.event_texts += piece.parts
             draft.versions += piece.versions
+            draft.software_id = piece.software_id
     drafts: dict[str, Draft] = {}
     for (task_id, _), draft in lineages.items():
         longest = drafts.get(task_id)
--- a/packages/node/ladder_node/batches/open_batch.py
+++ b/packages/node/ladder_node/batches/open_batch.py
@@ -31,6 +31,9 @@
         Text of each event, in order.
     versions : list of int
         Weight version that produced each event.
+    software_id : str
+        Identifies the software of the engines that wrote the events; empty if
+        it is not known.
     is_complete : bool
         Whether the last event of the text has been received.
     restarts : int
@@ -40,21 +43,37 @@
 
     event_texts: list[str] = field(default_factory=list)
     versions: list[int] = field(default_factory=list)
+    software_id: str = ''
     is_complete: bool = False
     restarts: int = 0
 
-    def append(self, event: TextEvent) -> None:
-        """Append the next event."""
+    def append(self, event: TextEvent, software_id: str) -> None:
+        """Append the next event, which an engine with some software wrote."""
+        self.software_id = software_id
         self.event_texts.append(event.text)
         self.versions.append(event.version)
 
+    def truncate(self, events: int) -> None:
+        """Drop all events after a number of them."""
+        del self.event_texts[events:]
+        del self.versions[events:]
+        # Saved pieces with the dropped events belong to another lineage.
+        self.restarts += 1
+
     def clear(self) -> None:
         """Drop the text, so that it is generated from the start again."""
         self.event_texts.clear()
         self.versions.clear()
+        self.software_id = ''
         self.is_complete = False
         self.restarts += 1
 
+    def fits_software(self, software_id: str) -> bool:
+        """Return whether the text may go on at some software."""
+        if not self.event_texts:
+            return True
+        return bool(self.software_id) and self.software_id == software_id
+
     def satisfies(self, min_version: int) -> bool:
         """Return whether no event stems from an older weight version."""
         return min(self.versions, default=min_version) >= min_version
@@ -83,6 +102,9 @@
         Time in seconds of the end of the last run; zero before that.
     tokens_per_event : int
         Number of tokens in one event of the text.
+    stranded_at : float or None
+        Time in seconds since which only engines of other software have had
+        room for the text; None if that is not so.
     moves : int
         Number of times that the task moved to a faster engine.
     run_pause, scoring_pause : RestartPause
@@ -98,6 +120,7 @@
     not_before: float = 0
     started_at: float = 0
     ended_at: float = 0
+    stranded_at: float | None = None
     tokens_per_event: int = 1
     moves: int = 0
     run_pause: RestartPause = field(default_factory=RestartPause)
--- a/packages/node/ladder_node/batches/runner.py
+++ b/packages/node/ladder_node/batches/runner.py
@@ -44,6 +44,8 @@
         Engine on which the task runs.
     priority : int
         Priority of the task among requests for a scarce engine.
+    starts_anew : bool
+        Whether the text so far is dropped, as other software wrote it.
     started_at, last_at : float
         Times in seconds of the start of the run and of its last event.
     events : int
@@ -52,9 +54,15 @@
     """
 
     def __init__(
-        self, engine: TrackedEngine, now: float, priority: int = 0
+        self,
+        engine: TrackedEngine,
+        now: float,
+        priority: int = 0,
+        *,
+        starts_anew: bool = False,
     ) -> None:
         self.engine = engine
+        self.starts_anew = starts_anew
         self.priority = priority
         self.started_at = now
         self.last_at = now
@@ -169,8 +177,9 @@
             len(task.draft.event_texts),
             progress.priority,
         )
-        events = self._client.generate(progress.engine.replica, request)
-        async for event in events:
+        replica = progress.engine.replica
+        async for event in self._client.generate(replica, request):
+            _check_process(progress, task, request.last_event)
             _check_event(event, task, batch)
             gap = progress.record_event(self._timers.now())
             if progress.events == 1:
@@ -182,7 +191,7 @@
                 progress.engine.observe_token_time(
                     gap / task.tokens_per_event, now
                 )
-            task.draft.append(event)
+            task.draft.append(event, replica.software_id)
         task.draft.is_complete = True
         elapsed_seconds = progress.last_at - progress.started_at
         progress.engine.record.record_success(elapsed_seconds, progress.last_at)
@@ -209,6 +218,22 @@
             record.record_failure(now, is_unreachable=is_unreachable)
 
 
+def _check_process(
+    progress: RunProgress, task: OpenTask, last_event: int
+) -> None:
+    """
+    Drop the events of a resumed run if another process has the name by now.
+
+    That process may have answered, and its software may be another.
+    """
+    if last_event and progress.engine.record.has_ended:
+        task.draft.truncate(last_event)
+        raise AnswerCorruptError(
+            f'another process has the name of {progress.engine.record.name}',
+            remedy='resume the text after its last sure event',
+        )
+
+
 def _check_event(event: TextEvent, task: OpenTask, batch: OpenBatch) -> None:
     """Raise an error for an event that does not belong to the text."""
     expected = len(task.draft.event_texts) + 1
--- a/packages/node/ladder_node/batches/runs.py
+++ b/packages/node/ladder_node/batches/runs.py
@@ -3,9 +3,10 @@
 import asyncio
 from collections.abc import Callable
 
-from prometheus_client import Histogram
+from prometheus_client import Counter, Histogram
 
 from ladder_core.errors import TaskRejectedError
+from ladder_core.timeline import Timeline
 from ladder_node.batches.dependencies import OwnerDependencies
 from ladder_node.batches.dispatcher import ActiveRun, TaskDispatcher
 from ladder_node.batches.open_batch import OpenBatch, OpenTask, Stage
@@ -27,6 +28,10 @@
     ('cause',),
     buckets=(0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8),
 )
+_new_starts_counter = Counter(
+    'ladder_texts_started_anew_total',
+    'Texts that were dropped as only engines of other software had room',
+)
 # Shorter waits between two runs are counted, but not logged.
 _MIN_LOGGED_WAIT_SECONDS = 1
 
@@ -101,6 +106,12 @@
             _wait_histogram.observe(max(task.started_at - opened, 0))
         if task.ended_at:
             self._record_resumption(batch, task, progress)
+        task.stranded_at = None
+        if progress.starts_anew:
+            _record_new_start(
+                self._dependencies.timeline, batch, task, progress
+            )
+            task.draft.clear()
         if not task.draft.satisfies(batch.spec.min_version):
             task.draft.clear()
         key = batch.make_key(task)
@@ -271,3 +282,19 @@
             failed_scorings=task.failed_scorings,
         )
         batch.result_writer.add(make_given_up_result(task.task_id))
+
+
+def _record_new_start(
+    timeline: Timeline, batch: OpenBatch, task: OpenTask, progress: RunProgress
+) -> None:
+    """Record that a text is dropped for an engine of other software."""
+    _new_starts_counter.inc()
+    timeline.record(
+        'text-started-anew',
+        task.task_id,
+        batch=batch.batch_id,
+        replica=progress.engine.record.name,
+        software=progress.engine.replica.software_id,
+        written_by=task.draft.software_id,
+        events=len(task.draft.event_texts),
+    )
--- a/packages/node/ladder_node/batches/tests/fakes.py
+++ b/packages/node/ladder_node/batches/tests/fakes.py
@@ -55,6 +55,7 @@
 HOST = 'pub.example'
 PREFIX = '/notes/'
 MODEL = 'cask'
+SOFTWARE = 'v1'
 EVENT_SECONDS = 0.04
 EVENT_TOKENS = 50
 TERM = LeaseTerm(
@@ -105,7 +106,7 @@
 class FakeEngines(ReplicaClient):
     """
     Engines whose events have the text ``task.number``, and the software version
-    of the engine if it has one.
+    of the engine if it is not `SOFTWARE`.
 
     `lengths` holds the number of events of each task. `faults` holds the
     faults of a task's next runs: an error, or the number of events after which
@@ -170,11 +171,18 @@
                     )
                     process.check()
                     version = self.find_version(replica)
-                    text = f'{task.task_id}.{number}{replica.software_version}'
+                    text = (
+                        f'{task.task_id}.{number}{self.find_software(replica)}'
+                    )
                     yield TextEvent(number, text, version)
         finally:
             self.running.discard(run)
 
+    def find_software(self, replica):
+        """Return the software that the texts of an engine show, if any."""
+        software = replica.software_version
+        return '' if software == SOFTWARE else software
+
     def find_version(self, replica):
         record = self.replica_registry.find(replica.name)
         known = record.replica if record else replica
@@ -360,7 +368,7 @@
         slots=8,
         table=None,
         scorers=1,
-        software=('',),
+        software=(SOFTWARE,),
     ):
         self.timers = DeploymentTimers()
         self.processes = ReplicaProcesses(self.timers)
--- a/packages/node/ladder_node/batches/tests/test_drafts.py
+++ b/packages/node/ladder_node/batches/tests/test_drafts.py
@@ -72,7 +72,7 @@
     draft = batch.tasks[TASK].draft
     for _ in range(count):
         number = len(draft.event_texts) + 1
-        draft.append(TextEvent(number, f'{run}.{number}', 1))
+        draft.append(TextEvent(number, f'{run}.{number}', 1), 'v1')
 
 
 async def test_text_is_saved_in_pieces_and_joined(harness):
--- a/packages/node/ladder_node/batches/tests/test_software_versions.py
+++ b/packages/node/ladder_node/batches/tests/test_software_versions.py
@@ -7,9 +7,12 @@
 """
 
 import re
+from dataclasses import replace
 
 import pytest
 
+from ladder_clients.table import Row
+from ladder_node.batches.drafts import join_pieces
 from ladder_node.batches.records import TaskState
 from ladder_node.batches.tests.fakes import FakeDeployment, make_batch
 from ladder_node.batches.tests.replica_processes import change_address
@@ -100,7 +103,7 @@
     await submit(deployment)
     await deployment.advance(1)
     for node in deployment.nodes.values():
-        node.engines.seconds = {'e0': 0.4, 'e2': 0.4, 'e1': 0.04, 'e3': 0.04}
+        node.engines.seconds = {'e0': 0.1, 'e2': 0.1, 'e1': 0.04, 'e3': 0.04}
     await deployment.advance(20)
     await check_texts(deployment)
 
@@ -133,3 +136,42 @@
     deployment.processes._ended['e2', 0] = (1e9, None)
     await deployment.advance(3)
     assert len(list_running(deployment)) == TASKS
+
+
+async def test_process_that_started_again_under_the_same_name_joins_no_text(
+    deployment,
+):
+    """
+    Guards against texts that go on at a process that is taken for another.
+
+    A process started again under its name with other software, and answered
+    before its entry was read.
+    """
+    await submit(deployment)
+    for node in deployment.nodes.values():
+        node.replica_registry.change([], ['e1', 'e2', 'e3'])
+        node.engines.faults = {
+            f'b-g0-{number}': [20] for number in range(TASKS)
+        }
+    await deployment.advance(1.5)
+    impostor = replace(
+        find_replica(deployment, 'e0'),
+        started_at=99,
+        software_version='-new',
+    )
+    for node in deployment.nodes.values():
+        node.engines.find_software = lambda replica: '-new'
+    await deployment.advance(1.5)
+    assert count_resumed(deployment)
+    for node in deployment.nodes.values():
+        node.replica_registry.change([impostor], ())
+    await deployment.advance(20)
+    await check_texts(deployment)
+
+
+def test_rows_of_an_earlier_build_name_no_software():
+    row = Row('batch_drafts', 'b/t/00000001-0000/000001', '[1,["x"],[1]]', 1)
+    draft = join_pieces([row])['t']
+    assert draft.event_texts == ['x']
+    assert not draft.fits_software('v1')
+    assert not draft.fits_software('')
--- a/packages/node/ladder_node/replicas/registry.py
+++ b/packages/node/ladder_node/replicas/registry.py
@@ -144,6 +144,7 @@
         known = self._records.get(replica.name)
         if known is not None:
             self._addresses.discard(known)
+            known.record_end()
         record = ReplicaRecord(replica)
         self._records[replica.name] = record
         self._addresses.add(record)
--- a/packages/policy/ladder_policy/scheduling/__init__.py
+++ b/packages/policy/ladder_policy/scheduling/__init__.py
@@ -10,6 +10,7 @@
 )
 from ladder_policy.scheduling.order import TaskView, order_tasks
 from ladder_policy.scheduling.restarts import RestartPause
+from ladder_policy.scheduling.stranded import should_start_anew
 from ladder_policy.scheduling.token_time import EngineTokenTime, FleetTokenTime
 
 __all__ = (
@@ -25,4 +26,5 @@
     'choose_engine',
     'order_tasks',
     'plan_loads',
+    'should_start_anew',
 )
