--- /dev/null
+++ b/packages/node/ladder_node/peer_calls/app.py
@@ -0,0 +1,51 @@
+"""Calls from other nodes."""
+
+from collections.abc import Callable
+from typing import Generic, TypeVar
+
+import msgspec
+from loguru import logger
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.types import Receive, Scope, Send
+
+_OK_STATUS = 200
+_BAD_REQUEST_STATUS = 400
+_Message = TypeVar('_Message')
+
+
+class PeerApp(Generic[_Message]):
+    """
+    Receive one kind of call from other nodes.
+
+    Parameters
+    ----------
+    message_type : type
+        Type of the messages.
+    handle : callable
+        Returns the reply to a message.
+
+    """
+
+    def __init__(
+        self,
+        message_type: type[_Message],
+        handle: Callable[[_Message], msgspec.Struct],
+    ) -> None:
+        self._message_type = message_type
+        self._handle = handle
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Handle one request of another node."""
+        body = await Request(scope, receive).body()
+        try:
+            message = msgspec.msgpack.decode(body, type=self._message_type)
+        except msgspec.DecodeError as error:
+            logger.warning('call of a node not understood: {}', error)
+            response = Response(status_code=_BAD_REQUEST_STATUS)
+        else:
+            reply = msgspec.msgpack.encode(self._handle(message))
+            response = Response(reply, _OK_STATUS)
+        await response(scope, receive, send)
--- a/packages/node/ladder_node/rate_limits/__init__.py
+++ b/packages/node/ladder_node/rate_limits/__init__.py
@@ -10,7 +10,6 @@
 from ladder_node.rate_limits.peers import (
     PERMIT_PATH,
     HttpPermitSender,
-    PermitApp,
     PermitSender,
 )
 
@@ -18,7 +17,6 @@
     'PERMIT_PATH',
     'HttpPermitSender',
     'KnownLimits',
-    'PermitApp',
     'PermitApplication',
     'PermitOutcome',
     'PermitReply',
--- a/packages/node/ladder_node/rate_limits/limiter.py
+++ b/packages/node/ladder_node/rate_limits/limiter.py
@@ -43,8 +43,9 @@
     ProcessKey,
     make_process_key,
 )
-from ladder_node.rate_limits.peers import PermitSender, make_misdirected_reply
+from ladder_node.rate_limits.peers import PermitSender
 
+_MISDIRECTED = PermitReply(PermitOutcome.misdirected)
 # A permit that is not used within this time has expired.
 _PERMIT_SECONDS = 0.5
 # Pause after an application without a decision.
@@ -214,7 +215,7 @@
         """Decide on the application of another node."""
         issuer = self._find_issuer(application.process)
         if issuer is None or issuer.name != self._node:
-            return make_misdirected_reply()
+            return _MISDIRECTED
         return self._issuer.decide(application)
 
     def begin(
@@ -277,11 +278,11 @@
     async def _apply(self, application: PermitApplication) -> PermitReply:
         issuer = self._find_issuer(application.process)
         if issuer is None:
-            return make_misdirected_reply()
+            return _MISDIRECTED
         if issuer.name == self._node:
             return self._issuer.decide(application)
         reply = await self._sender.send(issuer.peer_address, application)
-        return reply or make_misdirected_reply()
+        return reply or _MISDIRECTED
 
     def _deny(
         self,
