Continue streams of callers only at the software that began them

What callers got: a stream that broke and was taken up again at any node went on at any replica, of whatever software version, even of another service of its route.

Cause: the node passed the number of the last event through unread and knew nothing of the attempt that began the stream. Class: as for tasks, a text is continued by a process that has the right name and not the right state.

Change: the node that begins a stream tells its origin (service and software of the replica) to two live nodes that rank first for the attempt, without waiting for them; a node that is asked to go on asks these two, and binds the attempt to that service and software. An origin that nobody knows is not guessed: the stream is refused at once, with 503 and when to come back.

Weighed: a row in the store for each stream costs 5 ms and a write of 800 a second, and holds streams up while the store is away; asking all nodes costs a call to each for each broken stream, 360 in the grown fleet; two homes cost two calls for each stream and outlive the loss of one and of the first node. Taking the only listed version for granted fails for a node that the store has cut off.

--- a/packages/core/ladder_core/errors/__init__.py
+++ b/packages/core/ladder_core/errors/__init__.py
@@ -30,6 +30,7 @@
     TaskRejectedError,
 )
 from ladder_core.errors.targets import (
+    StreamOriginUnknownError,
     TargetChangedError,
     TargetFullError,
     TargetLeavingError,
@@ -58,6 +59,7 @@
     'RunFailedError',
     'SettingsError',
     'StoreUnavailableError',
+    'StreamOriginUnknownError',
     'TargetChangedError',
     'TargetFullError',
     'TargetLeavingError',
--- a/packages/core/ladder_core/errors/targets.py
+++ b/packages/core/ladder_core/errors/targets.py
@@ -27,6 +27,12 @@
     kind = 'target-limited'
 
 
+class StreamOriginUnknownError(TargetUnavailableError):
+    """No node knows which software began a stream, so none goes on with it."""
+
+    kind = 'stream-origin-unknown'
+
+
 class TargetChangedError(TargetUnavailableError):
     """A different process answers at the address of the target."""
 
--- a/packages/node/ladder_node/forwarding/attempts.py
+++ b/packages/node/ladder_node/forwarding/attempts.py
@@ -75,6 +75,9 @@
         Number of refusals, repeated ones of a replica included.
     priority : int
         Priority of the request; zero is the highest.
+    software_id : str
+        Identifies the software that the request has to go on at; empty if any
+        may run it.
     answered_by : Replica or None
         Replica that has answered last.
     on_failed_run : callable
@@ -91,6 +94,7 @@
     refused_by: set[str] = field(default_factory=set)
     refusals: int = 0
     priority: int = 0
+    software_id: str = ''
     answered_by: Replica | None = None
     on_failed_run: Callable[[], None] = _ignore
 
--- a/packages/node/ladder_node/forwarding/forwarder.py
+++ b/packages/node/ladder_node/forwarding/forwarder.py
@@ -21,6 +21,7 @@
 from ladder_clients.replicas import CallerRequest, ReplicaClient
 from ladder_core.errors import (
     LadderError,
+    StreamOriginUnknownError,
     TargetTimeoutError,
     TargetUnavailableError,
 )
@@ -28,6 +29,7 @@
 from ladder_core.timers import TimerService
 from ladder_core.values import Route, RouteKind
 from ladder_node.forwarding.attempts import (
+    RETRY_AFTER_SECONDS,
     CompleteResponse,
     RequestAttempts,
     make_deadline_error,
@@ -47,6 +49,7 @@
     identify_request,
 )
 from ladder_node.replicas import ReplicaRecord
+from ladder_node.stream_origins import StreamOrigin, StreamOrigins
 
 _forwarded_histogram = Histogram(
     'ladder_forward_seconds',
@@ -72,6 +75,8 @@
         Clock of the deadlines, and sleep between attempts.
     timeline : Timeline
         Records one event at the end of each request.
+    origins : StreamOrigins, optional
+        Knows where streams began; without it no stream goes on.
 
     """
 
@@ -82,7 +87,9 @@
         guard: RunGuard,
         timers: TimerService,
         timeline: Timeline,
+        origins: StreamOrigins | None = None,
     ) -> None:
+        self._origins = origins
         self._selector = selector
         self._client = client
         self._sender = RunSender(client, guard, timers)
@@ -155,6 +162,9 @@
         """
         Forward a request and yield its response while it is received.
 
+        A stream that the caller takes up again goes on only at the software
+        that wrote its first event.
+
         Raises
         ------
         TargetUnavailableError, QuarantinedRequestError
@@ -167,7 +177,9 @@
         attempts = self._begin(route, request, seconds)
         outcome = 'cancelled'
         try:
+            await self._find_origin(request, attempts)
             async with self._open_any(request, attempts) as response:
+                self._tell_origin(request, attempts)
                 yield response
             outcome = str(response.status)
         except LadderError as error:
@@ -177,6 +189,35 @@
             self._guard.release(attempts.guarded)
             self._record_stream_end(route, request, attempts, outcome)
 
+    async def _find_origin(
+        self, request: CallerRequest, attempts: RequestAttempts
+    ) -> None:
+        """Bind a stream that is taken up again to the software it began at."""
+        if not request.last_event:
+            return
+        origin = None
+        if self._origins is not None:
+            origin = await self._origins.find(request.first_attempt)
+        if origin is None:
+            raise StreamOriginUnknownError(
+                f'no node knows what began stream {request.first_attempt!r}',
+                remedy='start the stream anew',
+                retry_after=RETRY_AFTER_SECONDS,
+            )
+        attempts.service = origin.service
+        attempts.software_id = origin.software_id
+
+    def _tell_origin(
+        self, request: CallerRequest, attempts: RequestAttempts
+    ) -> None:
+        replica = attempts.answered_by
+        if request.last_event or replica is None or self._origins is None:
+            return
+        self._origins.tell(
+            request.request_id,
+            StreamOrigin(replica.service, replica.software_id),
+        )
+
     @contextlib.asynccontextmanager
     async def _open_any(
         self, request: CallerRequest, attempts: RequestAttempts
--- a/packages/node/ladder_node/forwarding/planner.py
+++ b/packages/node/ladder_node/forwarding/planner.py
@@ -125,7 +125,10 @@
         if state is not RequestState.clear:
             occupied.update(self._guard.list_occupied())
         record = self._selector.select(
-            attempts.service, attempts.tried | occupied, attempts.priority
+            attempts.service,
+            attempts.tried | occupied,
+            attempts.priority,
+            attempts.software_id,
         )
         is_apart = record is None or record.name not in occupied
         if state is RequestState.quarantined and not is_apart:
--- a/packages/node/ladder_node/forwarding/selector.py
+++ b/packages/node/ladder_node/forwarding/selector.py
@@ -55,7 +55,11 @@
         return self._random.choices(route.shares, weights)[0].service
 
     def select(
-        self, service: str, tried: set[str], priority: int
+        self,
+        service: str,
+        tried: set[str],
+        priority: int,
+        software_id: str = '',
     ) -> ReplicaRecord | None:
         """
         Return the replica to send to, or None if no replica accepts requests.
@@ -69,12 +73,15 @@
             again only if there is no other replica.
         priority : int
             Priority of the request, for replicas that limit their requests.
+        software_id : str, optional
+            Software that the replica has to run; empty for any.
 
         """
         allowed = {
             record.name: record
             for record in self._list_allowed(service)
             if self._client.find_denial(record.replica, priority) is None
+            and software_id in {'', record.replica.software_id}
         }
         names = set(allowed) - tried or set(allowed)
         chosen = choose_forward_target(
