Count the second silent end of a replica under a request

What callers saw: a request whose runs only time out, whose replicas' entries lapse and whose next processes have other names and addresses, was sent on without end.

Cause: a silent process that lapses may be behind a partition by chance, so it was no evidence at all. Class: weak evidence is dropped instead of added up.

Change: a request after which a second process falls silent and lapses, with no response to it in between, counts as the cause of both ends. The first alone stays no evidence (test_silent_replica_that_is_removed_later_is_no_crash is unchanged), and any response clears it.

The tests of the quarantine, crashing requests and crash waves pass.

--- a/packages/node/ladder_node/quarantine/detector.py
+++ b/packages/node/ladder_node/quarantine/detector.py
@@ -24,6 +24,7 @@
 from ladder_core.timeline import Timeline
 from ladder_core.timers import TimerService
 from ladder_core.values import Replica
+from ladder_node.quarantine.silences import SilentEnds
 from ladder_node.replicas import ReplicaRecord, ReplicaRegistry
 
 # Time within which a replica whose connection broke may be listed as restarted.
@@ -75,6 +76,7 @@
     replica: Replica
     broken_at: float
     is_connection_lost: bool = False
+    has_lapsed: bool = False
     runs: dict[_WatchedRun, None] = field(default_factory=dict)
     probe: asyncio.Task[None] | None = None
 
@@ -90,7 +92,8 @@
     same name or at the same address, or if its entry lapses after its
     connections broke. A replica that was leaving or only silent has not
     crashed: it ended for another reason, or may be alive behind a network
-    partition.
+    partition. A request after which a second process falls silent and lapses,
+    with no response in between, counts as the cause of both ends.
 
     Parameters
     ----------
@@ -119,6 +122,7 @@
         self._broken: dict[str, _BrokenRuns] = {}
         self._crashed: OrderedDict[str, None] = OrderedDict()
         self._probes: set[asyncio.Task[None]] = set()
+        self._silences = SilentEnds()
 
     async def start(self) -> None:
         """Subscribe to changes of the list of replicas."""
@@ -193,6 +197,7 @@
         broken = self._broken.get(make_process_name(replica))
         if broken is not None and broken.probe is None:
             self._forget(broken, 'alive')
+        self._silences.clear(run.name)
         if run.listener is not None:
             run.listener.record_response(run.name)
 
@@ -232,6 +237,9 @@
             evidence = _find_evidence(broken, record)
             if evidence:
                 self._confirm(broken, evidence)
+            elif record is None and not broken.has_lapsed:
+                broken.has_lapsed = True
+                self._record_silence(broken)
             elif record is not None and record.replica.is_leaving:
                 self._forget(broken, 'leaving')
 
@@ -258,6 +266,16 @@
         for run in broken.runs:
             _report(run, process)
 
+    def _record_silence(self, broken: _BrokenRuns) -> None:
+        """Report a silent process that lapsed, if it is not the first one."""
+        process = make_process_name(broken.replica)
+        for run in broken.runs:
+            for ended in self._silences.add(run.name, process):
+                self._timeline.record(
+                    'replica-silenced', ended, content=run.name
+                )
+                _report(run, ended)
+
     def _forget(self, broken: _BrokenRuns, verdict: str) -> None:
         self._broken.pop(make_process_name(broken.replica), None)
         _broken_runs_counter.labels(verdict).inc(len(broken.runs))
@@ -280,7 +298,8 @@
     Return what the list of replicas says of the end of a process, or ''.
 
     A lost connection and an entry that lapsed later show an end. A process
-    that only was silent may be alive behind a network partition.
+    that only was silent may be alive behind a network partition, so that alone
+    is no evidence.
     """
     if record is None:
         return 'lapsed' if broken.is_connection_lost else ''
--- a/packages/node/ladder_node/quarantine/tests/test_detector.py
+++ b/packages/node/ladder_node/quarantine/tests/test_detector.py
@@ -241,6 +241,42 @@
     assert not harness.crashes
 
 
+async def fall_silent(harness, name):
+    """Let a replica fall silent under request a, and lapse."""
+    replica = replace(REPLICA, name=name)
+    harness.registry.change([replica], [])
+    with contextlib.suppress(LadderError):
+        async with harness.detector.watch('a', replica, harness.recorder):
+            raise TargetTimeoutError('silent', remedy='wait')
+    harness.registry.change([], [name])
+
+
+async def test_second_silent_replica_that_lapses_shows_the_cause(harness):
+    """Guards against a request that silences one replica after the other."""
+    await fall_silent(harness, 'r1')
+    assert not harness.crashes
+    await fall_silent(harness, 'r2')
+    await fall_silent(harness, 'r3')
+    assert sorted(harness.recorder.crashes) == [
+        ('a', 'r1@5'),
+        ('a', 'r2@5'),
+        ('a', 'r3@5'),
+    ]
+
+
+async def test_response_between_silent_replicas_clears_the_request(harness):
+    await fall_silent(harness, 'r1')
+    await harness.run('a')
+    await fall_silent(harness, 'r2')
+    assert not harness.recorder.crashes
+
+
+async def test_silence_of_a_replica_that_stays_listed_is_no_end(harness):
+    for _ in range(3):
+        await harness.run('a', TargetTimeoutError('silent', remedy='wait'))
+    assert not harness.recorder.crashes
+
+
 @pytest.mark.parametrize('error', [lose(), None])
 async def test_end_of_a_replica_under_no_request_is_nobodys_fault(
     harness, error
