Split the check of silent ends

Change: the flag moves to the function that it guards. Measured: bin/lint and the tests of the quarantine pass.

--- a/packages/node/ladder_node/quarantine/detector.py
+++ b/packages/node/ladder_node/quarantine/detector.py
@@ -237,10 +237,9 @@
             evidence = _find_evidence(broken, record)
             if evidence:
                 self._confirm(broken, evidence)
-            elif record is None and not broken.has_lapsed:
-                broken.has_lapsed = True
+            elif record is None:
                 self._record_silence(broken)
-            elif record is not None and record.replica.is_leaving:
+            elif record.replica.is_leaving:
                 self._forget(broken, 'leaving')
 
     def _confirm(self, broken: _BrokenRuns, evidence: str) -> None:
@@ -268,6 +267,9 @@
 
     def _record_silence(self, broken: _BrokenRuns) -> None:
         """Report a silent process that lapsed, if it is not the first one."""
+        if broken.has_lapsed:
+            return
+        broken.has_lapsed = True
         process = make_process_name(broken.replica)
         for run in broken.runs:
             for ended in self._silences.add(run.name, process):
