Refuse a resumed stream whose route has left the service that began it

What callers would get: a stream that began at a service goes on there although the configuration in force has moved its route to another one.

Change: it is refused at once; it can't go on elsewhere either, as the texts don't fit together.

Evidence: test_resumed_stream_is_refused_at_once[route-has-left] fails without the check.

--- a/packages/node/ladder_node/forwarding/forwarder.py
+++ b/packages/node/ladder_node/forwarding/forwarder.py
@@ -177,7 +177,7 @@
         attempts = self._begin(route, request, seconds)
         outcome = 'cancelled'
         try:
-            await self._find_origin(request, attempts)
+            await self._find_origin(route, request, attempts)
             async with self._open_any(request, attempts) as response:
                 self._tell_origin(request, attempts)
                 yield response
@@ -190,7 +190,7 @@
             self._record_stream_end(route, request, attempts, outcome)
 
     async def _find_origin(
-        self, request: CallerRequest, attempts: RequestAttempts
+        self, route: Route, request: CallerRequest, attempts: RequestAttempts
     ) -> None:
         """Bind a stream that is taken up again to the software it began at."""
         if not request.last_event:
@@ -204,6 +204,12 @@
                 remedy='start the stream anew',
                 retry_after=RETRY_AFTER_SECONDS,
             )
+        if all(share.service != origin.service for share in route.shares):
+            raise TargetUnavailableError(
+                f'route {route.name} has left {origin.service}, which began'
+                f' stream {request.first_attempt!r}',
+                remedy='start the stream anew',
+            )
         attempts.service = origin.service
         attempts.software_id = origin.software_id
 
--- a/packages/node/ladder_node/forwarding/tests/test_forwarder.py
+++ b/packages/node/ladder_node/forwarding/tests/test_forwarder.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+from dataclasses import replace
 
 import pytest
 
@@ -26,6 +27,7 @@
 from ladder_node.forwarding import Forwarder, ReplicaSelector
 from ladder_node.quarantine import CrashDetector, UnlimitedRuns
 from ladder_node.replicas import ReplicaRegistry
+from ladder_node.stream_origins import StreamOrigin, StreamOrigins
 
 REQUEST = CallerRequest('r1', b'POST', b'/kegs/7', (), b'body')
 REGIONS = {'leith': 'lowlands', 'govan': 'lowlands', 'inverness': 'highlands'}
@@ -359,3 +361,67 @@
     for _ in range(9):
         await harness.forward()
     assert harness.registry.find('leith').is_healthy(harness.timers.now())
+
+
+class KnownOrigins(StreamOrigins):
+    """Knows where each stream began."""
+
+    def __init__(self, origin):
+        self.origin = origin
+        self.told = []
+
+    async def find(self, attempt):
+        return self.origin
+
+    def tell(self, attempt, origin):
+        self.told.append((attempt, origin))
+
+
+async def resume(harness, origin):
+    harness.forwarder._origins = KnownOrigins(origin)
+    request = replace(REQUEST, last_event=3, first_attempt='r0')
+    route = Route(
+        'texts',
+        'pub',
+        '/',
+        RouteKind.streaming,
+        (ServiceShare('taproom'),),
+        is_resumable=True,
+    )
+    async with harness.forwarder.stream(route, request, 1) as response:
+        return response.status
+
+
+def list_software(harness, **versions):
+    harness.registry.change(
+        [
+            replace(
+                harness.registry.find(name).replica, software_version=version
+            )
+            for name, version in versions.items()
+        ],
+        [],
+    )
+
+
+async def test_resumed_stream_goes_on_at_its_software(harness):
+    list_software(harness, leith='v1', govan='v1', inverness='v2')
+    assert await resume(harness, StreamOrigin('taproom', 'v2')) == 200
+    assert harness.tried == ['inverness']
+    assert not harness.forwarder._origins.told
+
+
+@pytest.mark.parametrize(
+    'origin',
+    [None, StreamOrigin('taproom', 'v2'), StreamOrigin('other', 'v1')],
+    ids=['unknown', 'not-listed', 'route-has-left'],
+)
+async def test_resumed_stream_is_refused_at_once(harness, origin):
+    """Guards against streams that go on where they may not."""
+    list_software(harness, leith='v1', govan='v1', inverness='v1')
+    other = Replica('o', 'other', 'o:1', 'leith', 6, software_version='v1')
+    harness.registry.change([other], [])
+    with pytest.raises(TargetUnavailableError):
+        async with asyncio.timeout(0.1):
+            await resume(harness, origin)
+    assert not harness.tried
