Deliver a replica's failure if no replica is left for another attempt

What callers would get: a replica answers with status 500, the request may be repeated, and no other replica permits a run; the 500 was dropped and 504 sent in its place.

Cause: whether another replica is left was asked before the failure was dropped, and again after it; since a permit can be denied in between (found by reading). Change: the failure is kept, and delivered if the plan for the next attempt finds no replica.

Evidence: test_failed_response_is_delivered_if_no_other_permits_a_run fails without the change with "no replica of taproom is left to try". An attempt that is lost after a failure still ends as lost, as test_failed_runs_before_an_error_are_counted wants.

--- a/packages/node/ladder_node/forwarding/attempts.py
+++ b/packages/node/ladder_node/forwarding/attempts.py
@@ -78,6 +78,9 @@
     software_id : str
         Identifies the software that the request has to go on at; empty if any
         may run it.
+    failed_response : CompleteResponse or None
+        Latest response that reports a failure; it is delivered if no replica
+        is left to try.
     answered_by : Replica or None
         Replica that has answered last.
     on_failed_run : callable
@@ -95,6 +98,7 @@
     refusals: int = 0
     priority: int = 0
     software_id: str = ''
+    failed_response: CompleteResponse | None = None
     answered_by: Replica | None = None
     on_failed_run: Callable[[], None] = _ignore
 
--- a/packages/node/ladder_node/forwarding/forwarder.py
+++ b/packages/node/ladder_node/forwarding/forwarder.py
@@ -310,18 +310,18 @@
     ) -> CompleteResponse:
         response = None
         while response is None:
-            record = await self._planner.plan(attempts)
             try:
-                response = await self._attempt(route, request, record, attempts)
-            except TargetUnavailableError as error:
-                record_refusal(record, attempts, error, self._timers.now())
-            except LadderError as error:
-                record_failure(record, attempts, error, self._timers.now())
-                if not self._planner.may_repeat(route, attempts):
+                record = await self._planner.plan(attempts)
+            except LadderError:
+                if attempts.failed_response is None:
                     raise
+                return attempts.failed_response
+            response = await self._attempt_replica(
+                route, request, record, attempts
+            )
         return response
 
-    async def _attempt(
+    async def _attempt_replica(
         self,
         route: Route,
         request: CallerRequest,
@@ -329,6 +329,24 @@
         attempts: RequestAttempts,
     ) -> CompleteResponse | None:
         """Return the response, or None if another replica is to be tried."""
+        try:
+            return await self._attempt(route, request, record, attempts)
+        except TargetUnavailableError as error:
+            record_refusal(record, attempts, error, self._timers.now())
+        except LadderError as error:
+            record_failure(record, attempts, error, self._timers.now())
+            if not self._planner.may_repeat(route, attempts):
+                raise
+        return None
+
+    async def _attempt(
+        self,
+        route: Route,
+        request: CallerRequest,
+        record: ReplicaRecord,
+        attempts: RequestAttempts,
+    ) -> CompleteResponse | None:
+        """Return the response, or None if it failed and may be repeated."""
         started_at = self._timers.now()
         limit = self._planner.find_limit(route, attempts, record)
         try:
@@ -345,13 +363,15 @@
         record_response(
             record, attempts, response.status, started_at, self._timers.now()
         )
-        is_failure = response.status >= MIN_SERVER_ERROR_STATUS
-        if is_failure and self._planner.may_repeat(route, attempts):
-            return None
-        return CompleteResponse(
+        complete = CompleteResponse(
             response.status,
             response.headers,
             body,
             record.name,
             self._client.find_signature(response),
         )
+        is_failure = response.status >= MIN_SERVER_ERROR_STATUS
+        if is_failure and self._planner.may_repeat(route, attempts):
+            attempts.failed_response = complete
+            return None
+        return complete
--- a/packages/node/ladder_node/forwarding/tests/test_forwarder.py
+++ b/packages/node/ladder_node/forwarding/tests/test_forwarder.py
@@ -50,6 +50,7 @@
         self.scripts = {}
         self.rates = {}
         self.denials = {}
+        self.on_open = None
         self.sent = []
         self.new_connections = []
 
@@ -71,6 +72,8 @@
     ):
         self.sent.append((replica.name, round(timeout_seconds, 1)))
         self.new_connections.append(needs_new_connection)
+        if self.on_open is not None:
+            self.on_open(replica)
         script = self.scripts.get(replica.name, [])
         step = script.pop(0) if script else FakeResponse()
         if isinstance(step, Exception):
@@ -425,3 +428,19 @@
         async with asyncio.timeout(0.1):
             await resume(harness, origin)
     assert not harness.tried
+
+
+async def test_failed_response_is_delivered_if_no_other_permits_a_run(harness):
+    """Guards against a response that is replaced by an error of this node."""
+    harness.replicas.scripts['leith'] = [FakeResponse(500, b'failed')]
+
+    def deny_others(replica):
+        if replica.name == 'leith':
+            return
+        for name in ('leith', 'govan', 'inverness'):
+            harness.replicas.denials[name] = PermitDenial(1, 2)
+        raise TargetLimitedError('no permit', remedy='wait')
+
+    harness.replicas.on_open = deny_others
+    response = await harness.forward()
+    assert (response.status, response.body) == (500, b'failed')
