Bound the bodies of calls between nodes

Change: it is cut at 100 KB and refused, by the function that notices of crashes have, which moves to the calls between nodes.

--- a/packages/node/ladder_node/peer_calls/__init__.py
+++ b/packages/node/ladder_node/peer_calls/__init__.py
@@ -1,6 +1,7 @@
 """Calls between nodes over HTTP, with MessagePack bodies."""
 
 from ladder_node.peer_calls.app import PeerApp
+from ladder_node.peer_calls.bodies import MAX_BODY_BYTES, read_body
 from ladder_node.peer_calls.caller import PeerCaller
 
-__all__ = ('PeerApp', 'PeerCaller')
+__all__ = ('MAX_BODY_BYTES', 'PeerApp', 'PeerCaller', 'read_body')
--- a/packages/node/ladder_node/peer_calls/app.py
+++ b/packages/node/ladder_node/peer_calls/app.py
@@ -9,6 +9,8 @@
 from starlette.responses import Response
 from starlette.types import Receive, Scope, Send
 
+from ladder_node.peer_calls.bodies import read_body
+
 _OK_STATUS = 200
 _BAD_REQUEST_STATUS = 400
 _Message = TypeVar('_Message')
@@ -39,7 +41,7 @@
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
         """Handle one request of another node."""
-        body = await Request(scope, receive).body()
+        body = await read_body(Request(scope, receive))
         try:
             message = msgspec.msgpack.decode(body, type=self._message_type)
         except msgspec.DecodeError as error:
--- a/packages/node/ladder_node/peer_calls/caller.py
+++ b/packages/node/ladder_node/peer_calls/caller.py
@@ -12,8 +12,8 @@
     TransportError,
 )
 from ladder_core.errors import OverloadedError
+from ladder_node.peer_calls.bodies import MAX_BODY_BYTES
 
-_MAX_REPLY_BYTES = 100_000
 _Reply = TypeVar('_Reply')
 
 
@@ -70,7 +70,7 @@
         limits = Timeouts(timeout_seconds, timeout_seconds, timeout_seconds)
         try:
             async with self._pool.exchange(address, request, limits) as reply:
-                body = await reply.read(_MAX_REPLY_BYTES)
+                body = await reply.read(MAX_BODY_BYTES)
             return msgspec.msgpack.decode(body, type=reply_type)
         except (TransportError, OverloadedError, msgspec.DecodeError) as error:
             logger.debug('no reply from {} to {}: {}', address, path, error)
--- a/packages/node/ladder_node/quarantine/peers.py
+++ b/packages/node/ladder_node/quarantine/peers.py
@@ -18,12 +18,12 @@
     TransportError,
 )
 from ladder_core.errors import OverloadedError
+from ladder_node.peer_calls import MAX_BODY_BYTES, read_body
 
 EVIDENCE_PATH = '/v1/crashes'
 _TIMEOUT_SECONDS = 0.5
 # The table carries the evidence to nodes beyond this number.
 _MAX_PEERS = 100
-_MAX_BODY_BYTES = 100_000
 _OK_STATUS = 200
 _BAD_REQUEST_STATUS = 400
 
@@ -91,7 +91,7 @@
         limits = Timeouts(_TIMEOUT_SECONDS, _TIMEOUT_SECONDS, _TIMEOUT_SECONDS)
         try:
             async with self._pool.exchange(peer, request, limits) as response:
-                await response.read(_MAX_BODY_BYTES)
+                await response.read(MAX_BODY_BYTES)
         except (TransportError, OverloadedError) as error:
             _sent_counter.labels(error.kind).inc()
             logger.debug('notice of crashes not sent to {}: {}', peer, error)
@@ -122,7 +122,7 @@
         status = _OK_STATUS
         try:
             rows = msgspec.msgpack.decode(
-                await _read_body(Request(scope, receive)),
+                await read_body(Request(scope, receive)),
                 type=list[EvidenceRow],
             )
         except msgspec.DecodeError as error:
@@ -131,13 +131,3 @@
         else:
             self._receive_rows(rows)
         await Response(status_code=status)(scope, receive, send)
-
-
-async def _read_body(request: Request) -> bytes:
-    """Return the body; one that is too large is cut, so it is not decoded."""
-    body = bytearray()
-    async for chunk in request.stream():
-        body.extend(chunk)
-        if len(body) > _MAX_BODY_BYTES:
-            break
-    return bytes(body)
