--- a/packages/node/ladder_node/forwarding/forwarder.py
+++ b/packages/node/ladder_node/forwarding/forwarder.py
@@ -21,7 +21,6 @@
 from ladder_clients.replicas import CallerRequest, ReplicaClient
 from ladder_core.errors import (
     LadderError,
-    StreamOriginUnknownError,
     TargetTimeoutError,
     TargetUnavailableError,
 )
@@ -29,7 +28,6 @@
 from ladder_core.timers import TimerService
 from ladder_core.values import Route, RouteKind
 from ladder_node.forwarding.attempts import (
-    RETRY_AFTER_SECONDS,
     CompleteResponse,
     RequestAttempts,
     make_deadline_error,
@@ -43,13 +41,14 @@
 from ladder_node.forwarding.planner import RunPlanner
 from ladder_node.forwarding.run_sender import RunSender
 from ladder_node.forwarding.selector import ReplicaSelector
+from ladder_node.forwarding.stream_binding import StreamBinding
 from ladder_node.quarantine import (
     GuardedRequest,
     RunGuard,
     identify_request,
 )
 from ladder_node.replicas import ReplicaRecord
-from ladder_node.stream_origins import StreamOrigin, StreamOrigins
+from ladder_node.stream_origins import StreamOrigins
 
 _forwarded_histogram = Histogram(
     'ladder_forward_seconds',
@@ -89,7 +88,7 @@
         timeline: Timeline,
         origins: StreamOrigins | None = None,
     ) -> None:
-        self._origins = origins
+        self._binding = StreamBinding(origins)
         self._selector = selector
         self._client = client
         self._sender = RunSender(client, guard, timers)
@@ -177,9 +176,9 @@
         attempts = self._begin(route, request, seconds)
         outcome = 'cancelled'
         try:
-            await self._find_origin(route, request, attempts)
+            await self._binding.bind(route, request, attempts)
             async with self._open_any(request, attempts) as response:
-                self._tell_origin(request, attempts)
+                self._binding.tell(request, attempts)
                 yield response
             outcome = str(response.status)
         except LadderError as error:
@@ -189,41 +188,6 @@
             self._guard.release(attempts.guarded)
             self._record_stream_end(route, request, attempts, outcome)
 
-    async def _find_origin(
-        self, route: Route, request: CallerRequest, attempts: RequestAttempts
-    ) -> None:
-        """Bind a stream that is taken up again to the software it began at."""
-        if not request.last_event:
-            return
-        origin = None
-        if self._origins is not None:
-            origin = await self._origins.find(request.first_attempt)
-        if origin is None:
-            raise StreamOriginUnknownError(
-                f'no node knows what began stream {request.first_attempt!r}',
-                remedy='start the stream anew',
-                retry_after=RETRY_AFTER_SECONDS,
-            )
-        if all(share.service != origin.service for share in route.shares):
-            raise TargetUnavailableError(
-                f'route {route.name} has left {origin.service}, which began'
-                f' stream {request.first_attempt!r}',
-                remedy='start the stream anew',
-            )
-        attempts.service = origin.service
-        attempts.software_id = origin.software_id
-
-    def _tell_origin(
-        self, request: CallerRequest, attempts: RequestAttempts
-    ) -> None:
-        replica = attempts.answered_by
-        if request.last_event or replica is None or self._origins is None:
-            return
-        self._origins.tell(
-            request.request_id,
-            StreamOrigin(replica.service, replica.software_id),
-        )
-
     @contextlib.asynccontextmanager
     async def _open_any(
         self, request: CallerRequest, attempts: RequestAttempts
--- a/packages/node/ladder_node/forwarding/tests/test_forwarder.py
+++ b/packages/node/ladder_node/forwarding/tests/test_forwarder.py
@@ -25,6 +25,7 @@
 from ladder_core.timers import SystemTimerService
 from ladder_core.values import Replica, Route, RouteKind, ServiceShare
 from ladder_node.forwarding import Forwarder, ReplicaSelector
+from ladder_node.forwarding.stream_binding import StreamBinding
 from ladder_node.quarantine import CrashDetector, UnlimitedRuns
 from ladder_node.replicas import ReplicaRegistry
 from ladder_node.stream_origins import StreamOrigin, StreamOrigins
@@ -381,7 +382,7 @@
 
 
 async def resume(harness, origin):
-    harness.forwarder._origins = KnownOrigins(origin)
+    harness.forwarder._binding = StreamBinding(KnownOrigins(origin))
     request = replace(REQUEST, last_event=3, first_attempt='r0')
     route = Route(
         'texts',
@@ -411,7 +412,7 @@
     list_software(harness, leith='v1', govan='v1', inverness='v2')
     assert await resume(harness, StreamOrigin('taproom', 'v2')) == 200
     assert harness.tried == ['inverness']
-    assert not harness.forwarder._origins.told
+    assert not harness.forwarder._binding._origins.told
 
 
 @pytest.mark.parametrize(
--- a/packages/node/ladder_node/rate_limits/__init__.py
+++ b/packages/node/ladder_node/rate_limits/__init__.py
@@ -9,13 +9,13 @@
 from ladder_node.rate_limits.limiter import SharedRateLimiter
 from ladder_node.rate_limits.peers import (
     PERMIT_PATH,
-    HttpPermitSender,
     PermitSender,
+    make_permit_sender,
 )
 
 __all__ = (
     'PERMIT_PATH',
-    'HttpPermitSender',
+    'make_permit_sender',
     'KnownLimits',
     'PermitApplication',
     'PermitOutcome',
--- a/packages/node/ladder_node/rate_limits/limiter.py
+++ b/packages/node/ladder_node/rate_limits/limiter.py
@@ -14,7 +14,6 @@
 import contextlib
 import random
 from collections.abc import AsyncIterator, Callable, Sequence
-from dataclasses import dataclass, field
 
 import xxhash
 from prometheus_client import Counter
@@ -44,6 +43,7 @@
     make_process_key,
 )
 from ladder_node.rate_limits.peers import PermitSender
+from ladder_node.rate_limits.permits import Denial, ProcessPermits
 
 _MISDIRECTED = PermitReply(PermitOutcome.misdirected)
 # A permit that is not used within this time has expired.
@@ -63,41 +63,6 @@
 )
 
 
-@dataclass(slots=True)
-class _Denial:
-    """
-    The latest denial of one priority.
-
-    Attributes
-    ----------
-    ends_at, retry_at : float
-        Times in seconds until which this node does not apply again, and at
-        which the denied request should come again.
-
-    """
-
-    ends_at: float
-    retry_at: float
-
-
-@dataclass(slots=True)
-class _Permits:
-    """
-    What this node has got for one process.
-
-    Attributes
-    ----------
-    denials : dict of int to _Denial
-        Latest denial by priority.
-    unused : list of float
-        Expiry times in seconds of permits that were granted and not used.
-
-    """
-
-    denials: dict[int, _Denial] = field(default_factory=dict)
-    unused: list[float] = field(default_factory=list)
-
-
 class SharedRateLimiter(RateLimiter, Component):
     """
     Apply for a permit before each request to a limited replica.
@@ -137,7 +102,7 @@
         self._timeline = timeline
         self._known = KnownLimits(timers, timeline)
         self._issuer = PermitIssuer(self._known, timers)
-        self._permits: dict[ProcessKey, _Permits] = {}
+        self._permits: dict[ProcessKey, ProcessPermits] = {}
         self._notices: set[asyncio.Task[PermitReply]] = set()
         self._random = random.Random()  # noqa: S311 no secret is drawn
 
@@ -301,7 +266,7 @@
         pause_seconds = max(
             free_seconds, min(retry_seconds, _MAX_PAUSE_SECONDS)
         )
-        self._find_permits(replica).denials[priority] = _Denial(
+        self._find_permits(replica).denials[priority] = Denial(
             now + pause_seconds, now + retry_seconds
         )
         self._timeline.record(
@@ -320,10 +285,12 @@
             PermitDenial(limit.rate, min(retry_seconds, _MAX_RETRY_SECONDS)),
         )
 
-    def _find_permits(self, replica: Replica) -> _Permits:
+    def _find_permits(self, replica: Replica) -> ProcessPermits:
         if len(self._permits) > _MAX_PROCESSES:
             self._permits.pop(next(iter(self._permits)))
-        return self._permits.setdefault(make_process_key(replica), _Permits())
+        return self._permits.setdefault(
+            make_process_key(replica), ProcessPermits()
+        )
 
     def _find_issuer(self, process: ProcessKey) -> Member | None:
         """Return the node that issues the permits of a process, if known."""
--- a/packages/node/ladder_node/stream_origins/__init__.py
+++ b/packages/node/ladder_node/stream_origins/__init__.py
@@ -4,15 +4,15 @@
 from ladder_node.stream_origins.origins import StreamOrigins
 from ladder_node.stream_origins.peers import (
     ORIGIN_PATH,
-    HttpOriginSender,
     OriginMessage,
     OriginReply,
     OriginSender,
+    make_origin_sender,
 )
 
 __all__ = (
     'ORIGIN_PATH',
-    'HttpOriginSender',
+    'make_origin_sender',
     'OriginMessage',
     'OriginReply',
     'OriginSender',
--- a/packages/node/ladder_node/stream_origins/peers.py
+++ b/packages/node/ladder_node/stream_origins/peers.py
@@ -1,14 +1,11 @@
 """Messages on the origins of streams between nodes."""
 
-from abc import ABC, abstractmethod
-
 import msgspec
 
-from ladder_node.peer_calls import PeerCaller
+from ladder_node.peer_calls import HttpPeerSender, PeerCaller, PeerSender
 from ladder_node.stream_origins.memory import StreamOrigin
 
 ORIGIN_PATH = '/v1/stream-origins'
-_TIMEOUT_SECONDS = 0.25
 
 
 class OriginMessage(msgspec.Struct, frozen=True, array_like=True):
@@ -42,34 +39,9 @@
     origin: StreamOrigin | None = None
 
 
-class OriginSender(ABC):
-    """Sends notes and questions to other nodes."""
-
-    @abstractmethod
-    async def send(
-        self, address: str, message: OriginMessage
-    ) -> OriginReply | None:
-        """Send a message, and return the reply; None if there is none."""
-
-
-class HttpOriginSender(OriginSender):
-    """
-    Send notes and questions over HTTP.
-
-    Parameters
-    ----------
-    caller : PeerCaller
-        Calls other nodes.
-
-    """
+OriginSender = PeerSender[OriginMessage, OriginReply]
 
-    def __init__(self, caller: PeerCaller) -> None:
-        self._caller = caller
 
-    async def send(
-        self, address: str, message: OriginMessage
-    ) -> OriginReply | None:
-        """Send a message, and return the reply."""
-        return await self._caller.call(
-            address, ORIGIN_PATH, message, OriginReply, _TIMEOUT_SECONDS
-        )
+def make_origin_sender(caller: PeerCaller) -> OriginSender:
+    """Return the sender of notes and questions over HTTP."""
+    return HttpPeerSender(caller, ORIGIN_PATH, OriginReply)
