Test that permits don't add up while nobody applies

Cause: no test failed with a burst of nine permits in place of two, since a queue begins without a burst. Change: one test presses on a replica after a minute without requests. Measured: it passes, and fails with a burst of nine.

--- a/packages/node/ladder_node/rate_limits/tests/test_limiter.py
+++ b/packages/node/ladder_node/rate_limits/tests/test_limiter.py
@@ -104,6 +104,16 @@
     assert len(harness.written) >= max(0.9 * offered * seconds - 1, 1)
 
 
+async def test_time_without_requests_allows_no_large_burst():
+    """Guards against permits that add up while nobody applies."""
+    harness = Harness(nodes=9)
+    await harness.press(1)
+    await harness.timers.advance(60)
+    harness.written.clear()
+    await harness.press(6)
+    assert harness.find_most() <= 1.5 * harness.rate * WINDOW_SECONDS + 5
+
+
 @pytest.mark.parametrize('nodes', [9, 90, 360])
 async def test_applications_are_bounded_by_the_rate(nodes):
     harness = Harness(nodes, 1)
