Find ages of batches and crashes by the clock of the table service

Cause: the age of an accepted batch and of a row about a crash was the difference of the wall clocks of two hosts. With clocks 11 s apart a new holder of the lease gave a task up 11 s before its retention time was over, treated a late step as new, and the cleaner removed rows too early or too late; trials of requests that crash replicas came early. Found by looking for each use of the time of day, for the deployment whose clocks jump.

Change: the service names its steady clock in each response. The client estimates it between responses, and rows carry that time beside the wall time, which is used only for rows without it (nodes of the software before).

Ruled out: a further read of the clock at each acceptance; all nodes read rows each second anyway.

--- a/packages/clients/ladder_clients/table/__init__.py
+++ b/packages/clients/ladder_clients/table/__init__.py
@@ -2,6 +2,7 @@
 
 from ladder_clients.table.admission import TableAdmission, TableLimits
 from ladder_clients.table.base import PartitionedTableClient, TableClient
+from ladder_clients.table.clock import ServiceClock, Timestamp
 from ladder_clients.table.errors import (
     HistoryLostError,
     StoreOutcomeUnknownError,
@@ -24,10 +25,12 @@
     'ResilientTableClient',
     'PartitionedTableClient',
     'Row',
+    'ServiceClock',
     'StoreOutcomeUnknownError',
     'TableLimits',
     'TableClient',
     'TableAdmission',
+    'Timestamp',
     'Transaction',
     'Write',
 )
--- a/packages/clients/ladder_clients/table/base.py
+++ b/packages/clients/ladder_clients/table/base.py
@@ -2,7 +2,9 @@
 
 from abc import ABC, abstractmethod
 
+from ladder_clients.table.clock import Timestamp
 from ladder_clients.table.wire import Outcome, Row, RowChanges, Transaction
+from ladder_core.timers import TimerService
 
 
 class TableClient(ABC):
@@ -88,6 +90,28 @@
 
     """
 
+    @abstractmethod
+    def estimate_clock(self) -> int | None:
+        """
+        Return the service's steady clock in milliseconds, without a call.
+
+        It is estimated from the latest response that named it; None if none
+        has yet.
+
+        """
+
+    def make_timestamp(self, timers: TimerService) -> Timestamp:
+        """
+        Return the present moment, for rows from which ages are found.
+
+        Parameters
+        ----------
+        timers : TimerService
+            Wall clock of this host.
+
+        """
+        return Timestamp(timers.wall_milliseconds(), self.estimate_clock())
+
     @abstractmethod
     async def read_from_partition(
         self, table: str, part: str, key: str
--- a/packages/node/ladder_node/batches/cleaner.py
+++ b/packages/node/ladder_node/batches/cleaner.py
@@ -1,6 +1,5 @@
 """Removal of batches whose retention time is over."""
 
-import time
 import uuid
 
 from prometheus_client import Counter
@@ -9,11 +8,13 @@
 from ladder_clients.table import (
     PartitionedTableClient,
     StoreOutcomeUnknownError,
+    Timestamp,
     Transaction,
     Write,
 )
 from ladder_core.errors import StoreUnavailableError
 from ladder_core.timeline import Timeline
+from ladder_core.timers import TimerService
 from ladder_node.batches.records import (
     BATCHES_TABLE,
     DRAFTS_TABLE,
@@ -28,7 +29,6 @@
     split_end_key,
 )
 
-_MILLISECONDS_PER_SECOND = 1000
 # Writes in one transaction, below the table's limit of 100 entries.
 _MAX_WRITES = 90
 _ROW_TABLES = (TASKS_TABLE, RESULTS_TABLE, DRAFTS_TABLE)
@@ -51,6 +51,8 @@
         Holds the tasks of large batches.
     result_retention_seconds : float
         Minimum time in seconds for which a batch is kept after its acceptance.
+    timers : TimerService
+        Wall clock of this host.
     timeline : Timeline
         Records each removal and each postponed clean-up.
 
@@ -61,16 +63,18 @@
         table: PartitionedTableClient,
         objects: ObjectStore,
         result_retention_seconds: float,
+        timers: TimerService,
         timeline: Timeline,
     ) -> None:
         self._table = table
         self._objects = objects
         self._result_retention_seconds = result_retention_seconds
+        self._timers = timers
         self._timeline = timeline
 
     async def clean(self) -> None:
         """Remove expired batches; failed removals are retried next time."""
-        now = time.time()
+        now = self._table.make_timestamp(self._timers)
         for shard in list_shards():
             try:
                 await self._clean_shard(shard, now)
@@ -81,7 +85,7 @@
                     error=error.message,
                 )
 
-    async def _clean_shard(self, shard: str, now: float) -> None:
+    async def _clean_shard(self, shard: str, now: Timestamp) -> None:
         for row in await self._table.scan_partition(BATCHES_TABLE, shard):
             batch_id, is_end = split_end_key(row.key)
             if is_end:
@@ -92,10 +96,7 @@
             retention_seconds = max(
                 self._result_retention_seconds, head.retention_seconds
             )
-            if (
-                now - head.accepted_at / _MILLISECONDS_PER_SECOND
-                > 2 * retention_seconds
-            ):
+            if head.find_age_seconds(now) > 2 * retention_seconds:
                 await self._remove(shard, batch_id, head)
 
     async def _remove(
--- a/packages/node/ladder_node/batches/intake.py
+++ b/packages/node/ladder_node/batches/intake.py
@@ -1,7 +1,6 @@
 """Opening of batches that any node accepted, and closing of ended ones."""
 
 import asyncio
-import time
 from collections.abc import Callable, Iterable
 
 from prometheus_client import Histogram
@@ -26,7 +25,6 @@
 from ladder_node.feeds import LONG_POLL_SECONDS
 
 _RETRY_INTERVAL_SECONDS = 0.25
-_MILLISECONDS_PER_SECOND = 1000
 # The drafts of an ended batch are kept only if it was accepted within this
 # time. Groups of a step that ended earlier are not submitted again.
 _DRAFT_REUSE_SECONDS = 30
@@ -141,8 +139,7 @@
             Rows of the table of batches, known ones included.
         max_age_seconds : float or None
             Largest possible age in seconds of a row that was not known
-            before. None if the age follows only from the wall clock, which
-            may differ between hosts.
+            before. None if it is not known.
         task_group : LeaseTaskGroup
             Runs the tasks that read the batches.
 
@@ -166,7 +163,7 @@
             self._dependencies.timeline.record(
                 'batch-found', batch_id, accepted_by=head.node
             )
-            age_seconds = _find_age_seconds(head, max_age_seconds)
+            age_seconds = self._find_age_seconds(head, max_age_seconds)
             if not self._registry.is_ended(batch_id):
                 task_group.spawn(
                     self._open(batch_id, head, age_seconds, task_group)
@@ -174,6 +171,16 @@
             elif age_seconds < _DRAFT_REUSE_SECONDS:
                 task_group.spawn(self._keep_drafts(batch_id, head))
 
+    def _find_age_seconds(
+        self, head: BatchHead, max_age_seconds: float | None
+    ) -> float:
+        """Return the seconds since a batch was accepted."""
+        now = self._dependencies.table.make_timestamp(self._dependencies.timers)
+        age_seconds = head.find_age_seconds(now)
+        if max_age_seconds is None:
+            return age_seconds
+        return min(age_seconds, max_age_seconds)
+
     async def _open(
         self,
         batch_id: str,
@@ -288,16 +295,3 @@
             seconds=round(seconds, 3),
             left=round(batch.due - self._dependencies.timers.now(), 3),
         )
-
-
-def _find_age_seconds(head: BatchHead, max_age_seconds: float | None) -> float:
-    """Return the estimated seconds since a batch was accepted."""
-    if max_age_seconds == 0:
-        return 0
-    wall = time.time() * _MILLISECONDS_PER_SECOND
-    age_seconds = max((wall - head.accepted_at) / _MILLISECONDS_PER_SECOND, 0)
-    return (
-        age_seconds
-        if max_age_seconds is None
-        else min(age_seconds, max_age_seconds)
-    )
--- a/packages/node/ladder_node/batches/records.py
+++ b/packages/node/ladder_node/batches/records.py
@@ -23,7 +23,7 @@
 import xxhash
 from loguru import logger
 
-from ladder_clients.table import Row
+from ladder_clients.table import Row, Timestamp
 
 BATCHES_TABLE = 'batches'
 TASKS_TABLE = 'batch_tasks'
@@ -94,6 +94,9 @@
         Name of the node that accepted the batch.
     step_seconds, retention_seconds : float
         Step time and retention time of the route, as of the acceptance.
+    service_accepted_at : int or None
+        Milliseconds by the clock of the table service; None in rows of nodes
+        that did not know it.
 
     """
 
@@ -103,6 +106,12 @@
     node: str
     step_seconds: float
     retention_seconds: float
+    service_accepted_at: int | None = None
+
+    def find_age_seconds(self, now: Timestamp) -> float:
+        """Return the seconds since the acceptance."""
+        accepted = Timestamp(self.accepted_at, self.service_accepted_at)
+        return accepted.find_age_seconds(now)
 
 
 class OwnerRow(msgspec.Struct, frozen=True):
--- a/packages/node/ladder_node/batches/session.py
+++ b/packages/node/ladder_node/batches/session.py
@@ -182,6 +182,7 @@
             self._dependencies.table,
             self._dependencies.objects,
             self._dependencies.result_retention_seconds,
+            self._timers,
             self._dependencies.timeline,
         )
         while True:
--- a/packages/node/ladder_node/batches/store.py
+++ b/packages/node/ladder_node/batches/store.py
@@ -1,6 +1,5 @@
 """Reads and transactions on the rows of batches."""
 
-import time
 import uuid
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -16,6 +15,7 @@
     Write,
 )
 from ladder_core.errors import StoreUnavailableError
+from ladder_core.timers import TimerService
 from ladder_core.values import Route
 from ladder_node.batches.records import (
     BATCHES_TABLE,
@@ -33,7 +33,6 @@
 )
 from ladder_node.batches.spec import BatchSpec
 
-_MILLISECONDS_PER_SECOND = 1000
 # Pieces of tasks in one transaction, which has at most 100 entries and 1 MB;
 # bodies grow by a third in base64. Larger batches go to the object store.
 _MAX_PIECES = 40
@@ -93,6 +92,8 @@
         Holds the tasks of batches that are too large for one transaction.
     node : str
         Name of this node, stored with each acceptance and end of a batch.
+    timers : TimerService
+        Wall clock of this host, stored with each acceptance.
 
     """
 
@@ -101,7 +102,9 @@
         table: PartitionedTableClient,
         objects: ObjectStore,
         node: str,
+        timers: TimerService,
     ) -> None:
+        self._timers = timers
         self._table = table
         self._objects = objects
         self._node = node
@@ -136,14 +139,7 @@
             await self._objects.put(name, msgspec.json.encode(spec))
             pieces = []
         shard = find_shard(spec.batch_id)
-        head = BatchHead(
-            total=len(spec.tasks),
-            pieces=len(pieces),
-            accepted_at=int(time.time() * _MILLISECONDS_PER_SECOND),
-            node=self._node,
-            step_seconds=route.step_seconds,
-            retention_seconds=route.retention_seconds,
-        )
+        head = self._make_head(spec, route, len(pieces))
         writes = [
             Write(BATCHES_TABLE, spec.batch_id, _encode(head), shard),
             *(
@@ -319,6 +315,20 @@
         writes.append(Write(POSITIONS_TABLE, batch_id, body, shard))
         return writes
 
+    def _make_head(
+        self, spec: BatchSpec, route: Route, pieces: int
+    ) -> BatchHead:
+        now = self._table.make_timestamp(self._timers)
+        return BatchHead(
+            total=len(spec.tasks),
+            pieces=pieces,
+            accepted_at=now.wall,
+            node=self._node,
+            step_seconds=route.step_seconds,
+            retention_seconds=route.retention_seconds,
+            service_accepted_at=now.service,
+        )
+
 
 def _join_results(rows: Sequence[Row]) -> list[TaskResult]:
     """
--- a/packages/node/ladder_node/batches/tests/fakes.py
+++ b/packages/node/ladder_node/batches/tests/fakes.py
@@ -17,7 +17,7 @@
     TaskRejectedError,
 )
 from ladder_core.timeline import HybridClock, HybridTime, Timeline
-from ladder_core.timers import ManualTimerService
+from ladder_core.timers import ManualTimerService, TimerService
 from ladder_core.values import (
     CallerLimits,
     Replica,
@@ -235,6 +235,24 @@
                 )
 
 
+class HostTimers(TimerService):
+    """The clock of the deployment, with a wall clock that may be off."""
+
+    def __init__(self, timers):
+        self.timers = timers
+        self.wall_offset_seconds = 0
+
+    def now(self):
+        return self.timers.now()
+
+    async def sleep(self, seconds):
+        await self.timers.sleep(seconds)
+
+    def wall_milliseconds(self):
+        offset_milliseconds = 1000 * self.wall_offset_seconds
+        return self.timers.wall_milliseconds() + offset_milliseconds
+
+
 class MemoryObjects(ObjectStore):
     def __init__(self):
         self.bodies = {}
@@ -266,15 +284,18 @@
     def __init__(self, name, deployment):
         self.name = name
         self.deployment = deployment
-        timers = deployment.timers
+        timers = HostTimers(deployment.timers)
+        self.timers = timers
         self.timeline = Timeline(name, HybridClock(timers))
         self.replica_registry = ReplicaRegistry(timers, self.timeline)
         self.routes = RouteCache(self.timeline)
         self.versions = ModelVersions(self.timeline)
-        self.store = BatchStore(deployment.table, deployment.objects, name)
+        self.store = BatchStore(
+            deployment.table, deployment.objects, name, timers
+        )
         self.batch_api = BatchApi(self.store, timers, self.timeline)
         self.engines = FakeEngines(
-            timers, self.replica_registry, deployment.processes
+            deployment.timers, self.replica_registry, deployment.processes
         )
         selection = ReplicaSelector(
             self.replica_registry,
@@ -372,9 +393,9 @@
     ):
         self.timers = DeploymentTimers()
         self.processes = ReplicaProcesses(self.timers)
-        self.table = table(self.timers) if table else MemoryTable()
+        self.table = table(self.timers) if table else MemoryTable(self.timers)
         # The scripted faults of `table` count the calls of batches only.
-        self.crash_table = MemoryTable()
+        self.crash_table = MemoryTable(self.timers)
         self.are_peers_cut = False
         self.objects = MemoryObjects()
         self.alive = list(nodes)
--- a/packages/node/ladder_node/batches/tests/test_drafts.py
+++ b/packages/node/ladder_node/batches/tests/test_drafts.py
@@ -22,7 +22,7 @@
 class DraftHarness:
     def __init__(self):
         self.timers = ManualTimerService()
-        self.table = MemoryTable()
+        self.table = MemoryTable(self.timers)
         self.timeline = Timeline('node', HybridClock(self.timers))
 
     async def hold(self, name):
@@ -47,7 +47,7 @@
         )
         await fence.fence_partitions()
         spec = make_batch()
-        store = BatchStore(self.table, MemoryObjects(), name)
+        store = BatchStore(self.table, MemoryObjects(), name, self.timers)
         result_writer = ResultWriter(
             'b',
             store,
--- a/packages/node/ladder_node/batches/tests/test_slow_table.py
+++ b/packages/node/ladder_node/batches/tests/test_slow_table.py
@@ -14,8 +14,7 @@
 
 class SlowTable(MemoryTable):
     def __init__(self, timers):
-        super().__init__()
-        self.timers = timers
+        super().__init__(timers)
         self.seconds = 0
         self.reads = 0
 
--- a/packages/node/ladder_node/batches/tests/test_takeover.py
+++ b/packages/node/ladder_node/batches/tests/test_takeover.py
@@ -46,8 +46,7 @@
     """
 
     def __init__(self, timers):
-        super().__init__()
-        self.timers = timers
+        super().__init__(timers)
         self.in_flight = 0
         self.max_in_flight = 0
         self.scanned = []
--- a/packages/node/ladder_node/quarantine/rows.py
+++ b/packages/node/ladder_node/quarantine/rows.py
@@ -12,6 +12,7 @@
     PartitionedTableClient,
     Row,
     StoreOutcomeUnknownError,
+    Timestamp,
     Transaction,
     Write,
 )
@@ -27,7 +28,6 @@
 _CRASH = 'crash'
 _TRIAL = 'trial'
 _STORE_ERRORS = (StoreUnavailableError, StoreOutcomeUnknownError)
-_MILLISECONDS_PER_SECOND = 1000
 # Age at which a row is removed if its request is no longer known.
 _MAX_ORPHAN_SECONDS = 1200
 # The nodes clean at different times, so that one of them removes a row.
@@ -45,11 +45,15 @@
         Node that observed the crash, or that made the trial.
     at : int
         Milliseconds since the Unix epoch, by the clock of that node.
+    service_at : int or None
+        Milliseconds by the clock of the table service; None in rows of nodes
+        that did not know it.
 
     """
 
     node: str
     at: int
+    service_at: int | None = None
 
 
 class CrashRows(FeedListener, Component):
@@ -220,13 +224,14 @@
         return self._find_age(evidence) > _MAX_ORPHAN_SECONDS
 
     def _find_age(self, evidence: _Evidence) -> float:
-        """Return the age of a row in seconds, whatever the clocks say."""
-        age_milliseconds = self._timers.wall_milliseconds() - evidence.at
-        age_seconds = age_milliseconds / _MILLISECONDS_PER_SECOND
-        return min(max(age_seconds, 0), _MAX_EVIDENCE_SECONDS)
+        """Return the age of a row in seconds."""
+        made = Timestamp(evidence.at, evidence.service_at)
+        now = self._table.make_timestamp(self._timers)
+        return min(made.find_age_seconds(now), _MAX_EVIDENCE_SECONDS)
 
     def _make_body(self) -> str:
-        evidence = _Evidence(self._node, self._timers.wall_milliseconds())
+        now = self._table.make_timestamp(self._timers)
+        evidence = _Evidence(self._node, now.wall, now.service)
         return msgspec.json.encode(evidence).decode()
 
 
--- a/packages/node/ladder_node/quarantine/tests/test_rows.py
+++ b/packages/node/ladder_node/quarantine/tests/test_rows.py
@@ -24,7 +24,7 @@
     def __init__(self):
         self.timers = ManualTimerService()
         self.timeline = Timeline('a', HybridClock(self.timers))
-        self.table = MemoryTable()
+        self.table = MemoryTable(self.timers)
         self.sender = RecordingSender()
         self.verdicts = RequestVerdicts('a', self.timers, self.timeline)
         self.writer = EvidenceWriter(self.table, self.sender, self.timers)
@@ -73,6 +73,30 @@
     assert harness.verdicts.judge('d').retry_at <= harness.timers.now() + 1
 
 
+# Guards against trials that came too early or too late because the wall clocks
+# of two hosts differed.
+@pytest.mark.parametrize('jump_seconds', [-11, 11])
+async def test_age_of_a_crash_follows_the_clock_of_the_table(
+    harness, jump_seconds
+):
+    now = harness.table.make_timestamp(harness.timers)
+    body = msgspec.json.encode(
+        {
+            'node': 'b',
+            'at': now.wall + 1000 * jump_seconds,
+            'service_at': now.service,
+        }
+    ).decode()
+    await harness.timers.advance(3)
+    rows = [
+        Row(CRASHES_TABLE, f'd/crash/r{number}@0', body, 1)
+        for number in range(2)
+    ]
+    harness.rows.change(rows, ())
+    event = harness.list_events('request-quarantined')[0]
+    assert float(event.fields['age']) == 3
+
+
 @pytest.mark.parametrize('key', ['d', 'd/crash', 'd/trial/x', ''])
 async def test_malformed_rows_are_ignored(harness, key):
     row = harness.make_row(key)
--- a/standins/ladder_standins/memory_table.py
+++ b/standins/ladder_standins/memory_table.py
@@ -11,9 +11,11 @@
     Transaction,
 )
 from ladder_core.errors import StoreUnavailableError
+from ladder_core.timers import SystemTimerService, TimerService
 from ladder_standins.records import RecordWriter
 from ladder_standins.rows import TableRows
 
+_MILLISECONDS_PER_SECOND = 1000
 _REMEDY = 'wait until it has recovered'
 
 
@@ -37,6 +39,11 @@
     """
     Table client that keeps the rows in memory, with faults set by a test.
 
+    Parameters
+    ----------
+    timers : TimerService, optional
+        Clock of the service; the clock of the host if absent.
+
     Attributes
     ----------
     faults : list of TableFault
@@ -49,7 +56,8 @@
 
     """
 
-    def __init__(self) -> None:
+    def __init__(self, timers: TimerService | None = None) -> None:
+        self.timers = timers or SystemTimerService()
         self.faults: list[TableFault] = []
         self.default_fault = TableFault.none
         self.late_transactions: list[Transaction] = []
@@ -60,6 +68,10 @@
         """Rows of the table, which tests can examine and change directly."""
         return self._rows
 
+    def estimate_clock(self) -> int | None:
+        """Return the clock of the service in milliseconds."""
+        return int(self.timers.now() * _MILLISECONDS_PER_SECOND)
+
     async def read_from_partition(
         self, table: str, part: str, key: str
     ) -> Row | None:
