Take no live node for failed after the table was silent

Cause: a heartbeat that timed out lengthened the pause to the next one, up to 8 s, but the longer pause stood in no row, since the write had failed. The others judge a node by the pause that they read, 0.8 s, so they took it for failed 3 s after the end of the outage. A read that failed put off the next one in the same way.

Change: only calls that the table answered lengthen the pause; a node writes again after the pause that the others know, and its silence counts from 2 s after the outage on, since its last call may take that long to fail.

Result: test_silent_table_makes_no_node_look_gone fails for silences of 5, 8, 13 and 30 s before, and test_node_that_died_in_a_silence_is_left_out_soon_after_it too; both pass.

--- a/packages/node/ladder_node/members/membership.py
+++ b/packages/node/ladder_node/members/membership.py
@@ -44,6 +44,9 @@
 # Number of pauses without a heartbeat after which a node counts as failed. The
 # length of a pause is the one that the node has published.
 _MISSED_PAUSES = 2
+# Time after an outage of the table before the silence of a node counts. Its call
+# that was in flight at the end of the outage may last for this time.
+_OUTAGE_GRACE_SECONDS = 2
 
 _alive_gauge = Gauge('ladder_members_alive', 'Nodes that live')
 
@@ -99,6 +102,8 @@
         self._wrote_at: float | None = None
         self._next_heartbeat_at: float = 0
         self._pause_seconds: float = _HEARTBEAT_SECONDS
+        # The pause in the row of this node, by which the others judge it.
+        self._known_pause_seconds: float = _HEARTBEAT_SECONDS
         self._next_read_at: float = 0
         self._periodic_call: PeriodicCall | None = None
 
@@ -138,28 +143,12 @@
         now = self._timers.now()
         if now >= self._next_heartbeat_at:
             await self._write_own_row()
-            # The pause that was just published, not the next one below.
-            published_pause = self._own.pause_seconds
             self._next_heartbeat_at = (
-                now + published_pause - _HEARTBEAT_SECONDS / 2
+                now + self._known_pause_seconds - _HEARTBEAT_SECONDS / 2
             )
-            # A slow table gets fewer writes, so that writes don't queue up.
-            elapsed_seconds = self._timers.now() - now
-            self._pause_seconds = min(
-                max(
-                    _HEARTBEAT_SECONDS
-                    * _compute_pause_factor(len(self._alive)),
-                    _CALL_TIME_MULTIPLE * elapsed_seconds,
-                ),
-                _MAX_PAUSE_SECONDS,
-            )
-        if now >= self._next_read_at:
-            await self._read_rows()
-            elapsed_seconds = self._timers.now() - now
-            read_pause = min(
-                _CALL_TIME_MULTIPLE * elapsed_seconds, _MAX_PAUSE_SECONDS
-            )
-            self._next_read_at = now + read_pause
+        started_at = self._timers.now()
+        if started_at >= self._next_read_at:
+            await self._read_rows(started_at)
 
     def list_alive(self) -> Sequence[Member]:
         """Return the live nodes, with this one if its row has been read."""
@@ -223,14 +212,29 @@
             )
             return
         self._wrote_at = sent
+        self._known_pause_seconds = self._own.pause_seconds
+        # A slow table gets fewer writes, so that writes don't queue up.
+        elapsed_seconds = self._timers.now() - sent
+        self._pause_seconds = min(
+            max(
+                _HEARTBEAT_SECONDS * _compute_pause_factor(len(self._alive)),
+                _CALL_TIME_MULTIPLE * elapsed_seconds,
+            ),
+            _MAX_PAUSE_SECONDS,
+        )
 
-    async def _read_rows(self) -> None:
+    async def _read_rows(self, started_at: float) -> None:
         try:
             rows = await self._table.scan_partition(MEMBERS_TABLE, MEMBERS_PART)
             self._observe(rows)
             await self._remove_gone()
         except _STORE_ERRORS as error:
             logger.debug('rows of members not read: {}', error.message)
+            return
+        elapsed_seconds = self._timers.now() - started_at
+        self._next_read_at = started_at + min(
+            _CALL_TIME_MULTIPLE * elapsed_seconds, _MAX_PAUSE_SECONDS
+        )
 
     def _observe(self, rows: Sequence[Row]) -> None:
         now = self._timers.now()
@@ -239,9 +243,7 @@
             # No node could write while the table was unavailable, so the time
             # without a heartbeat starts again for all of them.
             for observation in self._observations.values():
-                observation.unchanged_since = max(
-                    observation.unchanged_since, now
-                )
+                observation.unchanged_since = now + _OUTAGE_GRACE_SECONDS
         self._read_at = now
         self._observations = {
             row.key: self._observe_row(row, now) for row in rows
--- a/packages/node/ladder_node/members/tests/test_membership.py
+++ b/packages/node/ladder_node/members/tests/test_membership.py
@@ -1,23 +1,37 @@
 import pytest
 
+from ladder_clients.table import StoreOutcomeUnknownError
+from ladder_core.errors import StoreUnavailableError
 from ladder_core.timeline import HybridClock, Timeline
 from ladder_core.timers import ManualTimerService
 from ladder_node.members import Member, Membership, choose_addresses
 from ladder_standins.memory_table import MemoryTable, TableFault
 
 
+SILENT_CALL_SECONDS = 2
+
+
 class SlowTable(MemoryTable):
-    def __init__(self):
-        super().__init__()
+    """A table whose calls can be slow, or time out while it is silent."""
+
+    def __init__(self, timers):
+        super().__init__(timers)
         self.wait = None
         self.wait_to_read = None
+        self.is_silent = False
 
     async def scan_partition(self, *arguments, **options):
+        if self.is_silent:
+            await self.timers.sleep(SILENT_CALL_SECONDS)
+            raise StoreUnavailableError('silent', remedy='wait', retry_after=1)
         if self.wait_to_read is not None:
             await self.wait_to_read()
         return await super().scan_partition(*arguments, **options)
 
     async def commit(self, transaction):
+        if self.is_silent:
+            await self.timers.sleep(SILENT_CALL_SECONDS)
+            raise StoreOutcomeUnknownError('silent', remedy='read back')
         if self.wait is not None:
             await self.wait()
         return await super().commit(transaction)
@@ -26,7 +40,7 @@
 class Fleet:
     def __init__(self, *names):
         self.timers = ManualTimerService()
-        self.table = SlowTable()
+        self.table = SlowTable(self.timers)
         self.nodes = {name: self.make(name) for name in names}
 
     def make(self, name):
@@ -97,6 +111,39 @@
     await fleet.close()
 
 
+# Guards against live nodes that all others took for failed, for some seconds
+# after the table had been silent. A node had lengthened the pause between its
+# heartbeats, but could not publish the longer pause.
+@pytest.mark.parametrize('silent_seconds', [2, 3, 5, 8, 13, 30])
+async def test_silent_table_makes_no_node_look_gone(silent_seconds):
+    fleet = Fleet('a', 'b', 'c', 'd', 'e')
+    for node in fleet.nodes.values():
+        await node.start()
+        await fleet.timers.advance(0.37)
+    await fleet.timers.advance(2)
+    fleet.table.is_silent = True
+    await fleet.timers.advance(silent_seconds)
+    fleet.table.is_silent = False
+    for _ in range(60):
+        await fleet.timers.advance(0.2)
+        for node in fleet.nodes.values():
+            assert len(node.list_alive()) == 5
+    await fleet.close()
+
+
+async def test_node_that_died_in_a_silence_is_left_out_soon_after_it():
+    fleet = Fleet('a', 'b', 'c')
+    await fleet.start()
+    fleet.table.is_silent = True
+    await fleet.timers.advance(5)
+    await fleet.nodes['b'].close()
+    await fleet.timers.advance(5)
+    fleet.table.is_silent = False
+    await fleet.timers.advance(9)
+    assert fleet.seen_by('a') == ['a', 'c']
+    await fleet.close()
+
+
 async def test_node_that_cannot_write_names_itself_if_it_is_alone():
     fleet = Fleet('a')
     fleet.table.default_fault = TableFault.down
