Leave a lease to its holder after an outage between two observations

Cause: a candidate left out only the time of its own failed attempts. The time from its last successful read to the first failed attempt, and from the last failed attempt to the end of the outage, counted as time in which the holder had not renewed the lease, although nobody could reach the table.

Change: after an outage all time since the latest observation is left out, so that the holder has a whole term to renew its lease.

Ruled out: subtracting an estimate of the outage; a node does not see when it began or ended.

Result: test_outage_between_rare_attempts_is_excluded fails before (both cases) and passes; a holder that died in the outage is replaced one term after it.

--- a/packages/node/ladder_node/leases/expiry.py
+++ b/packages/node/ladder_node/leases/expiry.py
@@ -6,10 +6,11 @@
 from ladder_core.timers import TimerService
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _Observation:
     revisions: Hashable
     since: float
+    latest_at: float
 
 
 class ExpiryWatch:
@@ -49,18 +50,23 @@
         now = self._timers.now()
         observation = self._observations.get(name)
         if observation is None or observation.revisions != revisions:
-            observation = _Observation(revisions, now)
+            observation = _Observation(revisions, now, now)
             self._observations[name] = observation
+        observation.latest_at = now
         return now - observation.since
 
-    def exclude(self, seconds: float) -> None:
-        """Exclude a period in which no holder could change its rows."""
-        self._observations = {
-            name: _Observation(
-                observation.revisions, observation.since + seconds
-            )
-            for name, observation in self._observations.items()
-        }
+    def exclude_unobserved_time(self) -> None:
+        """
+        Exclude the time since the latest observation of each lease.
+
+        It is called right before the first observation after an outage, during
+        which no holder could change its rows. When the outage began and ended
+        is not known; both lie between these two observations.
+        """
+        now = self._timers.now()
+        for observation in self._observations.values():
+            observation.since += now - observation.latest_at
+            observation.latest_at = now
 
     def remove(self, name: str) -> None:
         """Discard the observation of a lease."""
--- a/packages/node/ladder_node/leases/manager.py
+++ b/packages/node/ladder_node/leases/manager.py
@@ -242,18 +242,16 @@
         """Exclude an outage of the table, in which no holder could renew."""
         if not self._failed_attempts:
             return
-        # The outage ends with the last failed attempt, not now, because
-        # this node itself may have been paused since.
-        outage_seconds = (
+        failing_seconds = (
             self._failed_attempts[-1].ended_at
             - self._failed_attempts[0].started_at
         )
         self._failed_attempts.clear()
         is_long = (
-            outage_seconds > _MIN_OUTAGE_RENEWALS * self._term.renewal_seconds
+            failing_seconds > _MIN_OUTAGE_RENEWALS * self._term.renewal_seconds
         )
         if is_long and self._term.excludes_outages:
-            self._watch.exclude(outage_seconds)
+            self._watch.exclude_unobserved_time()
 
     def _is_own_predecessor(self, snapshot: LeaseSnapshot) -> bool:
         return (
--- a/packages/node/ladder_node/leases/tests/test_lease.py
+++ b/packages/node/ladder_node/leases/tests/test_lease.py
@@ -1,6 +1,7 @@
 import asyncio
 import random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -339,6 +340,49 @@
     assert await acquire(other, timers) is not None
 
 
+# Guards against a lease that was taken from a live holder right after an outage
+# of the table. Only the failed attempts of the candidate were left out, not the
+# time before the first and after the last of them.
+@pytest.mark.parametrize('is_holder_alive', [True, False])
+async def test_outage_between_rare_attempts_is_excluded(is_holder_alive):
+    timers = ManualTimerService()
+    rows = TableRows(ignore_write)
+    is_silent = False
+
+    def find_conditions():
+        silent = CallConditions(CallOutcome.refused, request_seconds=2)
+        return silent if is_silent else CallConditions()
+
+    term = LeaseTerm(2.2, 0.3, 0.5, excludes_outages=True)
+    holder, other = (
+        LeaseManager(
+            TimedTable(rows, timers, find_conditions),
+            LeaseHolder(name, name),
+            timers,
+            Timeline(name, HybridClock(timers)),
+            term,
+        )
+        for name in 'ab'
+    )
+    lease = await acquire(holder, timers)
+    await holder.start()
+    assert await acquire(other, timers) is None
+    await timers.advance(0.3)
+    is_silent = True
+    await timers.advance(3)
+    assert await acquire(other, timers) is None
+    await timers.advance(2.5)
+    if not is_holder_alive:
+        await holder._periodic_call.close()
+    is_silent = False
+    assert await acquire(other, timers) is None
+    await timers.advance(2.3)
+    taken = await acquire(other, timers)
+    assert lease.is_valid() is is_holder_alive
+    assert (taken is None) is is_holder_alive
+    await finish(timers, holder.close())
+
+
 async def test_candidate_tries_again_soon_after_a_slow_attempt():
     timers = ManualTimerService()
     rows = TableRows(ignore_write)
