--- a/packages/node/ladder_node/members/membership.py
+++ b/packages/node/ladder_node/members/membership.py
@@ -44,8 +44,8 @@
 # Number of pauses without a heartbeat after which a node counts as failed. The
 # length of a pause is the one that the node has published.
 _MISSED_PAUSES = 2
-# Time after an outage of the table before the silence of a node counts. Its call
-# that was in flight at the end of the outage may last for this time.
+# Time after an outage of the table before the silence of a node counts. Its
+# call that was in flight at the end of the outage may last for this time.
 _OUTAGE_GRACE_SECONDS = 2
 
 _alive_gauge = Gauge('ladder_members_alive', 'Nodes that live')
--- a/packages/node/ladder_node/members/tests/test_membership.py
+++ b/packages/node/ladder_node/members/tests/test_membership.py
@@ -7,7 +7,6 @@
 from ladder_node.members import Member, Membership, choose_addresses
 from ladder_standins.memory_table import MemoryTable, TableFault
 
-
 SILENT_CALL_SECONDS = 2
 
 
