Direct callers to no node that is long gone after a restart or an outage

Cause: a process that starts took every row of a node for a sign of life, so after a restart of all nodes the directory named hosts that were gone for 30 s, for 3 s each time. An outage of the table restarted the silence of gone nodes too, which brought them back in the same way.

Change: rows name when they were written, by the clock of the table service. A process that starts takes a node for gone if its row is older than the latest row of the others by 15 s; rows of live nodes differ by less right after an outage. An outage restarts the silence of live nodes only. What is observed of the rows is in a module of its own.

Result: test_new_process_leaves_out_a_node_that_is_long_gone and test_outage_brings_no_gone_node_back fail before and pass.

--- a/packages/node/ladder_node/members/membership.py
+++ b/packages/node/ladder_node/members/membership.py
@@ -2,16 +2,13 @@
 
 import uuid
 from collections.abc import Sequence
-from dataclasses import dataclass
 
 import msgspec
 from loguru import logger
-from prometheus_client import Gauge
 
 from ladder_clients.table import (
     Condition,
     PartitionedTableClient,
-    Row,
     StoreOutcomeUnknownError,
     Transaction,
     Write,
@@ -20,18 +17,19 @@
 from ladder_core.supervision import Component
 from ladder_core.timeline import Timeline
 from ladder_core.timers import PeriodicCall, TimerService
+from ladder_node.members.observations import (
+    MemberObservations,
+    find_silence_limit,
+)
 from ladder_node.members.rows import (
     MEMBERS_PART,
     MEMBERS_TABLE,
     Member,
-    decode_member,
     make_member_write,
 )
 
 _STORE_ERRORS = (StoreUnavailableError, StoreOutcomeUnknownError)
 _HEARTBEAT_SECONDS = 0.8
-# Three heartbeats may be lost or late before a node counts as failed.
-_MIN_SILENCE_LIMIT_SECONDS = 3
 # Largest number of nodes that all write at each heartbeat. With more nodes each
 # writes less often, so that the total rate of writes stays the same.
 _MAX_FULL_RATE_NODES = 100
@@ -41,23 +39,6 @@
 # to the largest pause.
 _CALL_TIME_MULTIPLE = 4
 _MAX_PAUSE_SECONDS = 8
-# Number of pauses without a heartbeat after which a node counts as failed. The
-# length of a pause is the one that the node has published.
-_MISSED_PAUSES = 2
-# Time after an outage of the table before the silence of a node counts. Its
-# call that was in flight at the end of the outage may last for this time.
-_OUTAGE_GRACE_SECONDS = 2
-
-_alive_gauge = Gauge('ladder_members_alive', 'Nodes that live')
-
-
-@dataclass(slots=True)
-class _Observation:
-    """A revision of a node's row, and when it was first read."""
-
-    member: Member
-    revision: int
-    unchanged_since: float
 
 
 class Membership(Component):
@@ -75,11 +56,6 @@
     timeline : Timeline
         Records nodes that join, fail or are removed.
 
-    Notes
-    -----
-    A node counts as alive while its row changes. Time in which the table
-    can't be read is excluded, since no node could write either.
-
     """
 
     def __init__(
@@ -96,9 +72,7 @@
         )
         self._timers = timers
         self._timeline = timeline
-        self._observations: dict[str, _Observation] = {}
-        self._alive: frozenset[str] = frozenset()
-        self._read_at: float | None = None
+        self._observations = MemberObservations(member.name, timers, timeline)
         self._wrote_at: float | None = None
         self._next_heartbeat_at: float = 0
         self._pause_seconds: float = _HEARTBEAT_SECONDS
@@ -117,7 +91,7 @@
         """Whether the table has accepted a recent heartbeat of this node."""
         if self._wrote_at is None:
             return False
-        limit = _find_silence_limit(self._own)
+        limit = find_silence_limit(self._own)
         return self._timers.now() - self._wrote_at < limit
 
     async def start(self) -> None:
@@ -152,11 +126,7 @@
 
     def list_alive(self) -> Sequence[Member]:
         """Return the live nodes, with this one if its row has been read."""
-        return [
-            observation.member
-            for name, observation in self._observations.items()
-            if name in self._alive
-        ]
+        return self._observations.list_alive()
 
     def list_accepting(self) -> Sequence[Member]:
         """
@@ -199,6 +169,7 @@
             self._own,
             beats=self._own.beats + 1,
             pause_seconds=self._pause_seconds,
+            service_wrote_at=self._table.estimate_clock(),
         )
         write = make_member_write(self._own)
         sent = self._timers.now()
@@ -217,7 +188,8 @@
         elapsed_seconds = self._timers.now() - sent
         self._pause_seconds = min(
             max(
-                _HEARTBEAT_SECONDS * _compute_pause_factor(len(self._alive)),
+                _HEARTBEAT_SECONDS
+                * _compute_pause_factor(len(self._observations.alive)),
                 _CALL_TIME_MULTIPLE * elapsed_seconds,
             ),
             _MAX_PAUSE_SECONDS,
@@ -226,7 +198,7 @@
     async def _read_rows(self, started_at: float) -> None:
         try:
             rows = await self._table.scan_partition(MEMBERS_TABLE, MEMBERS_PART)
-            self._observe(rows)
+            self._observations.observe(rows)
             await self._remove_gone()
         except _STORE_ERRORS as error:
             logger.debug('rows of members not read: {}', error.message)
@@ -236,34 +208,14 @@
             _CALL_TIME_MULTIPLE * elapsed_seconds, _MAX_PAUSE_SECONDS
         )
 
-    def _observe(self, rows: Sequence[Row]) -> None:
-        now = self._timers.now()
-        gap = now - self._read_at if self._read_at is not None else 0
-        if gap > 2 * _HEARTBEAT_SECONDS:
-            # No node could write while the table was unavailable, so the time
-            # without a heartbeat starts again for all of them.
-            for observation in self._observations.values():
-                observation.unchanged_since = now + _OUTAGE_GRACE_SECONDS
-        self._read_at = now
-        self._observations = {
-            row.key: self._observe_row(row, now) for row in rows
-        }
-        alive = frozenset(
-            name
-            for name, observation in self._observations.items()
-            if now - observation.unchanged_since
-            < _find_silence_limit(observation.member)
-        )
-        self._record_changes(alive)
-
     async def _remove_gone(self) -> None:
         """Remove rows of hosts that are gone; only the first live node does."""
-        now = self._timers.now()
-        if self._own.name != min(self._alive, default=''):
+        if self._own.name != min(self._observations.alive, default=''):
             return
-        for name, observation in tuple(self._observations.items()):
-            if now - observation.unchanged_since < _ROW_RETENTION_SECONDS:
-                continue
+        for observation in self._observations.list_unchanged(
+            _ROW_RETENTION_SECONDS
+        ):
+            name = observation.member.name
             row_key = (MEMBERS_TABLE, name)
             await self._table.commit(
                 Transaction(
@@ -274,27 +226,6 @@
             )
             self._timeline.record('member-forgotten', name)
 
-    def _observe_row(self, row: Row, now: float) -> _Observation:
-        observation = self._observations.get(row.key)
-        if observation is not None and observation.revision == row.revision:
-            return observation
-        return _Observation(decode_member(row), row.revision, now)
-
-    def _record_changes(self, alive: frozenset[str]) -> None:
-        for name in sorted(alive - self._alive):
-            self._timeline.record('member-alive', name)
-        for name in sorted(self._alive - alive):
-            self._timeline.record('member-gone', name)
-        self._alive = alive
-        _alive_gauge.set(len(alive))
-
-
-def _find_silence_limit(member: Member) -> float:
-    """Return the seconds without a heartbeat after which a node has failed."""
-    return max(
-        _MIN_SILENCE_LIMIT_SECONDS, _MISSED_PAUSES * member.pause_seconds
-    )
-
 
 def _compute_pause_factor(nodes: int) -> float:
     """Return the factor of the pause for a number of nodes."""
--- a/packages/node/ladder_node/members/rows.py
+++ b/packages/node/ladder_node/members/rows.py
@@ -34,6 +34,9 @@
         ``ip:port`` at which the node accepts other nodes.
     capacity : float
         Processing capacity of the host, in cores of standard speed.
+    service_wrote_at : int or None
+        Time of the heartbeat in milliseconds, by the clock of the table
+        service; None if the node did not know it.
 
     """
 
@@ -47,6 +50,7 @@
     pause_seconds: float = 0
     peer_address: str = ''
     capacity: float = 1
+    service_wrote_at: int | None = None
 
 
 def decode_member(row: Row) -> Member:
--- a/packages/node/ladder_node/members/tests/test_membership.py
+++ b/packages/node/ladder_node/members/tests/test_membership.py
@@ -143,6 +143,42 @@
     await fleet.close()
 
 
+# Guards against callers who were directed to a host that was gone for long, by
+# nodes that had just started again and took its last row for a sign of life.
+async def test_new_process_leaves_out_a_node_that_is_long_gone(fleet):
+    await fleet.nodes['b'].close()
+    await fleet.timers.advance(20)
+    for name in ('a', 'c'):
+        await fleet.nodes[name].close()
+        fleet.nodes[name] = fleet.make(name)
+        await fleet.nodes[name].start()
+    await fleet.timers.advance(0.9)
+    assert fleet.seen_by('a') == ['a', 'c']
+
+
+async def test_new_process_takes_no_node_for_gone_after_an_outage(fleet):
+    await fleet.nodes['c'].close()
+    fleet.table.default_fault = TableFault.down
+    await fleet.timers.advance(30)
+    fleet.table.default_fault = TableFault.none
+    late = fleet.make('c')
+    fleet.nodes['c'] = late
+    await late.start()
+    await fleet.timers.advance(1)
+    assert fleet.seen_by('c') == ['a', 'b', 'c']
+
+
+async def test_outage_brings_no_gone_node_back(fleet):
+    await fleet.nodes['b'].close()
+    await fleet.timers.advance(5)
+    fleet.table.default_fault = TableFault.down
+    await fleet.timers.advance(5)
+    fleet.table.default_fault = TableFault.none
+    for _ in range(30):
+        await fleet.timers.advance(0.2)
+        assert 'b' not in fleet.seen_by('a')
+
+
 async def test_node_that_cannot_write_names_itself_if_it_is_alone():
     fleet = Fleet('a')
     fleet.table.default_fault = TableFault.down
