Load weights while no task waits, half of the homes at a time

Cause: a home loaded a new version as soon as it ran no task of the model, and all idle homes at once. A trainer that is behind names a version and submits the step that follows it at the same moment, so the step found its homes loading, and started none of its tasks for a second. The old reason, that a load halts the texts of an engine, does not hold: texts of 200 events that ran through a load took 39.1 ms an event, like all others.

A text of 200 events takes 7.8 s, so it is in time only if it starts at once.

Change: a home loads while no task of its model waits, whether or not texts of it run, not in the first half second after the version was named, and at most half of the homes at a time; the version before serves the step that arrives. Homes that are excluded by their version load at once when tasks wait. Models whose texts need one version load at homes that run none of them, as before.

Result: four pattern tests fail with the planning before.

--- a/packages/node/ladder_node/batches/placement.py
+++ b/packages/node/ladder_node/batches/placement.py
@@ -1,6 +1,7 @@
 """Assignment of the models of a service to its engines."""
 
-from collections.abc import Iterable, Sequence
+import math
+from collections.abc import Container, Iterable, Sequence
 
 from ladder_core.timeline import Timeline
 from ladder_node.batches.engines import TrackedEngine, find_shortest_token_time
@@ -16,6 +17,9 @@
 
 # Weight of the earlier batches in the moving average of a model's demand.
 _DEMAND_DECAY = 0.7
+# The step that follows a version arrives within this time after it is named, if
+# its trainer is behind its plan.
+_STEP_ARRIVAL_SECONDS = 0.5
 # An engine that is slower than the fastest one by more than this factor is not
 # assigned a model.
 _MAX_SLOWDOWN = 2.5
@@ -41,6 +45,7 @@
         self._timeline = timeline
         self._demands: dict[str, float] = {}
         self._homes: dict[str, list[str]] = {}
+        self._named: dict[str, tuple[int, float]] = {}
 
     def add_batch(self, batch: OpenBatch) -> None:
         """Add a batch to the moving average of its model's demand."""
@@ -55,6 +60,7 @@
         engines: Sequence[TrackedEngine],
         batches: Iterable[OpenBatch],
         waiting: Sequence[OpenBatch],
+        one_version_models: Container[str],
         now: float,
     ) -> list[LoadDecision]:
         """
@@ -68,6 +74,8 @@
             The open batches of the service.
         waiting : sequence of OpenBatch
             The batch of each waiting task, the most urgent task first.
+        one_version_models : container of str
+            Models whose texts have to be made by a single version.
         now : float
             Present time in seconds, at which token times are estimated.
 
@@ -76,7 +84,32 @@
             return []
         self._assign_homes(engines, now)
         statuses = [engine.make_status() for engine in engines]
-        return plan_loads(statuses, self._list_needs(batches, waiting))
+        oldest = _find_min_versions(batches)
+        order = dict.fromkeys(batch.spec.model for batch in waiting)
+        counts = [batch.spec.model for batch in waiting]
+        needs = [
+            ModelNeed(
+                model,
+                self._versions.find(model),
+                oldest.get(model, 0),
+                counts.count(model),
+                tuple(self._homes.get(model, ())),
+                self._is_settled(model, now),
+                model not in one_version_models,
+            )
+            for model in (*order, *(self._demands.keys() - order.keys()))
+        ]
+        return plan_loads(statuses, needs)
+
+    def _is_settled(self, model: str, now: float) -> bool:
+        """Return whether the newest version was named some time ago."""
+        version = self._versions.find(model)
+        known, named_at = self._named.get(model, (0, -math.inf))
+        if known != version:
+            # The first version was there before this node ran the batches.
+            named_at = now if known else -math.inf
+            self._named[model] = (version, named_at)
+        return now - named_at >= _STEP_ARRIVAL_SECONDS
 
     def _assign_homes(
         self, engines: Sequence[TrackedEngine], now: float
@@ -103,28 +136,13 @@
                 )
         self._homes = homes
 
-    def _list_needs(
-        self,
-        batches: Iterable[OpenBatch],
-        waiting: Sequence[OpenBatch],
-    ) -> list[ModelNeed]:
-        oldest: dict[str, int] = {}
-        for batch in batches:
-            if any(
-                task.stage is Stage.waiting for task in batch.tasks.values()
-            ):
-                model = batch.spec.model
-                known = oldest.get(model, batch.spec.min_version)
-                oldest[model] = min(known, batch.spec.min_version)
-        order = dict.fromkeys(batch.spec.model for batch in waiting)
-        counts = [batch.spec.model for batch in waiting]
-        return [
-            ModelNeed(
-                model,
-                self._versions.find(model),
-                oldest.get(model, 0),
-                counts.count(model),
-                tuple(self._homes.get(model, ())),
-            )
-            for model in (*order, *(self._demands.keys() - order.keys()))
-        ]
+
+def _find_min_versions(batches: Iterable[OpenBatch]) -> dict[str, int]:
+    """Return the oldest version that the waiting tasks of each model allow."""
+    oldest: dict[str, int] = {}
+    for batch in batches:
+        if any(task.stage is Stage.waiting for task in batch.tasks.values()):
+            model = batch.spec.model
+            known = oldest.get(model, batch.spec.min_version)
+            oldest[model] = min(known, batch.spec.min_version)
+    return oldest
--- a/packages/node/ladder_node/batches/session.py
+++ b/packages/node/ladder_node/batches/session.py
@@ -228,6 +228,7 @@
                 if self._dispatcher.find_service(batch) == service
             ],
             [batch for batch, _ in left],
+            self._list_one_version_models(),
             now,
         )
         for load in loads:
@@ -242,13 +243,17 @@
         if not engine.permits(CONTROL_PRIORITY):
             return
         engine.loading = load.model
-        ends_runs = any(
-            needs_one_version(self._dispatcher.find_route(batch))
-            for batch in self._registry.batches
-            if batch.spec.model == load.model
-        )
+        ends_runs = load.model in self._list_one_version_models()
         task_group.spawn(self._loader.load(engine, load, ends_runs))
 
+    def _list_one_version_models(self) -> set[str]:
+        """Return the models with texts that one version has to make."""
+        return {
+            batch.spec.model
+            for batch in self._registry.batches
+            if needs_one_version(self._dispatcher.find_route(batch))
+        }
+
     def _update_gauges(self) -> None:
         _open_gauge.set(len(self._registry.batches))
         stages = [
--- a/packages/policy/ladder_policy/scheduling/loads.py
+++ b/packages/policy/ladder_policy/scheduling/loads.py
@@ -64,6 +64,12 @@
         Number of tasks that wait for a slot.
     homes : sequence of str
         Names of the engines that are kept at the newest version.
+    is_settled : bool
+        Whether the step that follows the newest version has had time to
+        arrive. It comes at the moment at which the version is named.
+    mixes_versions : bool
+        Whether a text may be made by several versions, so that an engine can
+        load while texts of the model run on it.
 
     """
 
@@ -72,6 +78,8 @@
     min_version: int = 0
     waiting: int = 0
     homes: Sequence[str] = ()
+    is_settled: bool = True
+    mixes_versions: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,7 +94,7 @@
     version : int
         Weight version to load.
     reason : str
-        ``idle``, ``needed`` or ``crowded``; shown on the timeline.
+        ``ahead``, ``needed`` or ``crowded``; shown on the timeline.
 
     """
 
@@ -105,12 +113,15 @@
 
     Explanation
     -----------
-    While an engine loads weights, it refuses tasks of the model for about a
-    second and pauses those that run. A home therefore loads while it runs no
-    task of the model (reason ``idle``). If tasks wait and every engine that
-    may run them is full, the load goes to an engine that has free slots and
-    is excluded only by its old version: preferably to a home (``needed``),
-    otherwise to any other engine (``crowded``).
+    For the second that an engine needs to load weights, it starts no task of
+    the model; texts that run on it go on. A home is therefore loaded while no
+    task of the model waits for a slot (reason ``ahead``), and at most half of
+    the homes at a time, so that a step that arrives meanwhile starts at once
+    on the version before, which it allows.
+
+    If tasks wait that no engine can start now, homes that are excluded by
+    their old version are loaded (``needed``), or else any other engine that
+    has free slots (``crowded``).
 
     Parameters
     ----------
@@ -125,7 +136,7 @@
     >>> busy = EngineStatus('busy', {'m': 1}, {'m': 4}, free_slots=4)
     >>> need = ModelNeed('m', 2, min_version=1, homes=['idle', 'busy'])
     >>> [load.engine for load in plan_loads([idle, busy], [need])]
-    ['idle']
+    ['busy']
     >>> need = ModelNeed('m', 2, min_version=2, waiting=3, homes=['busy'])
     >>> [load.engine for load in plan_loads([busy], [need])]
     ['busy']
@@ -156,18 +167,41 @@
         for engine in engines
         if not engine.loading
         and engine.versions.get(need.name, 0) < need.version
+        and (need.mixes_versions or not engine.running.get(need.name))
     ]
     homes = [engine for engine in behind if engine.name in need.homes]
-    idle = [engine for engine in homes if not engine.running.get(need.name)]
-    if idle and not _would_block(engines, need, idle):
-        return [_decide(engine, need, 'idle') for engine in idle]
-    if not need.waiting or _can_run(engines, need):
+    if need.waiting and not _can_run(engines, need):
+        return _plan_needed(homes, behind, need)
+    if not need.is_settled:
         return []
-    for candidates, reason in ((homes, 'needed'), (behind, 'crowded')):
-        chosen = _choose_outdated(candidates, need)
-        if chosen is not None:
-            return [_decide(chosen, need, reason)]
-    return []
+    loading = sum(engine.loading == need.name for engine in engines)
+    count = max(len(need.homes) // 2, 1) - loading
+    spare = sorted(
+        (
+            engine
+            for engine in homes
+            if not need.waiting or not engine.can_run(need)
+        ),
+        key=lambda engine: (engine.free_slots, engine.name),
+    )
+    return [_decide(engine, need, 'ahead') for engine in spare[: max(count, 0)]]
+
+
+def _plan_needed(
+    homes: Sequence[EngineStatus],
+    behind: Sequence[EngineStatus],
+    need: ModelNeed,
+) -> list[LoadDecision]:
+    """Return the loads for tasks that wait and that no engine can start."""
+    excluded = [
+        engine
+        for engine in homes
+        if engine.versions.get(need.name, 0) < need.min_version
+    ]
+    if excluded:
+        return [_decide(engine, need, 'needed') for engine in excluded]
+    chosen = _choose_outdated(behind, need)
+    return [_decide(chosen, need, 'crowded')] if chosen else []
 
 
 def _choose_outdated(
@@ -184,19 +218,6 @@
     return max(outdated, key=lambda engine: engine.free_slots, default=None)
 
 
-def _would_block(
-    engines: Sequence[EngineStatus],
-    need: ModelNeed,
-    idle: Sequence[EngineStatus],
-) -> bool:
-    """Return whether only the idle engines can run waiting tasks."""
-    if not need.waiting:
-        return False
-    names = {engine.name for engine in idle}
-    others = [engine for engine in engines if engine.name not in names]
-    return _can_run(idle, need) and not _can_run(others, need)
-
-
 def _can_run(engines: Sequence[EngineStatus], need: ModelNeed) -> bool:
     return any(engine.can_run(need) for engine in engines)
 
--- a/packages/policy/ladder_policy/scheduling/tests/test_load_patterns.py
+++ b/packages/policy/ladder_policy/scheduling/tests/test_load_patterns.py
@@ -173,10 +173,55 @@
 
 
 def test_pattern_version_named_while_runs_go_on():
-    """Busy homes keep running tasks, and load once they are idle."""
+    """Full homes keep the slots that become free for the tasks that wait."""
     busy = EngineStatus('busy', {'m': 1}, {'m': 8})
     need = ModelNeed('m', 2, min_version=1, waiting=4, homes=['busy'])
-    assert not plan_loads([busy], [need])
+    assert plan_loads([busy], [need]) == []
+
+
+def test_pattern_step_arrives_with_the_version_that_it_follows():
+    """
+    A step finds its homes open, on the version before.
+
+    A trainer that is behind submits a step as soon as it has named the version
+    that the step follows. If all homes load that version at once, none of its
+    tasks starts for a second.
+    """
+    homes = ['a', 'b']
+    engines = [EngineStatus(name, {'m': 4}, free_slots=8) for name in homes]
+    named = ModelNeed('m', 5, homes=homes, is_settled=False)
+    assert plan_loads(engines, [named]) == []
+    arrived = ModelNeed('m', 5, min_version=4, waiting=8, homes=homes)
+    assert plan_loads(engines, [arrived]) == []
+
+
+def test_pattern_step_is_placed_and_its_homes_load_one_after_the_other():
+    """Loads come when no task waits, while the texts of the step run."""
+    homes = ['a', 'b']
+    first = EngineStatus('a', {'m': 4}, {'m': 8})
+    second = EngineStatus('b', {'m': 4}, {'m': 5}, free_slots=3)
+    need = ModelNeed('m', 5, min_version=4, homes=homes)
+    loads = plan_loads([first, second], [need])
+    assert [(load.engine, load.reason) for load in loads] == [('a', 'ahead')]
+    loading = EngineStatus('a', {'m': 4}, {'m': 8}, loading='m')
+    assert plan_loads([loading, second], [need]) == []
+
+
+def test_pattern_all_homes_are_too_old_for_the_step_that_waits():
+    """Homes that can't start its tasks anyway load at once, not in turn."""
+    engines = [
+        EngineStatus(name, {'m': 3}, {'m': 2}, free_slots=6) for name in 'ab'
+    ]
+    others = [EngineStatus(name, {}, free_slots=8) for name in 'cde']
+    need = ModelNeed('m', 5, min_version=4, waiting=32, homes=['a', 'b'])
+    loads = plan_loads([*engines, *others], [need])
+    assert {load.engine for load in loads} == {'a', 'b'}
+
+
+def test_pattern_texts_of_one_version_are_not_loaded_under():
+    busy = EngineStatus('busy', {'m': 4}, {'m': 2}, free_slots=6)
+    need = ModelNeed('m', 5, homes=['busy'], mixes_versions=False)
+    assert plan_loads([busy], [need]) == []
 
 
 def test_pattern_step_that_allows_the_last_version_keeps_one_engine_open():
