Log which services a host has lost its own path to

A host that lost its paths to all replicas left no line that said so: its heartbeats went on, and each replica looked as if it had failed by itself.

Each host now observes its attempts at connections to replicas, which have a pool of their own. Two replicas of a service that can't be reached start a comparison with other nodes; the path counts as lost only if one of these reaches them. Probes are made only in doubt, and once each 0.6 s while a path is lost. Nothing decides by it yet; the rows of members carry the lost services.

--- a/packages/clients/ladder_clients/exchanges/__init__.py
+++ b/packages/clients/ladder_clients/exchanges/__init__.py
@@ -14,12 +14,14 @@
     Timeouts,
     find_header,
 )
+from ladder_clients.exchanges.observer import ConnectionObserver
 from ladder_clients.exchanges.pending import PendingExchanges
 from ladder_clients.exchanges.pool import ConnectionPool, PoolLimits
 from ladder_clients.exchanges.responses import StreamedResponse
 
 __all__ = (
     'AbandonedError',
+    'ConnectionObserver',
     'ConnectionPool',
     'Header',
     'StreamedResponse',
--- a/packages/clients/ladder_clients/exchanges/connection.py
+++ b/packages/clients/ladder_clients/exchanges/connection.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import cast
 
 import h11
@@ -15,6 +16,7 @@
 from ladder_clients.exchanges.errors import (
     SilentConnectionError,
     TransportBrokenError,
+    TransportError,
 )
 from ladder_clients.exchanges.messages import OutgoingRequest
 
@@ -34,6 +36,17 @@
     ----------
     address : str
         ``ip:port`` of the peer.
+    read_clock : callable
+        Returns the time in seconds by which silences are measured.
+    on_broken : callable
+        Called if the connection ends with an error, or during an exchange.
+
+    Attributes
+    ----------
+    requested_at : float
+        Time at which the latest request was written.
+    received_at : float
+        Time at which bytes were received last, or of the connection itself.
 
     Notes
     -----
@@ -43,10 +56,20 @@
 
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self,
+        address: str,
+        read_clock: Callable[[], float],
+        on_broken: Callable[[str], None],
+    ) -> None:
         self.address = address
+        self.requested_at = read_clock()
+        self.received_at = self.requested_at
         self.expires_at: float = 0
         self.has_served = False
+        self._read_clock = read_clock
+        self._on_broken = on_broken
+        self._failure: TransportError | None = None
         self._transport: asyncio.Transport | None = None
         self._http = h11.Connection(h11.CLIENT)
         self._wakeup = asyncio.Event()
@@ -60,15 +83,24 @@
         """Whether the connection is open and no exchange is in flight."""
         return not self._is_closed and self._is_idle
 
+    @property
+    def silent_since(self) -> float | None:
+        """Time from which an exchange waits for bytes; None without one."""
+        if self._is_idle or self._is_closed:
+            return None
+        return max(self.requested_at, self.received_at)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the new connection."""
         self._transport = cast('asyncio.Transport', transport)
+        self.received_at = self._read_clock()
 
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes; close the connection if it is idle."""
         if self._is_idle:
             self.abort()
             return
+        self.received_at = self._read_clock()
         self._received += data
         if len(self._received) > _MAX_BUFFERED_BYTES and self._transport:
             self._transport.pause_reading()
@@ -80,9 +112,12 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the error, and wake the exchange that waits for bytes."""
+        is_cut = not self._is_idle and not self._is_closed
         self._is_closed = True
         self._error = exc
         self._wakeup.set()
+        if is_cut or exc is not None:
+            self._on_broken(self.address)
 
     def send(self, request: OutgoingRequest) -> None:
         """
@@ -105,6 +140,7 @@
                 remedy='send the request over another connection',
             )
         self._is_idle = False
+        self.requested_at = self._read_clock()
         headers = [
             *request.headers,
             (b'Content-Length', str(len(request.body)).encode()),
@@ -143,8 +179,12 @@
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
-                raise self._make_broken_error('it closed without an answer')
-        raise self._make_broken_error('interim responses came without end')
+                raise _make_broken_error(
+                    self.address, 'it closed without an answer'
+                )
+        raise _make_broken_error(
+            self.address, 'interim responses came without end'
+        )
 
     async def read_chunk(self, read_seconds: float) -> bytes:
         """
@@ -167,7 +207,7 @@
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             return b''
-        raise self._make_broken_error('the answer was cut')
+        raise _make_broken_error(self.address, 'the answer was cut')
 
     def finish_exchange(self) -> bool:
         """
@@ -189,8 +229,17 @@
         self._is_idle = True
         return True
 
-    def abort(self) -> None:
-        """Close the connection at once; unsent and unread bytes are lost."""
+    def abort(self, error: TransportError | None = None) -> None:
+        """
+        Close the connection at once; unsent and unread bytes are lost.
+
+        Parameters
+        ----------
+        error : TransportError, optional
+            Ends the exchange in flight, after the bytes received before.
+
+        """
+        self._failure = error
         self._is_closed = True
         if self._transport is not None:
             self._transport.abort()
@@ -203,7 +252,7 @@
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
-                raise self._make_broken_error(str(error)) from error
+                raise _make_broken_error(self.address, str(error)) from error
             if event is not h11.NEED_DATA:
                 return cast('h11.Event', event)
             await self._receive(read_seconds)
@@ -212,16 +261,20 @@
         """Pass received bytes to the parser; wait if there are none."""
         if not self._received and not self._is_closed:
             await self._wait(read_seconds)
-        if self._received:
-            received = bytes(self._received)
-            self._received.clear()
-            if self._transport is not None and not self._is_closed:
-                self._transport.resume_reading()
-            self._http.receive_data(received)
-        elif self._error is not None:
-            raise self._make_broken_error(repr(self._error))
-        else:
-            self._http.receive_data(b'')
+        if not self._received:
+            self._raise_failure()
+        received = bytes(self._received)
+        self._received.clear()
+        if self._transport is not None and not self._is_closed:
+            self._transport.resume_reading()
+        self._http.receive_data(received)
+
+    def _raise_failure(self) -> None:
+        """Raise the error of a connection that failed, if it did."""
+        if self._failure is not None:
+            raise self._failure
+        if self._error is not None:
+            raise _make_broken_error(self.address, repr(self._error))
 
     async def _wait(self, read_seconds: float) -> None:
         self._wakeup.clear()
@@ -234,8 +287,8 @@
                 remedy=_REMEDY,
             ) from error
 
-    def _make_broken_error(self, reason: str) -> TransportBrokenError:
-        return TransportBrokenError(
-            f'{self.address}: connection broke: {reason}',
-            remedy=_REMEDY,
-        )
+
+def _make_broken_error(address: str, reason: str) -> TransportBrokenError:
+    return TransportBrokenError(
+        f'{address}: connection broke: {reason}', remedy=_REMEDY
+    )
--- a/packages/clients/ladder_clients/exchanges/pool.py
+++ b/packages/clients/ladder_clients/exchanges/pool.py
@@ -19,9 +19,8 @@
 import asyncio
 import contextlib
 import re
-import socket
 from collections import defaultdict
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Collection, Mapping
 from dataclasses import dataclass
 
 from prometheus_client import Counter, Gauge
@@ -32,6 +31,8 @@
     UnreachableError,
 )
 from ladder_clients.exchanges.messages import OutgoingRequest, Timeouts
+from ladder_clients.exchanges.observer import ConnectionObserver
+from ladder_clients.exchanges.opener import ConnectionOpener
 from ladder_clients.exchanges.responses import StreamedResponse
 from ladder_core.errors import OverloadedError
 from ladder_core.supervision import Component
@@ -41,10 +42,6 @@
 _SWEEP_INTERVAL_SECONDS = 1
 _RETRY_AFTER_SECONDS = 0.2
 
-_opened_counter = Counter(
-    'ladder_connections_opened_total',
-    'Connections made to targets and to the platform',
-)
 _reused_counter = Counter(
     'ladder_connections_reused_total',
     'Exchanges that went over a kept connection',
@@ -104,6 +101,7 @@
         self._limits = limits or PoolLimits()
         self._idle: dict[str, list[PersistentConnection]] = defaultdict(list)
         self._busy: dict[str, set[PersistentConnection]] = defaultdict(set)
+        self._opener = ConnectionOpener(self._limits.dead_path_seconds)
         self._periodic_call: PeriodicCall | None = None
 
     async def start(self) -> None:
@@ -124,6 +122,14 @@
         self._idle.clear()
         self._busy.clear()
 
+    def add_observer(self, observer: ConnectionObserver) -> None:
+        """Register an observer that is told of each new connection."""
+        self._opener.add_observer(observer)
+
+    def list_connections(self, address: str) -> list[PersistentConnection]:
+        """Return the open connections to an address."""
+        return [*self._idle.get(address, ()), *self._busy.get(address, ())]
+
     def count_idle(self, address: str) -> int:
         """Return the number of idle connections that can be reused now."""
         self._close_expired(address)
@@ -134,6 +140,15 @@
         for connection in self._idle.pop(address, ()):
             connection.abort()
 
+    async def probe(self, address: str, connect_seconds: float) -> bool:
+        """Return whether a connection can be made; it is kept for later use."""
+        try:
+            connection = await self._open(address, connect_seconds)
+        except (UnreachableError, OverloadedError):
+            return False
+        self._add_idle(connection, self._limits.idle_seconds)
+        return True
+
     @contextlib.asynccontextmanager
     async def exchange(
         self,
@@ -199,12 +214,12 @@
             connection = self._idle[address].pop()
             _reused_counter.inc()
         else:
-            connection = await self._open(address, timeouts)
+            connection = await self._open(address, timeouts.connect_seconds)
         self._busy[address].add(connection)
         return connection
 
     async def _open(
-        self, address: str, timeouts: Timeouts
+        self, address: str, connect_seconds: float
     ) -> PersistentConnection:
         count = len(self._idle[address]) + len(self._busy[address])
         if count >= self._limits.max_per_address:
@@ -213,43 +228,23 @@
                 remedy='send the request to another target',
                 retry_after=_RETRY_AFTER_SECONDS,
             )
-        host, _, port = address.rpartition(':')
-        loop = asyncio.get_running_loop()
         # The connection counts towards the limit while it is being made.
-        connection = PersistentConnection(address)
+        connection = PersistentConnection(
+            address, self._timers.now, self._opener.record_broken
+        )
         self._busy[address].add(connection)
         try:
-            async with asyncio.timeout(timeouts.connect_seconds):
-                transport, _ = await loop.create_connection(
-                    lambda: connection,
-                    host,
-                    int(port),
-                )
-        except (OSError, TimeoutError) as error:
-            raise UnreachableError(
-                f'{address}: no connection: {error!r}',
-                remedy='check that the host is up; try another one',
-            ) from error
+            await self._opener.open(connection, connect_seconds)
         finally:
             self._busy[address].discard(connection)
-        self._set_socket_options(transport.get_extra_info('socket'))
-        _opened_counter.inc()
         return connection
 
-    def _set_socket_options(self, opened: socket.socket) -> None:
-        opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        opened.setsockopt(
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            int(self._limits.dead_path_seconds * 1000),
-        )
-
     def _release(self, connection: PersistentConnection) -> None:
         """End the use of a connection; close it unless it became idle."""
         self._busy[connection.address].discard(connection)
         if connection not in self._idle[connection.address]:
             connection.abort()
-        self._update_gauge()
+        _update_gauge(self._idle, self._busy)
 
     def _keep(
         self, connection: PersistentConnection, response: StreamedResponse
@@ -262,6 +257,11 @@
         idle_seconds = (
             float(announced[1]) if announced else self._limits.idle_seconds
         )
+        self._add_idle(connection, idle_seconds)
+
+    def _add_idle(
+        self, connection: PersistentConnection, idle_seconds: float
+    ) -> None:
         keep_seconds = max(
             idle_seconds - self._limits.margin_seconds, idle_seconds / 2
         )
@@ -286,11 +286,7 @@
         for address in tuple(self._busy):
             if not self._busy[address]:
                 self._busy.pop(address)
-        self._update_gauge()
-
-    def _update_gauge(self) -> None:
-        groups = (*self._idle.values(), *self._busy.values())
-        _open_gauge.set(sum(len(group) for group in groups))
+        _update_gauge(self._idle, self._busy)
 
 
 async def _send(
@@ -314,3 +310,15 @@
         (bytes(name), bytes(text)) for name, text in head.headers.raw_items()
     )
     return StreamedResponse(connection, head.status_code, headers, timeouts)
+
+
+def _update_gauge(
+    *groups: Mapping[str, Collection[PersistentConnection]],
+) -> None:
+    _open_gauge.set(
+        sum(
+            len(connections)
+            for group in groups
+            for connections in group.values()
+        )
+    )
--- a/packages/node/ladder_node/members/membership.py
+++ b/packages/node/ladder_node/members/membership.py
@@ -112,6 +112,11 @@
         self._next_heartbeat_at = 0
         await self.send_heartbeat()
 
+    def publish_lost_services(self, services: tuple[str, ...]) -> None:
+        """Publish the services whose path is lost with the next heartbeat."""
+        self._own = msgspec.structs.replace(self._own, lost_services=services)
+        self._next_heartbeat_at = 0
+
     async def send_heartbeat(self) -> None:
         """Write the row of this node and read those of all nodes, when due."""
         now = self._timers.now()
--- a/packages/node/ladder_node/members/rows.py
+++ b/packages/node/ladder_node/members/rows.py
@@ -37,6 +37,8 @@
     service_wrote_at : int or None
         Time of the heartbeat in milliseconds, by the clock of the table
         service; None if the node did not know it.
+    lost_services : tuple of str
+        Services that other nodes reach and this one doesn't.
 
     """
 
@@ -51,6 +53,7 @@
     peer_address: str = ''
     capacity: float = 1
     service_wrote_at: int | None = None
+    lost_services: tuple[str, ...] = ()
 
 
 def decode_member(row: Row) -> Member:
--- a/packages/node/ladder_node/peer_calls/app.py
+++ b/packages/node/ladder_node/peer_calls/app.py
@@ -1,6 +1,7 @@
 """Calls from other nodes."""
 
-from collections.abc import Callable
+import inspect
+from collections.abc import Awaitable, Callable
 from typing import Generic, TypeVar
 
 import msgspec
@@ -25,14 +26,16 @@
     message_type : type
         Type of the messages.
     handle : callable
-        Returns the reply to a message.
+        Returns the reply to a message, or an awaitable of it.
 
     """
 
     def __init__(
         self,
         message_type: type[_Message],
-        handle: Callable[[_Message], msgspec.Struct],
+        handle: Callable[
+            [_Message], msgspec.Struct | Awaitable[msgspec.Struct]
+        ],
     ) -> None:
         self._message_type = message_type
         self._handle = handle
@@ -48,6 +51,8 @@
             logger.warning('call of a node not understood: {}', error)
             response = Response(status_code=_BAD_REQUEST_STATUS)
         else:
-            reply = msgspec.msgpack.encode(self._handle(message))
-            response = Response(reply, _OK_STATUS)
+            reply = self._handle(message)
+            if inspect.isawaitable(reply):
+                reply = await reply
+            response = Response(msgspec.msgpack.encode(reply), _OK_STATUS)
         await response(scope, receive, send)
--- a/packages/node/ladder_node/peer_calls/sender.py
+++ b/packages/node/ladder_node/peer_calls/sender.py
@@ -48,18 +48,29 @@
         Path of the calls.
     reply_type : type
         Type of the replies.
+    timeout_seconds : float, optional
+        Time limit of a call.
 
     """
 
     def __init__(
-        self, caller: PeerCaller, path: str, reply_type: type[_Reply]
+        self,
+        caller: PeerCaller,
+        path: str,
+        reply_type: type[_Reply],
+        timeout_seconds: float = _TIMEOUT_SECONDS,
     ) -> None:
         self._caller = caller
         self._path = path
         self._reply_type = reply_type
+        self._timeout_seconds = timeout_seconds
 
     async def send(self, address: str, message: _Message) -> _Reply | None:
         """Send a message, and return the reply."""
         return await self._caller.call(
-            address, self._path, message, self._reply_type, _TIMEOUT_SECONDS
+            address,
+            self._path,
+            message,
+            self._reply_type,
+            self._timeout_seconds,
         )
--- /dev/null
+++ b/packages/node/ladder_node/replica_paths/comparer.py
@@ -0,0 +1,97 @@
+"""Compare the replicas that this node reaches with those of other nodes."""
+
+import asyncio
+
+from ladder_clients.exchanges import ConnectionPool
+from ladder_node.replica_paths.messages import (
+    PathQuestion,
+    PathReply,
+    PathSender,
+)
+from ladder_node.replica_paths.relays import RelayDirectory
+from ladder_node.replicas import ReplicaRegistry
+from ladder_policy.routing import RelayCandidate
+
+_CONNECT_SECONDS = 0.3
+_ASKED_NODES = 4
+_MAX_REPLICAS = 4
+
+
+class PathComparer:
+    """
+    Ask other nodes which replicas they reach, and answer such questions.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+        Connections to replicas.
+    registry : ReplicaRegistry
+        Replicas that this node knows; no others are tried.
+    relays : RelayDirectory
+        Nodes that are asked.
+    sender : PathSender
+        Sends the questions.
+
+    """
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        registry: ReplicaRegistry,
+        relays: RelayDirectory,
+        sender: PathSender,
+    ) -> None:
+        self._pool = pool
+        self._registry = registry
+        self._relays = relays
+        self._sender = sender
+
+    async def find_reached(
+        self, service: str, replicas: tuple[str, ...]
+    ) -> set[str]:
+        """
+        Return those of some replicas that another node reaches.
+
+        The first node that reaches any of them decides.
+        """
+        nodes = self._relays.list_relays(service)[:_ASKED_NODES]
+        question = PathQuestion(replicas[:_MAX_REPLICAS])
+        questions = [
+            asyncio.ensure_future(self._ask(node, question)) for node in nodes
+        ]
+        try:
+            for reply in asyncio.as_completed(questions):
+                reached = await reply
+                if reached:
+                    return set(reached)
+        finally:
+            for asked in questions:
+                asked.cancel()
+        return set()
+
+    async def answer(self, question: PathQuestion) -> PathReply:
+        """Return which replicas this node reaches, to another node."""
+        records = [
+            record
+            for name in question.replicas[:_MAX_REPLICAS]
+            if (record := self._registry.find(name)) is not None
+        ]
+        reached = await asyncio.gather(
+            *(
+                self._pool.probe(record.replica.address, _CONNECT_SECONDS)
+                for record in records
+            )
+        )
+        found = zip(records, reached, strict=True)
+        return PathReply(
+            tuple(record.name for record, is_reached in found if is_reached)
+        )
+
+    async def _ask(
+        self, node: RelayCandidate, question: PathQuestion
+    ) -> tuple[str, ...]:
+        reply = await self._sender.send(node.address, question)
+        if reply is None or not reply.reached:
+            self._relays.record_failure(node.name)
+            return ()
+        return reply.reached
--- /dev/null
+++ b/packages/node/ladder_node/replica_paths/prober.py
@@ -0,0 +1,117 @@
+"""Probes of the paths to replicas by new connections."""
+
+import asyncio
+from collections.abc import Sequence
+
+from ladder_clients.exchanges import ConnectionPool
+from ladder_core.timers import TimerService
+
+# Time without a byte from any replica of a service, while an answer is waited
+# for, after which the path is in doubt.
+_SILENCE_SECONDS = 0.4
+_CONNECT_SECONDS = 0.3
+_INTERVAL_SECONDS = 0.6
+# Pause after a probe that found the path sound.
+_SOUND_INTERVAL_SECONDS = 2
+
+
+class PathProber:
+    """
+    Make connections to replicas to find out whether they are reachable.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+        Connections to replicas; those that are made are kept for requests.
+    timers : TimerService
+        Clock of silences and pauses.
+
+    """
+
+    def __init__(self, pool: ConnectionPool, timers: TimerService) -> None:
+        self._pool = pool
+        self._timers = timers
+        self._next_at: dict[str, float] = {}
+        self._suspected: set[str] = set()
+        self._probes = 0
+
+    def is_due(self, service: str) -> bool:
+        """Return whether the pause after the last probe is over."""
+        return self._timers.now() >= self._next_at.get(service, 0)
+
+    def suspect(self, service: str) -> None:
+        """Let the path be probed unless a replica sends something now."""
+        self._suspected.add(service)
+
+    def is_in_doubt(
+        self, service: str, addresses: Sequence[str], is_lost_elsewhere: bool
+    ) -> bool:
+        """
+        Return whether the path to a service should be probed.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        addresses : sequence of str
+            ``ip:port`` of its replicas.
+        is_lost_elsewhere : bool
+            Whether another node has lost its path to the service.
+
+        Returns
+        -------
+        bool
+            True if no replica has sent a byte for a while, and an answer is
+            overdue, a connection broke, or another node has lost its path.
+
+        """
+        limit = self._timers.now() - _SILENCE_SECONDS
+        connections = [
+            connection
+            for address in addresses
+            for connection in self._pool.list_connections(address)
+        ]
+        if any(connection.received_at > limit for connection in connections):
+            self._suspected.discard(service)
+            return False
+        is_suspected = service in self._suspected or is_lost_elsewhere
+        return is_suspected or any(
+            connection.silent_since is not None
+            and connection.silent_since <= limit
+            for connection in connections
+        )
+
+    async def probe(
+        self, service: str, addresses: Sequence[str], count: int
+    ) -> None:
+        """
+        Probe some replicas of a service, other ones each time.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        addresses : sequence of str
+            ``ip:port`` of its replicas, at least one.
+        count : int
+            Number of replicas to probe at once.
+
+        """
+        first = self._probes
+        self._probes += count
+        chosen = {
+            addresses[(first + offset) % len(addresses)]
+            for offset in range(count)
+        }
+        self._next_at[service] = self._timers.now() + _INTERVAL_SECONDS
+        self._suspected.discard(service)
+        reached = await asyncio.gather(
+            *(
+                self._pool.probe(address, _CONNECT_SECONDS)
+                for address in sorted(chosen)
+            )
+        )
+        if any(reached):
+            self._next_at[service] = (
+                self._timers.now() + _SOUND_INTERVAL_SECONDS
+            )
--- /dev/null
+++ b/packages/node/ladder_node/replica_paths/relays.py
@@ -0,0 +1,92 @@
+"""The other nodes through which this one can reach replicas."""
+
+from collections.abc import Callable, Sequence
+
+from ladder_core.timers import TimerService
+from ladder_node.members import Member
+from ladder_policy.routing import RelayCandidate, order_relays
+
+# Time for which a node that could not relay comes last.
+_FAILED_SECONDS = 2
+_SAME_REGION_DISTANCE = 1
+_OTHER_REGION_DISTANCE = 2
+
+
+class RelayDirectory:
+    """
+    List the nodes through which a service may be reached.
+
+    Parameters
+    ----------
+    own : Member
+        This node.
+    list_members : callable
+        Returns the live nodes.
+    timers : TimerService
+        Clock by which failures are forgotten.
+
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        list_members: Callable[[], Sequence[Member]],
+        timers: TimerService,
+    ) -> None:
+        self._own = own
+        self._list_members = list_members
+        self._timers = timers
+        self._failed_at: dict[str, float] = {}
+
+    def list_relays(self, service: str) -> list[RelayCandidate]:
+        """Return the nodes that may reach a service, the best first."""
+        now = self._timers.now()
+        self._failed_at = {
+            name: failed_at
+            for name, failed_at in self._failed_at.items()
+            if now - failed_at < _FAILED_SECONDS
+        }
+        return order_relays(
+            self._own.name,
+            (
+                self._describe(member)
+                for member in self._list_others()
+                if service not in member.lost_services
+                and not member.is_leaving
+                and member.peer_address
+            ),
+        )
+
+    def list_services_lost_elsewhere(self) -> set[str]:
+        """Return the services that another node has lost its path to."""
+        return {
+            service
+            for member in self._list_others()
+            for service in member.lost_services
+        }
+
+    def record_failure(self, name: str) -> None:
+        """Record that a node does not reach a replica either, or is busy."""
+        self._failed_at[name] = self._timers.now()
+
+    def _list_others(self) -> list[Member]:
+        return [
+            member
+            for member in self._list_members()
+            if member.name != self._own.name
+        ]
+
+    def _describe(self, member: Member) -> RelayCandidate:
+        distance = _OTHER_REGION_DISTANCE
+        if member.data_centre == self._own.data_centre:
+            distance = 0
+        elif member.region == self._own.region:
+            distance = _SAME_REGION_DISTANCE
+        return RelayCandidate(
+            member.name,
+            member.peer_address,
+            distance,
+            member.data_centre,
+            member.capacity,
+            member.name in self._failed_at,
+        )
--- /dev/null
+++ b/packages/node/ladder_node/replica_paths/tests/test_paths.py
@@ -0,0 +1,131 @@
+"""
+Guards against a host that doesn't notice that it lost its path to all replicas.
+
+Its heartbeats go on meanwhile, so nothing else tells. The bounds are the
+target: a cut and its end are known within two seconds.
+"""
+
+import asyncio
+import contextlib
+import time
+
+import pytest
+
+from ladder_clients.exchanges import OutgoingRequest, Timeouts, TransportError
+from ladder_node.replica_paths.tests.fleet import (
+    SERVICES,
+    PathFleet,
+)
+from ladder_standins.tcp_proxy import PathLoss
+
+BOUND_SECONDS = 2
+GET = OutgoingRequest(b'GET', b'/', ((b'Host', b'pub'),))
+
+
+@pytest.fixture
+async def fleet():
+    made = PathFleet(4)
+    await made.start()
+    yield made
+    await made.close()
+
+
+async def cut(node, form, services=SERVICES):
+    """Lose the paths of a node to the replicas of some services."""
+    for proxy, replica in zip(node.proxies, node.list_replicas(), strict=True):
+        if replica.service in services:
+            await proxy.strand(form)
+
+
+async def restore(node):
+    for proxy in node.proxies:
+        await proxy.restore_path()
+
+
+async def send(node, number):
+    """Send a request to a replica, which is not answered during a cut."""
+    with contextlib.suppress(TransportError):
+        async with node.pool.exchange(
+            node.proxies[number].address, GET, Timeouts(3, 3, 0.3)
+        ) as response:
+            await response.read()
+
+
+async def send_to_all(node):
+    await asyncio.gather(*(send(node, n) for n in range(len(node.proxies))))
+
+
+async def wait_until(condition):
+    """Return the seconds until a condition holds."""
+    began_at = time.monotonic()
+    while not condition():
+        await asyncio.sleep(0.02)
+        assert time.monotonic() - began_at < 3 * BOUND_SECONDS
+    return time.monotonic() - began_at
+
+
+@pytest.mark.parametrize('form', PathLoss)
+async def test_a_host_knows_that_it_lost_its_path_and_that_it_is_back(
+    fleet, form
+):
+    node = fleet.nodes['a0']
+    await send_to_all(node)
+    await cut(node, form)
+    requests = asyncio.ensure_future(send_to_all(node))
+    if form is PathLoss.refuse:
+        # Kept connections live on, so only a new one shows the cut.
+        await asyncio.gather(
+            *(node.pool.probe(proxy.address, 0.3) for proxy in node.proxies)
+        )
+    seconds = await wait_until(
+        lambda: node.paths.list_lost() == tuple(sorted(SERVICES))
+    )
+    assert seconds < BOUND_SECONDS
+    await restore(node)
+    assert await wait_until(lambda: not node.paths.list_lost()) < BOUND_SECONDS
+    assert node.list_kinds().count('path-lost') == len(SERVICES)
+    assert node.list_kinds().count('path-regained') == len(SERVICES)
+    await requests
+
+
+async def test_a_quiet_host_checks_its_path_when_another_one_lost_its_own(
+    fleet,
+):
+    busy, quiet = fleet.nodes['a0'], fleet.nodes['b1']
+    await cut(busy, PathLoss.hang)
+    await cut(quiet, PathLoss.hang)
+    requests = asyncio.ensure_future(send_to_all(busy))
+    seconds = await wait_until(
+        lambda: quiet.paths.list_lost() == tuple(sorted(SERVICES))
+    )
+    assert seconds < 2 * BOUND_SECONDS
+    await requests
+
+
+async def test_a_service_that_is_down_for_all_means_no_lost_path(fleet):
+    for node in fleet.nodes.values():
+        await cut(node, PathLoss.reset, SERVICES[:1])
+    await asyncio.gather(*(send_to_all(node) for node in fleet.nodes.values()))
+    await asyncio.sleep(0.5)
+    for node in fleet.nodes.values():
+        assert 'path-compared' in node.list_kinds()
+        assert not node.paths.list_lost()
+
+
+async def test_a_host_that_is_cut_from_one_service_lost_only_this_path(fleet):
+    node = fleet.nodes['a0']
+    await cut(node, PathLoss.hang, SERVICES[:1])
+    requests = asyncio.ensure_future(send_to_all(node))
+    await wait_until(lambda: node.paths.list_lost() == SERVICES[:1])
+    await requests
+    assert node.paths.list_lost() == SERVICES[:1]
+
+
+async def test_sound_paths_are_not_probed(fleet):
+    node = fleet.nodes['a0']
+    for _ in range(20):
+        await send_to_all(node)
+        await asyncio.sleep(0.05)
+    assert sum(target.connections for target in fleet.targets) == len(
+        fleet.targets
+    )
--- a/packages/node/ladder_node/replicas/addresses.py
+++ b/packages/node/ladder_node/replicas/addresses.py
@@ -27,9 +27,9 @@
         if not records:
             self._records.pop(record.replica.address)
 
-    def find_latest(self, address: str) -> ReplicaRecord:
-        """Return the process at an address that started last."""
-        return max(self._records[address], key=_get_start)
+    def find_latest(self, address: str) -> ReplicaRecord | None:
+        """Return the process at an address that started last, or None."""
+        return max(self._records.get(address, ()), key=_get_start, default=None)
 
     def list_earlier(self, latest: ReplicaRecord) -> list[ReplicaRecord]:
         """Return the processes at the same address that started before."""
--- a/packages/node/ladder_node/replicas/registry.py
+++ b/packages/node/ladder_node/replicas/registry.py
@@ -64,6 +64,10 @@
         """Return the record of a replica, or None if it is not listed."""
         return self._records.get(name)
 
+    def find_at(self, address: str) -> ReplicaRecord | None:
+        """Return the latest process that is listed at an address, or None."""
+        return self._addresses.find_latest(address)
+
     def list_all(self) -> list[ReplicaRecord]:
         """Return the records of all replicas."""
         self._drop_missing()
@@ -134,7 +138,7 @@
             self._add(replica)
         else:
             if replica.is_leaving and not record.replica.is_leaving:
-                self._record_event('replica-leaving', replica)
+                _record_event(self._timeline, 'replica-leaving', replica)
             record.replica = replica
         self._records[replica.name].listed_at = self._timers.now()
         _replicas_gauge.set(len(self._records))
@@ -148,15 +152,21 @@
         record = ReplicaRecord(replica)
         self._records[replica.name] = record
         self._addresses.add(record)
-        self._record_event(
-            'replica-listed', replica, software=replica.software_id
+        _record_event(
+            self._timeline,
+            'replica-listed',
+            replica,
+            software=replica.software_id,
         )
-        latest = self._addresses.find_latest(replica.address)
+        latest = self._addresses.find_latest(replica.address) or record
         for earlier in self._addresses.list_earlier(latest):
             if not earlier.has_ended:
                 earlier.record_end()
-                self._record_event(
-                    'replica-superseded', earlier.replica, by=latest.name
+                _record_event(
+                    self._timeline,
+                    'replica-superseded',
+                    earlier.replica,
+                    by=latest.name,
                 )
 
     def _remove(self, name: str) -> None:
@@ -164,7 +174,7 @@
         record = self._records.pop(name, None)
         if record is not None:
             self._addresses.discard(record)
-            self._record_event('replica-gone', record.replica)
+            _record_event(self._timeline, 'replica-gone', record.replica)
         _replicas_gauge.set(len(self._records))
 
     def _drop_missing(self) -> None:
@@ -173,17 +183,6 @@
             if now >= until:
                 self._remove(name)
 
-    def _record_event(
-        self, kind: str, replica: Replica, **details: str
-    ) -> None:
-        self._timeline.record(
-            kind,
-            replica.name,
-            service=replica.service,
-            address=replica.address,
-            **details,
-        )
-
     def _notify(self) -> None:
         for listener in self._listeners:
             listener()
@@ -196,3 +195,15 @@
         or known.software_version != replica.software_version
         or known.service != replica.service
     )
+
+
+def _record_event(
+    timeline: Timeline, kind: str, replica: Replica, **details: str
+) -> None:
+    timeline.record(
+        kind,
+        replica.name,
+        service=replica.service,
+        address=replica.address,
+        **details,
+    )
--- a/packages/policy/ladder_policy/routing/__init__.py
+++ b/packages/policy/ladder_policy/routing/__init__.py
@@ -10,7 +10,9 @@
 from ladder_policy.routing.least_loaded import LeastLoadedChooser
 from ladder_policy.routing.prefix import PrefixAffinityChooser
 from ladder_policy.routing.relay_switch import RelaySwitch
+from ladder_policy.routing.relays import RelayCandidate, order_relays
 from ladder_policy.routing.round_robin import RoundRobinChooser
+from ladder_policy.routing.service_path import ServicePath
 from ladder_policy.routing.success_rate import SuccessRate
 
 __all__ = (
@@ -19,10 +21,13 @@
     'ForwardCandidate',
     'LeastLoadedChooser',
     'PrefixAffinityChooser',
+    'RelayCandidate',
     'RelaySwitch',
     'RoundRobinChooser',
+    'ServicePath',
     'SuccessRate',
     'TargetChooser',
     'TargetCircuitBreaker',
     'choose_forward_target',
+    'order_relays',
 )
--- a/standins/ladder_standins/tcp_proxy.py
+++ b/standins/ladder_standins/tcp_proxy.py
@@ -2,11 +2,68 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
+from enum import StrEnum, auto
 
 from ladder_core.supervision import Component
 from ladder_standins.fleet.ports import find_free_ports
 
 _CHUNK_BYTES = 65_536
+# More than a queue of length zero accepts.
+_QUEUE_FILLERS = 4
+# Lets a close reset the connection.
+_RESET = struct.pack('ii', 1, 0)
+
+
+class PathLoss(StrEnum):
+    """
+    Form in which a host loses its path to a target.
+
+    Attributes
+    ----------
+    hang
+        Open connections fall silent, and new ones get no answer.
+    reset
+        Open connections are reset, and new ones refused.
+    refuse
+        Open connections live on, and new ones are refused.
+
+    """
+
+    hang = auto()
+    reset = auto()
+    refuse = auto()
+
+
+class SilentListener:
+    """
+    Socket whose queue is full, so that connections to it are never made.
+
+    Parameters
+    ----------
+    port : int
+        Port of the loopback address.
+
+    """
+
+    def __init__(self, port: int) -> None:
+        address = ('127.0.0.1', port)
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(address)
+        listener.listen(0)
+        self._sockets = [listener]
+        for _ in range(_QUEUE_FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(address)
+            self._sockets.append(filler)
+
+    def close(self) -> None:
+        """Close the socket; connections that wait for it are reset."""
+        for opened in self._sockets:
+            opened.close()
 
 
 class _ProxiedConnection:
@@ -44,6 +101,12 @@
         if not self.is_silent:
             writer.close()
 
+    def reset(self) -> None:
+        """Reset the connection to the caller, and abort the other one."""
+        opened = self._caller.get_extra_info('socket')
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        self.cut()
+
     def cut(self) -> None:
         """Abort the connections to caller and target at once."""
         self._caller.transport.abort()
@@ -67,6 +130,7 @@
         self._connections: set[_ProxiedConnection] = set()
         self._is_refusing = False
         self._server: asyncio.Server | None = None
+        self._silent_listener: SilentListener | None = None
 
     @property
     def address(self) -> str:
@@ -87,12 +151,33 @@
         if self._server is not None:
             self._server.close()
             self._server = None
+        self._close_silent_listener()
 
     def silence_open_connections(self) -> None:
         """Silence all open connections permanently; new connections work."""
         for connection in self._connections:
             connection.is_silent = True
 
+    async def strand(self, form: PathLoss) -> None:
+        """Lose the path to the target until `restore_path`."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        if form is PathLoss.hang:
+            self._silent_listener = SilentListener(self._port)
+            self.silence_open_connections()
+        if form is PathLoss.reset:
+            self._is_refusing = True
+            for connection in tuple(self._connections):
+                connection.reset()
+
+    async def restore_path(self) -> None:
+        """Accept connections again, and forward them."""
+        self.restore()
+        self._close_silent_listener()
+        if self._server is None:
+            await self.start()
+
     def cut(self) -> None:
         """Cut all connections and refuse new ones until `restore`."""
         self._is_refusing = True
@@ -103,6 +188,11 @@
         """Accept connections again."""
         self._is_refusing = False
 
+    def _close_silent_listener(self) -> None:
+        if self._silent_listener is not None:
+            self._silent_listener.close()
+            self._silent_listener = None
+
     async def _handle_connection(
         self,
         caller_reader: asyncio.StreamReader,
--- a/standins/ladder_standins/tests/test_tcp_proxy.py
+++ b/standins/ladder_standins/tests/test_tcp_proxy.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ladder_standins.tcp_proxy import TcpProxy
+from ladder_standins.tcp_proxy import PathLoss, TcpProxy
 
 
 async def echo(reader, writer):
@@ -72,3 +72,32 @@
     await asyncio.sleep(0.05)
     proxy.cut()
     assert not await send_line(caller)
+
+
+async def test_hanging_path_answers_neither_open_nor_new_connections(proxy):
+    first = await connect(proxy)
+    assert await send_line(first) == b'x\n'
+    await proxy.strand(PathLoss.hang)
+    for connecting in (send_line(first), connect(proxy)):
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(connecting, 0.4)
+    await proxy.restore_path()
+    assert await send_line(await connect(proxy)) == b'x\n'
+
+
+async def test_refusing_path_leaves_open_connections_alone(proxy):
+    first = await connect(proxy)
+    await proxy.strand(PathLoss.refuse)
+    assert await send_line(first) == b'x\n'
+    with pytest.raises(ConnectionRefusedError):
+        await connect(proxy)
+
+
+async def test_reset_path_ends_open_connections_and_refuses_new_ones(proxy):
+    first = await connect(proxy)
+    assert await send_line(first) == b'x\n'
+    await proxy.strand(PathLoss.reset)
+    with pytest.raises(ConnectionError):
+        await send_line(first)
+    with pytest.raises(ConnectionRefusedError):
+        await connect(proxy)
