Relay requests to replicas through nodes that reach them

Callers of a host that lost its paths to all replicas waited at one replica until their deadline, or were refused: there was no other path.

A request whose path is lost goes through one other node, which sends it over its own kept connections: one hop, never two. What it means stays: nothing sent is told apart from may have run, a body without its end is broken, a response to another request ends its connection, the caller's leaving goes through, a permit is used once. When a silent path is known to be lost, exchanges that may be repeated end at once; those that run only once wait. Failures due to the path are not held against the replicas. Orders never go through another node, since a replica would take them for those of two holders.

--- a/packages/clients/ladder_clients/exchanges/__init__.py
+++ b/packages/clients/ladder_clients/exchanges/__init__.py
@@ -2,6 +2,7 @@
 
 from ladder_clients.exchanges.errors import (
     AbandonedError,
+    BrokenPathError,
     ResponseTooLargeError,
     SilentConnectionError,
     TransportBrokenError,
@@ -17,10 +18,12 @@
 from ladder_clients.exchanges.observer import ConnectionObserver
 from ladder_clients.exchanges.pending import PendingExchanges
 from ladder_clients.exchanges.pool import ConnectionPool, PoolLimits
-from ladder_clients.exchanges.responses import StreamedResponse
+from ladder_clients.exchanges.responses import BodySource, StreamedResponse
 
 __all__ = (
     'AbandonedError',
+    'BodySource',
+    'BrokenPathError',
     'ConnectionObserver',
     'ConnectionPool',
     'Header',
--- a/packages/clients/ladder_clients/exchanges/connection.py
+++ b/packages/clients/ladder_clients/exchanges/connection.py
@@ -19,6 +19,7 @@
     TransportError,
 )
 from ladder_clients.exchanges.messages import OutgoingRequest
+from ladder_clients.exchanges.responses import BodySource
 
 _REMEDY = 'read back whether the request took effect'
 # Reading pauses while more received bytes than this wait for the parser, so
@@ -28,7 +29,7 @@
 _MAX_INTERIM_RESPONSES = 16
 
 
-class PersistentConnection(asyncio.Protocol):
+class PersistentConnection(asyncio.Protocol, BodySource):
     """
     HTTP/1.1 connection that carries one exchange at a time.
 
@@ -47,6 +48,8 @@
         Time at which the latest request was written.
     received_at : float
         Time at which bytes were received last, or of the connection itself.
+    runs_once : bool
+        Whether the request in flight must not be sent again.
 
     Notes
     -----
@@ -67,6 +70,7 @@
         self.received_at = self.requested_at
         self.expires_at: float = 0
         self.has_served = False
+        self.runs_once = False
         self._read_clock = read_clock
         self._on_broken = on_broken
         self._failure: TransportError | None = None
--- a/packages/clients/ladder_clients/exchanges/errors.py
+++ b/packages/clients/ladder_clients/exchanges/errors.py
@@ -23,6 +23,12 @@
     kind = 'transport-broken'
 
 
+class BrokenPathError(TransportBrokenError):
+    """The path to the peer was lost during the exchange."""
+
+    kind = 'broken-path'
+
+
 class ResponseTooLargeError(TransportBrokenError):
     """The response has more bytes than the exchange allows."""
 
--- a/packages/clients/ladder_clients/exchanges/observer.py
+++ b/packages/clients/ladder_clients/exchanges/observer.py
@@ -11,7 +11,7 @@
         """Record that a connection to an ``ip:port`` was made."""
 
     @abstractmethod
-    def record_unreachable(self, address: str, reason: str) -> None:
+    def record_unreachable(self, address: str, error: Exception) -> None:
         """
         Record that no connection to an ``ip:port`` could be made.
 
@@ -19,8 +19,8 @@
         ----------
         address : str
             Address of the peer.
-        reason : str
-            Error of the attempt, for logs.
+        error : Exception
+            Error of the attempt: `TimeoutError` if there was no answer.
 
         """
 
--- a/packages/clients/ladder_clients/exchanges/opener.py
+++ b/packages/clients/ladder_clients/exchanges/opener.py
@@ -64,7 +64,7 @@
                 )
         except (OSError, TimeoutError) as error:
             for observer in self._observers:
-                observer.record_unreachable(address, repr(error))
+                observer.record_unreachable(address, error)
             raise UnreachableError(
                 f'{address}: no connection: {error!r}',
                 remedy='check that the host is up; try another one',
--- a/packages/clients/ladder_clients/exchanges/pool.py
+++ b/packages/clients/ladder_clients/exchanges/pool.py
@@ -215,6 +215,7 @@
             _reused_counter.inc()
         else:
             connection = await self._open(address, timeouts.connect_seconds)
+        connection.runs_once = needs_new_connection
         self._busy[address].add(connection)
         return connection
 
--- a/packages/clients/ladder_clients/exchanges/responses.py
+++ b/packages/clients/ladder_clients/exchanges/responses.py
@@ -1,11 +1,11 @@
 """HTTP response whose body is read as it arrives."""
 
 import asyncio
+from abc import ABC, abstractmethod
 
 from loguru import logger
 from prometheus_client import Counter
 
-from ladder_clients.exchanges.connection import PersistentConnection
 from ladder_clients.exchanges.errors import (
     ResponseTooLargeError,
     SilentConnectionError,
@@ -25,13 +25,45 @@
 )
 
 
+class BodySource(ABC):
+    """
+    Where the body of a response is read from.
+
+    Attributes
+    ----------
+    address : str
+        ``ip:port`` of the peer.
+
+    """
+
+    address: str
+
+    @abstractmethod
+    async def read_chunk(self, read_seconds: float) -> bytes:
+        """
+        Return the next bytes of the body, or empty bytes at its end.
+
+        Parameters
+        ----------
+        read_seconds : float
+            Longest time without a received byte, in seconds.
+
+        Raises
+        ------
+        TransportError
+            The connection broke, or nothing was received for that long,
+            before the end of the body.
+
+        """
+
+
 class StreamedResponse:
     """
     Head of a response, with methods that read its body.
 
     Parameters
     ----------
-    connection : PersistentConnection
+    source : BodySource
         Connection from which the body is read.
     status : int
         HTTP status code.
@@ -45,14 +77,14 @@
 
     def __init__(
         self,
-        connection: PersistentConnection,
+        source: BodySource,
         status: int,
         headers: tuple[Header, ...],
         timeouts: Timeouts,
     ) -> None:
         self.status = status
         self.headers = headers
-        self._connection = connection
+        self._source = source
         self._timeouts = timeouts
         self._is_complete = False
 
@@ -86,7 +118,7 @@
         """
         if self._is_complete:
             return b''
-        chunk = await self._connection.read_chunk(self._timeouts.read_seconds)
+        chunk = await self._source.read_chunk(self._timeouts.read_seconds)
         self._is_complete = not chunk
         return chunk
 
@@ -114,7 +146,7 @@
         except TimeoutError as error:
             self._record_cut('time', body)
             raise SilentConnectionError(
-                f'{self._connection.address}: the answer did not end within'
+                f'{self._source.address}: the answer did not end within'
                 f' {self._timeouts.body_seconds} s',
                 remedy='read back whether the request took effect',
             ) from error
@@ -126,7 +158,7 @@
             if len(body) > max_bytes:
                 self._record_cut('size', body)
                 raise ResponseTooLargeError(
-                    f'{self._connection.address}: an answer is over'
+                    f'{self._source.address}: an answer is over'
                     f' {max_bytes} bytes',
                     remedy='read it in parts',
                 )
@@ -137,7 +169,7 @@
         logger.warning(
             'response cut: {} sent status {} and {} bytes of a body, limit {};'
             ' it begins with {}',
-            self._connection.address,
+            self._source.address,
             self.status,
             len(body),
             limit,
--- a/packages/clients/ladder_clients/replicas/__init__.py
+++ b/packages/clients/ladder_clients/replicas/__init__.py
@@ -7,6 +7,11 @@
     ReplicaClient,
     Reservation,
 )
+from ladder_clients.replicas.exchanges import (
+    DirectExchanges,
+    ExchangeTerms,
+    ReplicaExchanges,
+)
 from ladder_clients.replicas.messages import (
     CONTROL_PRIORITY,
     CallerRequest,
@@ -22,10 +27,13 @@
     'CallKind',
     'CallerRequest',
     'DepartureRecorder',
+    'DirectExchanges',
+    'ExchangeTerms',
     'OrderOutcome',
     'PermitDenial',
     'RateLimiter',
     'ReplicaClient',
+    'ReplicaExchanges',
     'Reservation',
     'TaskRequest',
     'TextEvent',
--- a/packages/core/ladder_core/errors/__init__.py
+++ b/packages/core/ladder_core/errors/__init__.py
@@ -1,6 +1,7 @@
 """Typed errors with a kind, an HTTP status and an execution state."""
 
 from ladder_core.errors.base import Execution, LadderError, SettingsError
+from ladder_core.errors.paths import PathLostError
 from ladder_core.errors.refusals import (
     BadRequestError,
     ConflictError,
@@ -54,6 +55,7 @@
     'NotReadyError',
     'NotRunError',
     'OverloadedError',
+    'PathLostError',
     'PoisonousRequestError',
     'QuarantinedRequestError',
     'RunFailedError',
--- a/packages/node/ladder_node/batches/runner.py
+++ b/packages/node/ladder_node/batches/runner.py
@@ -7,6 +7,7 @@
     AnswerCorruptError,
     AnswerEndlessError,
     LadderError,
+    PathLostError,
     RunFailedError,
     TargetFullError,
     TargetLimitedError,
@@ -209,7 +210,7 @@
             record.record_failed_response(now)
         elif isinstance(error, TargetFullError):
             record.pause(now + _FULL_PAUSE_SECONDS)
-        elif not isinstance(error, TargetLimitedError):
+        elif not isinstance(error, TargetLimitedError | PathLostError):
             if isinstance(error, TargetLostError) and not progress.events:
                 task.not_before = now + task.run_pause.record_loss()
             is_unreachable = isinstance(
--- a/packages/node/ladder_node/entry/completions.py
+++ b/packages/node/ladder_node/entry/completions.py
@@ -16,7 +16,6 @@
     CompletionRequest,
 )
 from ladder_node.entry.completion_stream import stream_completion
-from ladder_node.entry.connections import run_while_connected
 from ladder_node.entry.dependencies import EntryDependencies
 from ladder_node.entry.requests import (
     authenticate,
@@ -25,6 +24,7 @@
     read_body,
     read_timeout,
 )
+from ladder_node.serving import run_while_connected
 
 
 class CompletionRoutes:
--- a/packages/node/ladder_node/forwarding/outcomes.py
+++ b/packages/node/ladder_node/forwarding/outcomes.py
@@ -5,6 +5,7 @@
 from ladder_core.errors import (
     AnswerEndlessError,
     LadderError,
+    PathLostError,
     TargetFullError,
     TargetLimitedError,
 )
@@ -64,6 +65,7 @@
     now: float,
 ) -> None:
     """Record an attempt without a response that may have run the request."""
-    is_endless = isinstance(error, AnswerEndlessError)
-    record.record_failure(now, is_unreachable=is_endless)
+    if not isinstance(error, PathLostError):
+        is_endless = isinstance(error, AnswerEndlessError)
+        record.record_failure(now, is_unreachable=is_endless)
     _attempts_counter.labels(attempts.service, error.kind).inc()
--- a/packages/node/ladder_node/peer_calls/bodies.py
+++ b/packages/node/ladder_node/peer_calls/bodies.py
@@ -5,11 +5,11 @@
 MAX_BODY_BYTES = 100_000
 
 
-async def read_body(request: Request) -> bytes:
+async def read_body(request: Request, max_bytes: int = MAX_BODY_BYTES) -> bytes:
     """Return the body; one that is too large is cut, so it is not decoded."""
     body = bytearray()
     async for chunk in request.stream():
         body.extend(chunk)
-        if len(body) > MAX_BODY_BYTES:
+        if len(body) > max_bytes:
             break
     return bytes(body)
--- a/packages/node/ladder_node/quarantine/detector.py
+++ b/packages/node/ladder_node/quarantine/detector.py
@@ -16,6 +16,7 @@
 from ladder_clients.transport import TargetProbe
 from ladder_core.errors import (
     MayHaveRunError,
+    PathLostError,
     RunFailedError,
     TargetLostError,
     TaskRejectedError,
@@ -184,11 +185,8 @@
         except (RunFailedError, TaskRejectedError):
             self._record_response(run, replica)
             raise
-        except TargetLostError:
-            self._record_broken(run, replica, is_connection_lost=True)
-            raise
-        except MayHaveRunError:
-            self._record_broken(run, replica, is_connection_lost=False)
+        except MayHaveRunError as error:
+            self._record_unanswered(run, replica, error)
             raise
         self._record_response(run, replica)
 
@@ -201,6 +199,17 @@
         if run.listener is not None:
             run.listener.record_response(run.name)
 
+    def _record_unanswered(
+        self, run: _WatchedRun, replica: Replica, error: MayHaveRunError
+    ) -> None:
+        # A path that was lost tells nothing of the replica.
+        if not isinstance(error, PathLostError):
+            self._record_broken(
+                run,
+                replica,
+                is_connection_lost=isinstance(error, TargetLostError),
+            )
+
     def _record_broken(
         self, run: _WatchedRun, replica: Replica, *, is_connection_lost: bool
     ) -> None:
--- a/packages/node/ladder_node/replica_paths/monitor.py
+++ b/packages/node/ladder_node/replica_paths/monitor.py
@@ -117,6 +117,10 @@
         """Return whether other nodes reach a service and this one doesn't."""
         return service in self._lost_at
 
+    def find_path(self, service: str) -> ServicePath:
+        """Return the evidence on the path to a service."""
+        return self._paths.setdefault(service, ServicePath())
+
     def list_lost(self) -> tuple[str, ...]:
         """Return the services whose path is lost, in order of their names."""
         return tuple(sorted(self._lost_at))
@@ -133,26 +137,30 @@
         record = self._registry.find_at(address)
         if record is not None:
             service = record.replica.service
-            self._find_path(service).record_connected()
+            self.find_path(service).record_connected()
             self._update(service)
 
-    def record_unreachable(self, address: str, reason: str) -> None:
+    def record_unreachable(self, address: str, error: Exception) -> None:
         """Record that no connection to a replica could be made."""
         record = self._registry.find_at(address)
         if record is None:
             return
         service = record.replica.service
         _unreachable_counter.labels(service).inc()
-        path = self._find_path(service)
+        path = self.find_path(service)
         if record.name not in path.unreachable:
             self._timeline.record(
                 'replica-unreachable',
                 record.name,
                 service=service,
-                reason=reason,
+                reason=repr(error),
                 others=len(path.unreachable),
             )
-        path.record_unreachable(record.name, self._timers.now())
+        path.record_unreachable(
+            record.name,
+            self._timers.now(),
+            is_silent=isinstance(error, TimeoutError),
+        )
         self._compare_if_needed(
             service, _group_addresses(self._registry).get(service, [])
         )
@@ -181,11 +189,8 @@
                     partial(self._prober.probe, service, addresses, count),
                 )
 
-    def _find_path(self, service: str) -> ServicePath:
-        return self._paths.setdefault(service, ServicePath())
-
     def _compare_if_needed(self, service: str, addresses: list[str]) -> None:
-        path = self._find_path(service)
+        path = self.find_path(service)
         if path.needs_comparison(self._timers.now(), len(addresses)):
             self._begin(
                 _name_comparison(service), partial(self._compare, service, path)
@@ -210,7 +215,7 @@
     def _update(self, service: str) -> None:
         """Record and announce a path that was lost or is back."""
         now = self._timers.now()
-        is_lost = self._find_path(service).is_lost
+        is_lost = self.find_path(service).is_lost
         if is_lost == self.is_lost(service):
             return
         if is_lost:
--- /dev/null
+++ b/packages/node/ladder_node/replica_relay/client.py
@@ -0,0 +1,246 @@
+"""Send requests to replicas through other nodes."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import msgspec
+from prometheus_client import Counter
+
+from ladder_clients.exchanges import (
+    BodySource,
+    ConnectionPool,
+    OutgoingRequest,
+    SilentConnectionError,
+    StreamedResponse,
+    Timeouts,
+    TransportBrokenError,
+    UnreachableError,
+)
+from ladder_clients.replicas import ExchangeTerms
+from ladder_core.errors import OverloadedError
+from ladder_core.timeline import Timeline
+from ladder_core.values import Replica
+from ladder_node.replica_paths import RelayDirectory
+from ladder_node.replica_relay.messages import (
+    HEAD_LENGTH_BYTES,
+    REPLICA_RELAY_PATH,
+    RelayedExchange,
+    RelayedHead,
+    RelayOutcome,
+)
+from ladder_policy.routing import RelayCandidate
+
+_CONNECT_SECONDS = 0.3
+_MAX_NODES = 3
+_MAX_HEAD_BYTES = 1_048_576
+
+_relayed_counter = Counter(
+    'ladder_replica_exchanges_relayed_total',
+    'Exchanges with replicas that were handed to another node, by outcome',
+    ('outcome',),
+)
+
+
+class ReplicaRelay:
+    """
+    Hand exchanges with replicas to nodes that reach them.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+        Connections to other nodes.
+    relays : RelayDirectory
+        Lists the nodes to try.
+    timeline : Timeline
+        Records through which node each request went.
+
+    """
+
+    def __init__(
+        self, pool: ConnectionPool, relays: RelayDirectory, timeline: Timeline
+    ) -> None:
+        self._pool = pool
+        self._relays = relays
+        self._timeline = timeline
+
+    @asynccontextmanager
+    async def exchange(
+        self,
+        replica: Replica,
+        request: OutgoingRequest,
+        timeouts: Timeouts,
+        terms: ExchangeTerms,
+    ) -> AsyncIterator[StreamedResponse]:
+        """
+        Send a request through another node and yield the open response.
+
+        Raises
+        ------
+        UnreachableError
+            No node reaches the replica; nothing was sent to it.
+        TransportError
+            The exchange failed; the request may have been executed.
+
+        """
+        message = RelayedExchange(
+            replica.name,
+            replica.started_at,
+            terms.request_id,
+            terms.runs_once,
+            (timeouts.total_seconds, timeouts.read_seconds),
+            request.method,
+            request.target,
+            request.headers,
+            request.body,
+        )
+        before_send = _call_once(terms.before_send)
+        async with AsyncExitStack() as stack:
+            yield await self._open(
+                stack, replica, message, timeouts, before_send
+            )
+
+    async def _open(
+        self,
+        stack: AsyncExitStack,
+        replica: Replica,
+        message: RelayedExchange,
+        timeouts: Timeouts,
+        before_send: Callable[[], None],
+    ) -> StreamedResponse:
+        """Try one node after the other until one has sent the request."""
+        for node in self._relays.list_relays(replica.service)[:_MAX_NODES]:
+            outcome = RelayOutcome.broken
+            try:
+                response = await self._open_at(
+                    stack, node, message, timeouts, before_send
+                )
+                outcome = RelayOutcome.answered
+            except (UnreachableError, OverloadedError):
+                outcome = RelayOutcome.not_sent
+                self._relays.record_failure(node.name)
+            finally:
+                self._record(message, node, outcome)
+            if outcome is RelayOutcome.answered:
+                return response
+        raise UnreachableError(
+            f'no other node reaches {replica.name} either',
+            remedy='send the request to another target, or later',
+        )
+
+    async def _open_at(
+        self,
+        stack: AsyncExitStack,
+        node: RelayCandidate,
+        message: RelayedExchange,
+        timeouts: Timeouts,
+        before_send: Callable[[], None],
+    ) -> StreamedResponse:
+        async with AsyncExitStack() as attempt:
+            outer = await attempt.enter_async_context(
+                self._pool.exchange(
+                    node.address,
+                    OutgoingRequest(
+                        b'POST',
+                        REPLICA_RELAY_PATH.encode(),
+                        ((b'Host', node.address.encode()),),
+                        msgspec.msgpack.encode(message),
+                    ),
+                    Timeouts(
+                        timeouts.total_seconds,
+                        timeouts.read_seconds,
+                        _CONNECT_SECONDS,
+                    ),
+                    needs_new_connection=message.runs_once,
+                    before_send=before_send,
+                )
+            )
+            body = _RelayedBody(node.address, outer)
+            head = await body.read_head()
+            _check_outcome(head)
+            stack.push_async_exit(attempt.pop_all())
+        return StreamedResponse(body, head.status, head.headers, timeouts)
+
+    def _record(
+        self,
+        message: RelayedExchange,
+        node: RelayCandidate,
+        outcome: RelayOutcome,
+    ) -> None:
+        _relayed_counter.labels(outcome).inc()
+        self._timeline.record(
+            'exchange-relayed',
+            message.request_id,
+            replica=message.replica,
+            through=node.name,
+            outcome=outcome,
+        )
+
+
+class _RelayedBody(BodySource):
+    """Head and body of a relayed response."""
+
+    def __init__(self, address: str, response: StreamedResponse) -> None:
+        self.address = address
+        self._response = response
+        self._buffered = b''
+
+    async def read_head(self) -> RelayedHead:
+        """Read and return what precedes the body."""
+        length = int.from_bytes(await self._read(HEAD_LENGTH_BYTES), 'big')
+        if length > _MAX_HEAD_BYTES:
+            raise self._make_error(f'a head of {length} bytes')
+        encoded = await self._read(length)
+        try:
+            return msgspec.msgpack.decode(encoded, type=RelayedHead)
+        except msgspec.DecodeError as error:
+            raise self._make_error(str(error)) from error
+
+    async def read_chunk(self, read_seconds: float) -> bytes:
+        """Return the next bytes of the body, or empty bytes at its end."""
+        chunk = self._buffered
+        self._buffered = b''
+        return chunk or await self._response.read_chunk()
+
+    async def _read(self, count: int) -> bytes:
+        """Return exactly some number of bytes."""
+        while len(self._buffered) < count:
+            chunk = await self._response.read_chunk()
+            if not chunk:
+                raise self._make_error('it ended early')
+            self._buffered += chunk
+        read = self._buffered[:count]
+        self._buffered = self._buffered[count:]
+        return read
+
+    def _make_error(self, reason: str) -> TransportBrokenError:
+        return TransportBrokenError(
+            f'{self.address}: relayed response not understood: {reason}',
+            remedy='read back whether the request took effect',
+        )
+
+
+def _check_outcome(head: RelayedHead) -> None:
+    """Raise the error that another node reports for an exchange."""
+    if head.outcome is RelayOutcome.not_sent:
+        raise UnreachableError(
+            head.reason, remedy='relay the request through another node'
+        )
+    if head.outcome is RelayOutcome.silent:
+        raise SilentConnectionError(
+            head.reason, remedy='read back whether the request took effect'
+        )
+    if head.outcome is RelayOutcome.broken:
+        raise TransportBrokenError(
+            head.reason, remedy='read back whether the request took effect'
+        )
+
+
+def _call_once(callback: Callable[[], None]) -> Callable[[], None]:
+    """Return a callable of which only the first call has an effect."""
+    pending = [callback]
+
+    def call() -> None:
+        while pending:
+            pending.pop()()
+
+    return call
--- a/packages/node/ladder_node/replicas/record.py
+++ b/packages/node/ladder_node/replicas/record.py
@@ -74,6 +74,12 @@
             return False
         return now - self._failing_since > _FAILING_SECONDS
 
+    def forget_failures(self) -> None:
+        """Forget failures that were due to the path of this host."""
+        self._backoff.record_success()
+        self._rate = SuccessRate()
+        self._failing_since = None
+
     def record_end(self) -> None:
         """Record that the process has ended, although it is still listed."""
         self._has_ended = True
--- a/packages/policy/ladder_policy/routing/service_path.py
+++ b/packages/policy/ladder_policy/routing/service_path.py
@@ -46,6 +46,7 @@
     def __init__(self) -> None:
         self._unreachable: dict[str, float] = {}
         self._is_lost = False
+        self._is_silent = False
         self._compare_at: float = 0
         self._interval_seconds = _MIN_COMPARISON_INTERVAL_SECONDS
 
@@ -54,6 +55,11 @@
         """Whether other hosts reach the service and this one doesn't."""
         return self._is_lost
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether an attempt since the last connection got no answer."""
+        return self._is_silent
+
     @property
     def unreachable(self) -> tuple[str, ...]:
         """Names of replicas without a connection, the latest first."""
@@ -85,8 +91,23 @@
             and self.is_suspect(now, replicas)
         )
 
-    def record_unreachable(self, replica: str, now: float) -> None:
-        """Record that no connection to a replica could be made."""
+    def record_unreachable(
+        self, replica: str, now: float, *, is_silent: bool = False
+    ) -> None:
+        """
+        Record that no connection to a replica could be made.
+
+        Parameters
+        ----------
+        replica : str
+            Name of the replica.
+        now : float
+            Current time in seconds.
+        is_silent : bool, optional
+            Whether there was no answer, rather than a refusal.
+
+        """
+        self._is_silent = self._is_silent or is_silent
         self._unreachable.pop(replica, None)
         self._unreachable[replica] = now
 
@@ -94,6 +115,7 @@
         """Record that a connection to a replica was made."""
         self._unreachable.clear()
         self._is_lost = False
+        self._is_silent = False
         self._interval_seconds = _MIN_COMPARISON_INTERVAL_SECONDS
 
     def record_comparison(
