Hand the duty over when its holder loses its path to the engines

The holder of the batches that lost its path to all replicas renewed its lease, since its path to the store was sound.

The holder now saves its texts and releases the lease by plan 1.2 s after the path is lost, if another live node has one; a node without a path, or whose path came back less than 3 s ago, takes no duty; if all are cut, the duty stays.

--- a/packages/node/ladder_node/batches/__init__.py
+++ b/packages/node/ladder_node/batches/__init__.py
@@ -8,6 +8,7 @@
 
 from ladder_node.batches.api import BatchApi
 from ladder_node.batches.dependencies import OwnerDependencies
+from ladder_node.batches.fitness import DutyFitness, PathFitness
 from ladder_node.batches.owner import BatchOwner
 from ladder_node.batches.records import TaskResult, TaskState
 from ladder_node.batches.spec import BatchSpec, ScorerSpec, TaskSpec
@@ -18,7 +19,9 @@
     'BatchOwner',
     'BatchSpec',
     'BatchStore',
+    'DutyFitness',
     'OwnerDependencies',
+    'PathFitness',
     'ResultPage',
     'ScorerSpec',
     'TaskResult',
--- a/packages/node/ladder_node/batches/dependencies.py
+++ b/packages/node/ladder_node/batches/dependencies.py
@@ -8,6 +8,7 @@
 from ladder_clients.table import PartitionedTableClient
 from ladder_core.timeline import Timeline
 from ladder_core.timers import TimerService
+from ladder_node.batches.fitness import DutyFitness
 from ladder_node.batches.store import BatchStore
 from ladder_node.forwarding import Forwarder
 from ladder_node.quarantine import CrashDetector
@@ -47,6 +48,8 @@
         Newest weight version of each model.
     is_outage_shared : callable
         Returns whether the other nodes do not reach the table service either.
+    fitness : DutyFitness
+        Decides whether this node holds or takes the duty.
     timers : TimerService
         Clock for pauses and time limits.
     timeline : Timeline
@@ -66,5 +69,6 @@
     routes: RouteCache
     versions: ModelVersions
     is_outage_shared: Callable[[], bool]
+    fitness: DutyFitness
     timers: TimerService
     timeline: Timeline
--- a/packages/node/ladder_node/batches/fence.py
+++ b/packages/node/ladder_node/batches/fence.py
@@ -44,6 +44,12 @@
     kind = 'ownership-lost'
 
 
+class DutyUnfitError(OwnershipLostError):
+    """Another node can run the batches better than the lease holder."""
+
+    kind = 'duty-unfit'
+
+
 class Fence:
     """
     Prevent writes of nodes that held the lease before this one.
--- /dev/null
+++ b/packages/node/ladder_node/batches/fitness.py
@@ -0,0 +1,91 @@
+"""Whether this node should run the batches, by its paths to the engines."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Sequence
+
+from ladder_core.timers import TimerService
+from ladder_core.values import RouteKind, RouteTable
+from ladder_node.members import Member
+from ladder_node.routes import RouteCache
+from ladder_policy.duties import DutyTenure
+
+
+class DutyFitness(ABC):
+    """Decides whether a node holds or takes the duty."""
+
+    @abstractmethod
+    def should_hold(self) -> bool:
+        """Return whether a node that holds the duty should keep it."""
+
+    @abstractmethod
+    def should_take(self) -> bool:
+        """Return whether a node should try to take the duty."""
+
+
+class PathFitness(DutyFitness):
+    """
+    Decide by the paths of this node and of the others to the engines.
+
+    Parameters
+    ----------
+    node : str
+        Name of this node.
+    routes : RouteCache
+        Routes of batches, which name the services of engines.
+    list_lost : callable
+        Returns the services that this node has lost its path to.
+    list_members : callable
+        Returns the live nodes with the services that they have lost.
+    timers : TimerService
+        Clock of the decisions.
+
+    """
+
+    def __init__(
+        self,
+        node: str,
+        routes: RouteCache,
+        list_lost: Callable[[], Sequence[str]],
+        list_members: Callable[[], Sequence[Member]],
+        timers: TimerService,
+    ) -> None:
+        self._node = node
+        self._routes = routes
+        self._list_lost = list_lost
+        self._list_members = list_members
+        self._timers = timers
+        self._tenure = DutyTenure()
+
+    def should_hold(self) -> bool:
+        """Return whether a node that holds the duty should keep it."""
+        return self._observe().should_hold(self._timers.now())
+
+    def should_take(self) -> bool:
+        """Return whether a node should try to take the duty."""
+        return self._observe().should_take(self._timers.now())
+
+    def _observe(self) -> DutyTenure:
+        services = list_batch_services(self._routes.current)
+        self._tenure.observe(
+            self._timers.now(),
+            is_path_lost=not services.isdisjoint(self._list_lost()),
+            has_fit_peer=any(
+                services.isdisjoint(member.lost_services)
+                and not member.is_leaving
+                for member in self._list_members()
+                if member.name != self._node
+            ),
+        )
+        return self._tenure
+
+
+def list_batch_services(table: RouteTable | None) -> frozenset[str]:
+    """Return the services that run the tasks of batches."""
+    if table is None:
+        return frozenset()
+    return frozenset(
+        share.service
+        for route in table.list_routes()
+        if route.kind is RouteKind.batch
+        for share in route.shares
+    )
--- a/packages/node/ladder_node/batches/owner.py
+++ b/packages/node/ladder_node/batches/owner.py
@@ -53,12 +53,18 @@
             if self._dependencies.routes.current is None:
                 await self._dependencies.timers.sleep(_ATTEMPT_INTERVAL_SECONDS)
                 continue
-            lease = await self._candidate.try_acquire(DUTY)
+            lease = await self._try_acquire()
             if lease is None:
                 await self._dependencies.timers.sleep(_ATTEMPT_INTERVAL_SECONDS)
                 continue
             await self._hold(lease)
 
+    async def _try_acquire(self) -> Lease | None:
+        """Return the lease if this node should hold the duty and does."""
+        if not self._dependencies.fitness.should_take():
+            return None
+        return await self._candidate.try_acquire(DUTY)
+
     async def _hold(self, lease: Lease) -> None:
         self._lease = lease
         _owner_gauge.set(1)
@@ -70,6 +76,8 @@
             await OwnerSession(self._dependencies, lease).run()
         except OwnershipLostError as error:
             reason = error.message
+            if not self._dependencies.fitness.should_hold():
+                await lease.release()
         except Exception as error:
             reason = repr(error)
             logger.exception('duty {} failed; its lease is released', DUTY)
--- a/packages/node/ladder_node/batches/session.py
+++ b/packages/node/ladder_node/batches/session.py
@@ -11,16 +11,21 @@
 
 import asyncio
 
+from loguru import logger
 from prometheus_client import Gauge
 
 from ladder_clients.replicas import CONTROL_PRIORITY
-from ladder_core.values import RouteKind
 from ladder_node.batches.cleaner import BatchCleaner
 from ladder_node.batches.dependencies import OwnerDependencies
 from ladder_node.batches.dispatcher import TaskDispatcher
 from ladder_node.batches.drafts import DraftSaver
 from ladder_node.batches.engines import EngineTracker
-from ladder_node.batches.fence import Fence, OwnershipLostError
+from ladder_node.batches.fence import (
+    DutyUnfitError,
+    Fence,
+    OwnershipLostError,
+)
+from ladder_node.batches.fitness import list_batch_services
 from ladder_node.batches.intake import BatchIntake
 from ladder_node.batches.loading import VersionLoader
 from ladder_node.batches.open_batch import OpenBatch, Stage, needs_one_version
@@ -92,6 +97,7 @@
             lease.epoch,
             dependencies.replica_registry.update_state,
         )
+        self._saver = DraftSaver(dependencies.table, self._fence)
         self._wake = asyncio.Event()
 
     async def run(self) -> None:
@@ -101,7 +107,8 @@
         Raises
         ------
         OwnershipLostError
-            The lease is lost, so another node may run the batches.
+            The lease is lost, so another node may run the batches, or it is
+            held and should be released, since another node can run them better.
 
         """
         await self._fence.fence_partitions()
@@ -114,6 +121,7 @@
         try:
             await self._run_tasks()
         except* OwnershipLostError as lost:
+            await self._save_last()
             raise OwnershipLostError(
                 f'the duty ends on this node: {lost.exceptions[0]}',
                 remedy='acquire the lease again',
@@ -154,29 +162,46 @@
         while True:
             self._wake.clear()
             self._fence.check()
+            if not self._dependencies.fitness.should_hold():
+                raise DutyUnfitError(
+                    'this node has lost its path to the engines',
+                    remedy='hand the duty over to a node that has one',
+                )
             runs.give_up_expired()
             runs.move_runs()
-            for service in self._list_services():
+            for service in sorted(
+                list_batch_services(self._dependencies.routes.current)
+            ):
                 self._plan_service(service, runs, task_group)
             self._update_gauges()
             await self._wait_for_change()
 
     async def _save_drafts(self) -> None:
-        saver = DraftSaver(self._dependencies.table, self._fence)
         pause_seconds: float = _SAVE_INTERVAL_SECONDS
         while True:
             await self._timers.sleep(pause_seconds)
             started_at = self._timers.now()
             await asyncio.gather(
-                *(saver.save(batch) for batch in self._registry.batches),
+                *(self._saver.save(batch) for batch in self._registry.batches),
             )
-            saver.drop_closed(self._registry.batches)
+            self._saver.drop_closed(self._registry.batches)
             elapsed_seconds = self._timers.now() - started_at
             pause_seconds = max(
                 _SAVE_INTERVAL_SECONDS, _SAVE_LATENCY_FACTOR * elapsed_seconds
             )
             pause_seconds = min(pause_seconds, _MAX_SAVE_INTERVAL_SECONDS)
 
+    async def _save_last(self) -> None:
+        """Save what was generated since the last save, for the next holder."""
+        if not self._fence.is_held:
+            return
+        for batch in self._registry.batches:
+            try:
+                await self._saver.save(batch)
+            except OwnershipLostError as error:
+                logger.info('last texts not saved: {}', error.message)
+                return
+
     async def _clean(self) -> None:
         cleaner = BatchCleaner(
             self._dependencies.table,
@@ -201,18 +226,6 @@
             waiting.cancel()
             tick.cancel()
 
-    def _list_services(self) -> list[str]:
-        table = self._dependencies.routes.current
-        if table is None:
-            return []
-        services = {
-            share.service
-            for route in table.list_routes()
-            if route.kind is RouteKind.batch
-            for share in route.shares
-        }
-        return sorted(services)
-
     def _plan_service(
         self, service: str, runs: TaskRuns, task_group: LeaseTaskGroup
     ) -> None:
--- a/packages/node/ladder_node/batches/tests/fakes.py
+++ b/packages/node/ladder_node/batches/tests/fakes.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import uuid
+from collections import defaultdict
 from dataclasses import replace
 
 from ladder_clients.objects import ObjectStore
@@ -33,6 +34,7 @@
     BatchSpec,
     BatchStore,
     OwnerDependencies,
+    PathFitness,
     ScorerSpec,
     TaskSpec,
 )
@@ -47,6 +49,7 @@
     LeaseManager,
     LeaseTerm,
 )
+from ladder_node.members import Member
 from ladder_node.quarantine import EvidenceSender, Quarantine, UnlimitedRuns
 from ladder_node.replicas import ReplicaRegistry
 from ladder_node.routes import ModelVersions, RouteCache
@@ -354,6 +357,13 @@
             self.routes,
             self.versions,
             lambda: deployment.is_outage_shared,
+            PathFitness(
+                name,
+                self.routes,
+                lambda: deployment.lost_services[name],
+                deployment.list_members,
+                timers,
+            ),
             timers,
             self.timeline,
         )
@@ -400,6 +410,10 @@
         self.objects = MemoryObjects()
         self.alive = list(nodes)
         self.is_outage_shared = False
+        # Services that each node has lost its path to.
+        self.lost_services: defaultdict[str, tuple[str, ...]] = defaultdict(
+            tuple
+        )
         self.nodes = {name: Node(name, self) for name in nodes}
         replicas = [
             Replica(
@@ -439,6 +453,12 @@
             self.timers.finish_loads()
             self.processes.restart_due()
 
+    def list_members(self):
+        return [
+            Member(name, '', '', '', '', lost_services=self.lost_services[name])
+            for name in self.alive
+        ]
+
     async def submit(self, spec, node='a'):
         chosen = self.nodes[node]
         route = chosen.routes.require().find_route(HOST, PREFIX)
--- /dev/null
+++ b/packages/node/ladder_node/batches/tests/test_lost_paths.py
@@ -0,0 +1,132 @@
+"""
+Guards against a holder of the duty that lost its path to the engines.
+
+Its path to the table was sound, so it renewed its lease, and no task of any
+trainer ran until the cut ended; versions were not loaded.
+"""
+
+import pytest
+
+from ladder_core.errors import TargetUnavailableError
+from ladder_node.batches.tests.fakes import (
+    EVENT_SECONDS,
+    FakeDeployment,
+    make_batch,
+)
+
+LONG_EVENTS = 120
+# The target: the duty is elsewhere this long after the path is lost.
+HANDOVER_SECONDS = 3
+ENGINES = ('brewmind',)
+
+
+@pytest.fixture
+async def deployment():
+    made = FakeDeployment(nodes=('a', 'b', 'c'))
+    await made.start()
+    yield made
+    await made.close()
+
+
+def find_owner(deployment):
+    """Return the node that holds the duty now."""
+    holders = [
+        name
+        for name, node in deployment.nodes.items()
+        if node.list_kinds().count('duty-begun')
+        > node.list_kinds().count('duty-ended')
+    ]
+    assert len(holders) <= 1
+    return holders[0] if holders else ''
+
+
+def count_tenures(deployment):
+    return sum(
+        node.list_kinds().count('duty-begun')
+        for node in deployment.nodes.values()
+    )
+
+
+def make_long(deployment):
+    for node in deployment.nodes.values():
+        for number in range(4):
+            node.engines.lengths[f'b-g0-{number}'] = LONG_EVENTS
+
+
+async def test_holder_without_a_path_hands_over_by_plan(deployment):
+    owner = find_owner(deployment)
+    deployment.lost_services[owner] = ENGINES
+    await deployment.advance(HANDOVER_SECONDS)
+    assert find_owner(deployment) not in {'', owner}
+    assert 'lease-released' in deployment.nodes[owner].list_kinds()
+    assert 'lease-lost' not in deployment.nodes[owner].list_kinds()
+
+
+async def test_texts_go_on_where_the_last_holder_left_them(deployment):
+    """Guards against events that are generated twice by a planned handover."""
+    make_long(deployment)
+    await deployment.submit(make_batch())
+    await deployment.advance(1)
+    owner = find_owner(deployment)
+    before = deployment.nodes[owner].engines
+    deployment.lost_services[owner] = ENGINES
+    await deployment.advance(HANDOVER_SECONDS)
+    assert not before.running
+    after = deployment.nodes[find_owner(deployment)].engines
+    assert sorted(task for _, task, _ in after.runs) == [
+        f'b-g0-{number}' for number in range(4)
+    ]
+    # The holder runs tasks until it hands over, more than a second later.
+    assert all(last > 1 / EVENT_SECONDS for _, _, last in after.runs)
+    await deployment.advance(LONG_EVENTS * EVENT_SECONDS)
+    assert len(await deployment.read('b')) == 4
+
+
+async def lose_order(replica, order):
+    raise TargetUnavailableError('no path', remedy='send it later')
+
+
+async def test_version_is_loaded_although_the_holder_was_cut(deployment):
+    owner = find_owner(deployment)
+    deployment.lost_services[owner] = ENGINES
+    deployment.nodes[owner].engines.order_version = lose_order
+    for node in deployment.nodes.values():
+        node.versions.offer('cask', 2)
+    await deployment.submit(make_batch(min_version=2))
+    await deployment.advance(HANDOVER_SECONDS + 3)
+    assert len(await deployment.read('b')) == 4
+
+
+async def test_cut_host_takes_no_duty(deployment):
+    owner = find_owner(deployment)
+    others = [name for name in deployment.nodes if name != owner]
+    deployment.lost_services[owner] = ENGINES
+    deployment.lost_services[others[0]] = ENGINES
+    await deployment.advance(HANDOVER_SECONDS)
+    assert find_owner(deployment) == others[1]
+
+
+async def test_duty_stays_if_all_hosts_are_cut(deployment):
+    owner = find_owner(deployment)
+    for name in deployment.nodes:
+        deployment.lost_services[name] = ENGINES
+    await deployment.advance(10)
+    assert find_owner(deployment) == owner
+    assert count_tenures(deployment) == 1
+
+
+async def test_duty_does_not_wander_with_paths_that_come_and_go(deployment):
+    for _ in range(8):
+        for name in deployment.nodes:
+            deployment.lost_services[name] = ENGINES
+            await deployment.advance(0.5)
+            deployment.lost_services[name] = ()
+            await deployment.advance(0.1)
+    assert count_tenures(deployment) == 1
+
+
+async def test_duty_stays_if_only_scorers_are_out_of_reach(deployment):
+    owner = find_owner(deployment)
+    deployment.lost_services[owner] = ('taproom',)
+    await deployment.advance(HANDOVER_SECONDS)
+    assert find_owner(deployment) == owner
--- /dev/null
+++ b/packages/policy/ladder_policy/duties/__init__.py
@@ -0,0 +1,5 @@
+"""Decisions on which host holds a duty."""
+
+from ladder_policy.duties.tenure import DutyTenure
+
+__all__ = ('DutyTenure',)
