Direct callers to hosts that have not lost a path

The directory went on to name hosts that had lost their paths to replicas, since their heartbeats were sound; each request there takes a hop more. Readiness stays: such a host serves what comes.

--- a/packages/node/ladder_node/members/membership.py
+++ b/packages/node/ladder_node/members/membership.py
@@ -27,6 +27,7 @@
     Member,
     make_member_write,
 )
+from ladder_policy.directory import HostView, prefer_reaching
 
 _STORE_ERRORS = (StoreUnavailableError, StoreOutcomeUnknownError)
 _HEARTBEAT_SECONDS = 0.8
@@ -135,23 +136,28 @@
 
     def list_accepting(self) -> Sequence[Member]:
         """
-        Return the nodes that accept callers.
+        Return the nodes that callers are directed to.
 
         Explanation
         -----------
         A node that cannot write its row includes itself only if it knows no
-        other node, since without the table it can't accept batches.
+        other node, since without the table it can't accept batches. Nodes that
+        have lost a path to replicas are left out if the others are enough.
 
         """
-        others = [
+        accepting = [
             member
             for member in self.list_alive()
             if not member.is_leaving and member.name != self._own.name
         ]
         accepts_callers = not self._own.is_leaving
-        if accepts_callers and (self.is_confirmed or not others):
-            return (self._own, *others)
-        return others
+        if accepts_callers and (self.is_confirmed or not accepting):
+            accepting.insert(0, self._own)
+        chosen = prefer_reaching(
+            HostView(member.name, member.capacity, not member.lost_services)
+            for member in accepting
+        )
+        return [member for member in accepting if member.name in chosen]
 
     def list_peers(self) -> Sequence[str]:
         """Return the peer addresses of the other nodes, the nearest first."""
--- a/packages/node/ladder_node/members/tests/test_membership.py
+++ b/packages/node/ladder_node/members/tests/test_membership.py
@@ -85,6 +85,25 @@
     assert fleet.seen_by('b') == ['a', 'c']
 
 
+async def test_node_without_a_path_is_left_out_and_comes_back(fleet):
+    """Guards against callers who are directed to hosts without paths."""
+    fleet.nodes['b'].publish_lost_services(('taproom',))
+    await fleet.timers.advance(2)
+    for name in fleet.nodes:
+        assert fleet.seen_by(name) == ['a', 'c']
+    fleet.nodes['b'].publish_lost_services(())
+    await fleet.timers.advance(2)
+    for name in fleet.nodes:
+        assert fleet.seen_by(name) == ['a', 'b', 'c']
+
+
+async def test_nodes_without_paths_stay_if_no_other_is_left(fleet):
+    for node in fleet.nodes.values():
+        node.publish_lost_services(('taproom',))
+    await fleet.timers.advance(2)
+    assert fleet.seen_by('a') == ['a', 'b', 'c']
+
+
 async def test_outage_of_the_table_takes_no_node_out(fleet):
     fleet.table.default_fault = TableFault.down
     await fleet.timers.advance(30)
