Take no replica for crashed that other nodes reach

A host whose connections were reset probed the replicas, was refused, and told all nodes that they had crashed under what it had sent them.

A refused connection shows a crash now only if no other node connects either. The test fails with the probe as it was (refused means gone).

--- a/packages/node/ladder_node/replica_paths/parts.py
+++ b/packages/node/ladder_node/replica_paths/parts.py
@@ -4,12 +4,14 @@
 from dataclasses import dataclass
 
 from ladder_clients.exchanges import ConnectionPool
+from ladder_clients.transport import TargetProbe, TcpProbe
 from ladder_core.timeline import Timeline
 from ladder_core.timers import TimerService
 from ladder_node.members import Member
 from ladder_node.replica_paths.comparer import PathComparer
 from ladder_node.replica_paths.messages import PathSender
 from ladder_node.replica_paths.monitor import ReplicaPaths
+from ladder_node.replica_paths.probe import ComparedProbe
 from ladder_node.replica_paths.relays import RelayDirectory
 from ladder_node.replicas import ReplicaRegistry
 
@@ -27,12 +29,16 @@
         Asks other nodes what they reach, and answers them.
     paths : ReplicaPaths
         Knows which services this node has lost its path to.
+    probe : TargetProbe
+        Tells replicas that have crashed from those that this node has lost
+        its path to.
 
     """
 
     relays: RelayDirectory
     comparer: PathComparer
     paths: ReplicaPaths
+    probe: TargetProbe
 
 
 def make_path_parts(
@@ -48,4 +54,5 @@
     relays = RelayDirectory(own, list_members, timers)
     comparer = PathComparer(pool, registry, relays, sender)
     paths = ReplicaPaths(pool, registry, relays, comparer, timers, timeline)
-    return PathParts(relays, comparer, paths)
+    probe = ComparedProbe(TcpProbe(timers), comparer, registry)
+    return PathParts(relays, comparer, paths, probe)
--- a/packages/node/ladder_node/replica_paths/tests/test_paths.py
+++ b/packages/node/ladder_node/replica_paths/tests/test_paths.py
@@ -12,6 +12,7 @@
 import pytest
 
 from ladder_clients.exchanges import OutgoingRequest, Timeouts, TransportError
+from ladder_clients.transport import TcpProbe
 from ladder_node.replica_paths.tests.fleet import (
     SERVICES,
     PathFleet,
@@ -129,3 +130,23 @@
     assert sum(target.connections for target in fleet.targets) == len(
         fleet.targets
     )
+
+
+async def test_replica_that_refuses_one_host_only_has_not_crashed(fleet):
+    """
+    Guards against requests in quarantine since their host lost its path.
+
+    It took replicas that refused it for crashed under what it had sent them.
+    """
+    node = fleet.nodes['a0']
+    await cut(node, PathLoss.refuse)
+    address = node.proxies[0].address
+    assert await TcpProbe(node.timers).is_gone(address)
+    assert not await node.parts.probe.is_gone(address)
+
+
+async def test_replica_that_refuses_all_hosts_has_crashed(fleet):
+    for node in fleet.nodes.values():
+        await cut(node, PathLoss.refuse)
+    node = fleet.nodes['a0']
+    assert await node.parts.probe.is_gone(node.proxies[0].address)
