Ask other nodes for crashes while the own path is lost

A request that crashes each replica that runs it went on to crash them if it came to a host without paths: it was relayed, and the host's own probe of the replica got no answer, so no crash was recorded.

While the path is lost, other nodes say whether they are refused by the replica. The new test fails with the own probe alone.

--- a/packages/clients/ladder_clients/exchanges/__init__.py
+++ b/packages/clients/ladder_clients/exchanges/__init__.py
@@ -15,7 +15,10 @@
     Timeouts,
     find_header,
 )
-from ladder_clients.exchanges.observer import ConnectionObserver
+from ladder_clients.exchanges.observer import (
+    ConnectionObserver,
+    Reachability,
+)
 from ladder_clients.exchanges.pending import PendingExchanges
 from ladder_clients.exchanges.pool import ConnectionPool, PoolLimits
 from ladder_clients.exchanges.responses import BodySource, StreamedResponse
@@ -31,6 +34,7 @@
     'OutgoingRequest',
     'PendingExchanges',
     'PoolLimits',
+    'Reachability',
     'ResponseTooLargeError',
     'SilentConnectionError',
     'Timeouts',
--- a/packages/clients/ladder_clients/exchanges/errors.py
+++ b/packages/clients/ladder_clients/exchanges/errors.py
@@ -17,6 +17,10 @@
     execution = Execution.not_run
 
 
+class RefusedError(UnreachableError):
+    """The host of the peer is up, but no process listens at the address."""
+
+
 class TransportBrokenError(TransportError):
     """The connection broke during the exchange."""
 
--- a/packages/clients/ladder_clients/exchanges/observer.py
+++ b/packages/clients/ladder_clients/exchanges/observer.py
@@ -1,6 +1,27 @@
 """Interface of observers of connections."""
 
 from abc import ABC, abstractmethod
+from enum import StrEnum, auto
+
+
+class Reachability(StrEnum):
+    """
+    What came of an attempt at a connection.
+
+    Attributes
+    ----------
+    reached
+        The connection was made.
+    refused
+        No process listens at the address.
+    unknown
+        There was no answer, or too many connections are open.
+
+    """
+
+    reached = auto()
+    refused = auto()
+    unknown = auto()
 
 
 class ConnectionObserver(ABC):
--- a/packages/clients/ladder_clients/exchanges/opener.py
+++ b/packages/clients/ladder_clients/exchanges/opener.py
@@ -6,7 +6,7 @@
 from prometheus_client import Counter
 
 from ladder_clients.exchanges.connection import PersistentConnection
-from ladder_clients.exchanges.errors import UnreachableError
+from ladder_clients.exchanges.errors import RefusedError, UnreachableError
 from ladder_clients.exchanges.observer import ConnectionObserver
 
 _MILLISECONDS_PER_SECOND = 1000
@@ -50,6 +50,8 @@
 
         Raises
         ------
+        RefusedError
+            No process listens at the address.
         UnreachableError
             No connection could be made in time.
 
@@ -65,7 +67,7 @@
         except (OSError, TimeoutError) as error:
             for observer in self._observers:
                 observer.record_unreachable(address, error)
-            raise UnreachableError(
+            raise _choose_error(error)(
                 f'{address}: no connection: {error!r}',
                 remedy='check that the host is up; try another one',
             ) from error
@@ -81,3 +83,9 @@
             socket.TCP_USER_TIMEOUT,
             int(self._dead_path_seconds * _MILLISECONDS_PER_SECOND),
         )
+
+
+def _choose_error(error: Exception) -> type[UnreachableError]:
+    if isinstance(error, ConnectionRefusedError):
+        return RefusedError
+    return UnreachableError
--- a/packages/clients/ladder_clients/exchanges/pool.py
+++ b/packages/clients/ladder_clients/exchanges/pool.py
@@ -27,11 +27,15 @@
 
 from ladder_clients.exchanges.connection import PersistentConnection
 from ladder_clients.exchanges.errors import (
+    RefusedError,
     SilentConnectionError,
     UnreachableError,
 )
 from ladder_clients.exchanges.messages import OutgoingRequest, Timeouts
-from ladder_clients.exchanges.observer import ConnectionObserver
+from ladder_clients.exchanges.observer import (
+    ConnectionObserver,
+    Reachability,
+)
 from ladder_clients.exchanges.opener import ConnectionOpener
 from ladder_clients.exchanges.responses import StreamedResponse
 from ladder_core.errors import OverloadedError
@@ -140,14 +144,16 @@
         for connection in self._idle.pop(address, ()):
             connection.abort()
 
-    async def probe(self, address: str, connect_seconds: float) -> bool:
-        """Return whether a connection can be made; it is kept for later use."""
+    async def probe(self, address: str, connect_seconds: float) -> Reachability:
+        """Try to make a connection, which is kept for later use."""
         try:
             connection = await self._open(address, connect_seconds)
+        except RefusedError:
+            return Reachability.refused
         except (UnreachableError, OverloadedError):
-            return False
+            return Reachability.unknown
         self._add_idle(connection, self._limits.idle_seconds)
-        return True
+        return Reachability.reached
 
     @contextlib.asynccontextmanager
     async def exchange(
--- a/packages/node/ladder_node/replica_paths/comparer.py
+++ b/packages/node/ladder_node/replica_paths/comparer.py
@@ -1,8 +1,10 @@
 """Compare the replicas that this node reaches with those of other nodes."""
 
 import asyncio
+from collections.abc import AsyncGenerator
+from contextlib import aclosing
 
-from ladder_clients.exchanges import ConnectionPool
+from ladder_clients.exchanges import ConnectionPool, Reachability
 from ladder_node.replica_paths.messages import (
     PathQuestion,
     PathReply,
@@ -54,21 +56,22 @@
 
         The first node that reaches any of them decides.
         """
-        nodes = self._relays.list_relays(service)[:_ASKED_NODES]
-        question = PathQuestion(replicas[:_MAX_REPLICAS])
-        questions = [
-            asyncio.ensure_future(self._ask(node, question)) for node in nodes
-        ]
-        try:
-            for reply in asyncio.as_completed(questions):
-                reached = await reply
-                if reached:
-                    return set(reached)
-        finally:
-            for asked in questions:
-                asked.cancel()
+        async with aclosing(self._ask_nodes(service, replicas)) as replies:
+            async for reply in replies:
+                if reply.reached:
+                    return set(reply.reached)
         return set()
 
+    async def is_gone(self, service: str, replica: str) -> bool:
+        """Return whether other nodes are refused by a replica."""
+        refusals = 0
+        async with aclosing(self._ask_nodes(service, (replica,))) as replies:
+            async for reply in replies:
+                if reply.reached:
+                    return False
+                refusals += len(reply.refused)
+        return refusals > 0
+
     async def answer(self, question: PathQuestion) -> PathReply:
         """Return which replicas this node reaches, to another node."""
         records = [
@@ -76,22 +79,40 @@
             for name in question.replicas[:_MAX_REPLICAS]
             if (record := self._registry.find(name)) is not None
         ]
-        reached = await asyncio.gather(
+        outcomes = await asyncio.gather(
             *(
                 self._pool.probe(record.replica.address, _CONNECT_SECONDS)
                 for record in records
             )
         )
-        found = zip(records, reached, strict=True)
+        found: dict[Reachability, list[str]] = {}
+        for record, outcome in zip(records, outcomes, strict=True):
+            found.setdefault(outcome, []).append(record.name)
         return PathReply(
-            tuple(record.name for record, is_reached in found if is_reached)
+            tuple(found.get(Reachability.reached, ())),
+            tuple(found.get(Reachability.refused, ())),
         )
 
+    async def _ask_nodes(
+        self, service: str, replicas: tuple[str, ...]
+    ) -> AsyncGenerator[PathReply, None]:
+        """Ask some nodes at once, and yield their replies as they come."""
+        nodes = self._relays.list_relays(service)[:_ASKED_NODES]
+        question = PathQuestion(replicas[:_MAX_REPLICAS])
+        questions = [
+            asyncio.ensure_future(self._ask(node, question)) for node in nodes
+        ]
+        try:
+            for reply in asyncio.as_completed(questions):
+                yield await reply
+        finally:
+            for asked in questions:
+                asked.cancel()
+
     async def _ask(
         self, node: RelayCandidate, question: PathQuestion
-    ) -> tuple[str, ...]:
+    ) -> PathReply:
         reply = await self._sender.send(node.address, question)
         if reply is None or not reply.reached:
             self._relays.record_failure(node.name)
-            return ()
-        return reply.reached
+        return reply or PathReply()
--- a/packages/node/ladder_node/replica_paths/messages.py
+++ b/packages/node/ladder_node/replica_paths/messages.py
@@ -31,10 +31,13 @@
     ----------
     reached : tuple of str
         Names of the replicas to which the node made a connection.
+    refused : tuple of str
+        Names of the replicas at whose address no process listens.
 
     """
 
     reached: tuple[str, ...] = ()
+    refused: tuple[str, ...] = ()
 
 
 PathSender = PeerSender[PathQuestion, PathReply]
--- a/packages/node/ladder_node/replica_paths/parts.py
+++ b/packages/node/ladder_node/replica_paths/parts.py
@@ -54,5 +54,5 @@
     relays = RelayDirectory(own, list_members, timers)
     comparer = PathComparer(pool, registry, relays, sender)
     paths = ReplicaPaths(pool, registry, relays, comparer, timers, timeline)
-    probe = ComparedProbe(TcpProbe(timers), comparer, registry)
+    probe = ComparedProbe(TcpProbe(timers), comparer, registry, paths.is_lost)
     return PathParts(relays, comparer, paths, probe)
--- a/packages/node/ladder_node/replica_paths/prober.py
+++ b/packages/node/ladder_node/replica_paths/prober.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Sequence
 
-from ladder_clients.exchanges import ConnectionPool
+from ladder_clients.exchanges import ConnectionPool, Reachability
 from ladder_core.timers import TimerService
 
 # Time without a byte from any replica of a service, while an answer is waited
@@ -111,7 +111,7 @@
                 for address in sorted(chosen)
             )
         )
-        if any(reached):
+        if Reachability.reached in reached:
             self._next_at[service] = (
                 self._timers.now() + _SOUND_INTERVAL_SECONDS
             )
--- a/packages/node/ladder_node/replica_paths/tests/test_paths.py
+++ b/packages/node/ladder_node/replica_paths/tests/test_paths.py
@@ -150,3 +150,22 @@
         await cut(node, PathLoss.refuse)
     node = fleet.nodes['a0']
     assert await node.parts.probe.is_gone(node.proxies[0].address)
+
+
+async def test_crash_is_seen_by_a_host_that_lost_its_path(fleet):
+    """
+    Guards against requests that crash replicas through other nodes unnoticed.
+
+    The host that sends them gets no answer from any replica.
+    """
+    node, *others = fleet.nodes.values()
+    await send_to_all(node)
+    await cut(node, PathLoss.hang)
+    await asyncio.gather(
+        send_to_all(node), wait_until(lambda: len(node.paths.list_lost()) == 2)
+    )
+    address = node.proxies[0].address
+    assert not await node.parts.probe.is_gone(address)
+    for other in others:
+        await other.proxies[0].strand(PathLoss.refuse)
+    assert await node.parts.probe.is_gone(address)
