Let proofs lose the paths of all nodes to the engines

Draws of bin/prove had no fault in which connections to all engines hang or are refused. Three kinds are added, one for each form; the nodes of a proof share their paths, so they hit all nodes at once (a single node is the soak's matter).

--- a/proof/faults/injector.py
+++ b/proof/faults/injector.py
@@ -11,7 +11,7 @@
 from ladder_standins.faults import FaultKind as StandinFaultKind
 from ladder_standins.fleet import Fleet, Layout
 from ladder_standins.operator import ListFiles, apply_lists
-from ladder_standins.tcp_proxy import TcpProxy
+from ladder_standins.tcp_proxy import PathLoss, TcpProxy
 from proof.faults.schedule import FaultKind, FaultSchedule, PlannedFault
 from proof.history import History, LeavingTarget, ObservedRevision, PlannedStop
 
@@ -29,6 +29,11 @@
         path='/v1/transactions',
     ),
 }
+_LOST_PATHS = {  # noqa: WPS407 read only
+    FaultKind.hang_paths: PathLoss.hang,
+    FaultKind.reset_paths: PathLoss.reset,
+    FaultKind.refuse_paths: PathLoss.refuse,
+}
 
 _Handler = Callable[[PlannedFault], Awaitable[None]]
 
@@ -68,6 +73,7 @@
         self._files = files
         self._proxies = proxies
         self._history = history
+        self._are_paths_lost = False
         self._edit_lock = asyncio.Lock()
         self._revision = 1
         self._disrupted_processes: set[str] = set()
@@ -77,6 +83,7 @@
             FaultKind.race_edits: self._edit_lists,
             FaultKind.silence_connections: self._silence_connections,
             FaultKind.cut_connections: self._cut_connections,
+            **dict.fromkeys(_LOST_PATHS, self._lose_paths),
             FaultKind.swap_fails: self._make_swap_fail,
             FaultKind.engine_leaves: self._start_leaving,
         }
@@ -167,6 +174,18 @@
         await asyncio.sleep(fault.duration_seconds)
         proxy.restore()
 
+    async def _lose_paths(self, fault: PlannedFault) -> None:
+        """Lose the paths of all nodes to all engines."""
+        if self._are_paths_lost:
+            return
+        self._are_paths_lost = True
+        for lost in self._proxies:
+            await lost.strand(_LOST_PATHS[fault.kind])
+        await asyncio.sleep(fault.duration_seconds)
+        for regained in self._proxies:
+            await regained.restore_path()
+        self._are_paths_lost = False
+
     async def _make_swap_fail(self, fault: PlannedFault) -> None:
         name = self._choose_process(fault, 'engine')
         if name not in self._disrupted_processes:
--- a/proof/faults/schedule.py
+++ b/proof/faults/schedule.py
@@ -28,6 +28,9 @@
     race_edits = 'race-edits'
     silence_connections = 'silence-connections'
     cut_connections = 'cut-connections'
+    hang_paths = 'hang-paths'
+    reset_paths = 'reset-paths'
+    refuse_paths = 'refuse-paths'
 
 
 ALL_KINDS = tuple(FaultKind)
