Relay through nodes that are known to reach the service

Nodes that answered a comparison or relayed come first now, late answers included; a request that no node can relay at present is refused as busy, and not held against the replica. A silence counts after 0.25 s if four answers or more are waited for. The groups of replicas are kept between two changes of the list.

--- a/packages/node/ladder_node/replica_paths/comparer.py
+++ b/packages/node/ladder_node/replica_paths/comparer.py
@@ -16,7 +16,7 @@
 from ladder_policy.routing import RelayCandidate
 
 _CONNECT_SECONDS = 0.3
-_ASKED_NODES = 4
+_ASKED_NODES = 6
 _MAX_REPLICAS = 4
 
 
@@ -48,6 +48,12 @@
         self._registry = registry
         self._relays = relays
         self._sender = sender
+        self._questions: set[asyncio.Task[PathReply]] = set()
+
+    async def close(self) -> None:
+        """Cancel the questions that are not answered yet."""
+        for question in tuple(self._questions):
+            question.cancel()
 
     async def find_reached(
         self, service: str, replicas: tuple[str, ...]
@@ -73,7 +79,7 @@
         ]
         question = PathQuestion(replicas[:_MAX_REPLICAS])
         replies = await asyncio.gather(
-            *(self._ask(node, question) for node in nodes)
+            *(self._ask(node, service, question) for node in nodes)
         )
         answered = zip(nodes, replies, strict=True)
         return next((node for node, reply in answered if reply.reached), None)
@@ -116,19 +122,22 @@
         nodes = self._relays.list_relays(service)[:_ASKED_NODES]
         question = PathQuestion(replicas[:_MAX_REPLICAS])
         questions = [
-            asyncio.ensure_future(self._ask(node, question)) for node in nodes
+            asyncio.ensure_future(self._ask(node, service, question))
+            for node in nodes
         ]
-        try:
-            for reply in asyncio.as_completed(questions):
-                yield await reply
-        finally:
-            for asked in questions:
-                asked.cancel()
+        # Late replies still show which nodes may relay requests.
+        self._questions.update(questions)
+        for asked in questions:
+            asked.add_done_callback(self._questions.discard)
+        for reply in asyncio.as_completed(questions):
+            yield await reply
 
     async def _ask(
-        self, node: RelayCandidate, question: PathQuestion
+        self, node: RelayCandidate, service: str, question: PathQuestion
     ) -> PathReply:
         reply = await self._sender.send(node.address, question)
         if reply is None or not reply.reached:
             self._relays.record_failure(node.name)
+        else:
+            self._relays.record_success(node.name, service)
         return reply or PathReply()
--- a/packages/node/ladder_node/replica_paths/monitor.py
+++ b/packages/node/ladder_node/replica_paths/monitor.py
@@ -23,6 +23,7 @@
 from ladder_core.timeline import Timeline
 from ladder_core.timers import PeriodicCall, TimerService
 from ladder_node.replica_paths.comparer import PathComparer
+from ladder_node.replica_paths.groups import ReplicaGroups
 from ladder_node.replica_paths.prober import PathProber
 from ladder_node.replica_paths.relays import RelayDirectory
 from ladder_node.replicas import ReplicaRegistry
@@ -88,6 +89,7 @@
         self._timeline = timeline
         self._paths: dict[str, ServicePath] = {}
         self._lost_at: dict[str, float] = {}
+        self._groups = ReplicaGroups(registry)
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._listeners: list[Callable[[], None]] = []
         self._periodic_call: PeriodicCall | None = None
@@ -95,6 +97,7 @@
     async def start(self) -> None:
         """Observe new connections, and start the checks."""
         self._pool.add_observer(self)
+        self._groups.start()
         self._periodic_call = self._timers.call_periodically(
             _CHECK_INTERVAL_SECONDS, self.check
         )
@@ -104,6 +107,8 @@
         if self._periodic_call is not None:
             await self._periodic_call.close()
             self._periodic_call = None
+        self._groups.close()
+        await self._comparer.close()
         for task in tuple(self._tasks.values()):
             task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
@@ -161,9 +166,7 @@
             self._timers.now(),
             is_silent=isinstance(error, TimeoutError),
         )
-        self._compare_if_needed(
-            service, _group_addresses(self._registry).get(service, [])
-        )
+        self._compare_if_needed(service, self._groups.list_addresses(service))
 
     def record_broken(self, address: str) -> None:
         """Record that a connection to a replica ended with an error."""
@@ -174,16 +177,18 @@
     async def check(self) -> None:
         """Start the probes and comparisons that are due."""
         lost_elsewhere = self._relays.list_services_lost_elsewhere()
-        for service, addresses in _group_addresses(self._registry).items():
+        for service, addresses in self._groups.list_all():
             self._compare_if_needed(service, addresses)
             count = 0
+            if not self._prober.is_due(service):
+                continue
             if self.is_lost(service):
                 count = 1
             elif self._prober.is_in_doubt(
                 service, addresses, service in lost_elsewhere
             ):
                 count = _DOUBT_PROBES
-            if count and self._prober.is_due(service):
+            if count:
                 self._begin(
                     f'probe {service}',
                     partial(self._prober.probe, service, addresses, count),
@@ -243,13 +248,3 @@
 
 def _name_comparison(service: str) -> str:
     return f'compare {service}'
-
-
-def _group_addresses(registry: ReplicaRegistry) -> dict[str, list[str]]:
-    """Return the addresses of the replicas of each service that stay."""
-    groups: dict[str, list[str]] = {}
-    for record in registry.list_all():
-        if not record.has_ended and not record.replica.is_leaving:
-            addresses = groups.setdefault(record.replica.service, [])
-            addresses.append(record.replica.address)
-    return groups
--- a/packages/node/ladder_node/replica_paths/prober.py
+++ b/packages/node/ladder_node/replica_paths/prober.py
@@ -7,8 +7,10 @@
 from ladder_core.timers import TimerService
 
 # Time without a byte from any replica of a service, while an answer is waited
-# for, after which the path is in doubt.
+# for, after which the path is in doubt. It is shorter if many are waited for.
 _SILENCE_SECONDS = 0.4
+_MANY_SILENT_SECONDS = 0.25
+_MANY_ANSWERS = 4
 _CONNECT_SECONDS = 0.3
 _INTERVAL_SECONDS = 0.6
 # Pause after a probe that found the path sound.
@@ -65,21 +67,24 @@
             overdue, a connection broke, or another node has lost its path.
 
         """
-        limit = self._timers.now() - _SILENCE_SECONDS
         connections = [
             connection
             for address in addresses
             for connection in self._pool.list_connections(address)
         ]
+        waiting = [
+            connection.silent_since
+            for connection in connections
+            if connection.silent_since is not None
+        ]
+        is_many = len(waiting) >= _MANY_ANSWERS
+        silence = _MANY_SILENT_SECONDS if is_many else _SILENCE_SECONDS
+        limit = self._timers.now() - silence
         if any(connection.received_at > limit for connection in connections):
             self._suspected.discard(service)
             return False
         is_suspected = service in self._suspected or is_lost_elsewhere
-        return is_suspected or any(
-            connection.silent_since is not None
-            and connection.silent_since <= limit
-            for connection in connections
-        )
+        return is_suspected or any(since <= limit for since in waiting)
 
     async def probe(
         self, service: str, addresses: Sequence[str], count: int
--- a/packages/node/ladder_node/replica_paths/relays.py
+++ b/packages/node/ladder_node/replica_paths/relays.py
@@ -1,15 +1,18 @@
 """The other nodes through which this one can reach replicas."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
+from typing import TypeVar
 
 from ladder_core.timers import TimerService
 from ladder_node.members import Member
 from ladder_policy.routing import RelayCandidate, order_relays
 
-# Time for which a node that could not relay comes last.
-_FAILED_SECONDS = 2
+# Time for which a node that could not relay comes last, and one that is known
+# to reach a service comes first.
+_KNOWN_SECONDS = 2
 _SAME_REGION_DISTANCE = 1
 _OTHER_REGION_DISTANCE = 2
+_Key = TypeVar('_Key')
 
 
 class RelayDirectory:
@@ -37,19 +40,17 @@
         self._list_members = list_members
         self._timers = timers
         self._failed_at: dict[str, float] = {}
+        self._proved_at: dict[tuple[str, str], float] = {}
 
     def list_relays(self, service: str) -> list[RelayCandidate]:
         """Return the nodes that may reach a service, the best first."""
-        now = self._timers.now()
-        self._failed_at = {
-            name: failed_at
-            for name, failed_at in self._failed_at.items()
-            if now - failed_at < _FAILED_SECONDS
-        }
+        oldest = self._timers.now() - _KNOWN_SECONDS
+        self._failed_at = _drop_old(self._failed_at, oldest)
+        self._proved_at = _drop_old(self._proved_at, oldest)
         return order_relays(
             self._own.name,
             (
-                self._describe(member)
+                self._describe(member, service)
                 for member in self._list_others()
                 if service not in member.lost_services
                 and not member.is_leaving
@@ -65,6 +66,11 @@
             for service in member.lost_services
         }
 
+    def record_success(self, name: str, service: str) -> None:
+        """Record that a node reaches a service."""
+        self._failed_at.pop(name, None)
+        self._proved_at[name, service] = self._timers.now()
+
     def record_failure(self, name: str) -> None:
         """Record that a node does not reach a replica either, or is busy."""
         self._failed_at[name] = self._timers.now()
@@ -76,7 +82,7 @@
             if member.name != self._own.name
         ]
 
-    def _describe(self, member: Member) -> RelayCandidate:
+    def _describe(self, member: Member, service: str) -> RelayCandidate:
         distance = _OTHER_REGION_DISTANCE
         if member.data_centre == self._own.data_centre:
             distance = 0
@@ -89,4 +95,9 @@
             member.data_centre,
             member.capacity,
             member.name in self._failed_at,
+            (member.name, service) in self._proved_at,
         )
+
+
+def _drop_old(times: Mapping[_Key, float], oldest: float) -> dict[_Key, float]:
+    return {key: at for key, at in times.items() if at > oldest}
--- a/packages/node/ladder_node/replica_relay/app.py
+++ b/packages/node/ladder_node/replica_relay/app.py
@@ -222,8 +222,10 @@
 
 def _describe(error: LadderError) -> RelayedHead:
     """Return the head for an exchange that failed before its response."""
-    if isinstance(error, UnreachableError | NotRunError):
+    if isinstance(error, UnreachableError | TargetLeavingError):
         return RelayedHead(RelayOutcome.not_sent, error.message)
+    if isinstance(error, NotRunError):
+        return RelayedHead(RelayOutcome.unable, error.message)
     if isinstance(error, SilentConnectionError):
         return RelayedHead(RelayOutcome.silent, error.message)
     if not isinstance(error, TransportError):
--- a/packages/node/ladder_node/replica_relay/client.py
+++ b/packages/node/ladder_node/replica_relay/client.py
@@ -32,6 +32,7 @@
 
 _CONNECT_SECONDS = 0.3
 _MAX_NODES = 3
+_RETRY_AFTER_SECONDS = 0.2
 _MAX_HEAD_BYTES = 1_048_576
 
 _relayed_counter = Counter(
@@ -78,6 +79,8 @@
         ------
         UnreachableError
             No node reaches the replica; nothing was sent to it.
+        OverloadedError
+            No node can relay the request at present; nothing was sent.
         TransportError
             The exchange failed; the request may have been executed.
 
@@ -108,6 +111,7 @@
         before_send: Callable[[], None],
     ) -> StreamedResponse:
         """Try one node after the other until one has sent the request."""
+        attempted = False
         for node in self._relays.list_relays(replica.service)[:_MAX_NODES]:
             outcome = RelayOutcome.broken
             try:
@@ -115,16 +119,26 @@
                     stack, node, message, timeouts, before_send
                 )
                 outcome = RelayOutcome.answered
-            except (UnreachableError, OverloadedError):
+            except UnreachableError:
                 outcome = RelayOutcome.not_sent
+                attempted = True
+                self._relays.record_failure(node.name)
+            except OverloadedError:
+                outcome = RelayOutcome.unable
                 self._relays.record_failure(node.name)
             finally:
                 self._record(message, node, outcome)
             if outcome is RelayOutcome.answered:
                 return response
-        raise UnreachableError(
-            f'no other node reaches {replica.name} either',
-            remedy='send the request to another target, or later',
+        if attempted:
+            raise UnreachableError(
+                f'no other node reaches {replica.name} either',
+                remedy='send the request to another target, or later',
+            )
+        raise OverloadedError(
+            f'no other node can relay a request to {replica.name} now',
+            remedy='send the request again later',
+            retry_after=_RETRY_AFTER_SECONDS,
         )
 
     async def _open_at(
@@ -225,12 +239,16 @@
         raise UnreachableError(
             head.reason, remedy='relay the request through another node'
         )
-    if head.outcome is RelayOutcome.silent:
-        raise SilentConnectionError(
-            head.reason, remedy='read back whether the request took effect'
+    if head.outcome is RelayOutcome.unable:
+        raise OverloadedError(
+            head.reason,
+            remedy='relay the request through another node',
+            retry_after=_RETRY_AFTER_SECONDS,
         )
-    if head.outcome is RelayOutcome.broken:
-        raise TransportBrokenError(
+    if head.outcome is not RelayOutcome.answered:
+        is_silent = head.outcome is RelayOutcome.silent
+        kind = SilentConnectionError if is_silent else TransportBrokenError
+        raise kind(
             head.reason, remedy='read back whether the request took effect'
         )
 
--- a/packages/node/ladder_node/replica_relay/messages.py
+++ b/packages/node/ladder_node/replica_relay/messages.py
@@ -19,7 +19,9 @@
     answered
         The replica has responded; the body follows.
     not_sent
-        Nothing was sent to the replica.
+        Nothing was sent, since no connection to the replica could be made.
+    unable
+        Nothing was sent, whatever the state of the replica.
     silent
         The replica did not respond in time; it may have run the request.
     broken
@@ -29,6 +31,7 @@
 
     answered = auto()
     not_sent = auto()
+    unable = auto()
     silent = auto()
     broken = auto()
 
--- a/packages/policy/ladder_policy/routing/relays.py
+++ b/packages/policy/ladder_policy/routing/relays.py
@@ -28,6 +28,8 @@
         Processing capacity, in any unit above zero.
     has_failed : bool
         Whether it recently could not relay a request.
+    has_proved : bool
+        Whether it recently showed that it reaches the service.
 
     """
 
@@ -37,6 +39,7 @@
     data_centre: str = ''
     capacity: float = 1
     has_failed: bool = False
+    has_proved: bool = False
 
 
 def order_relays(
@@ -47,7 +50,8 @@
 
     Explanation
     -----------
-    A near host comes first. Whole data centres lose their paths together, so
+    Hosts that are known to reach the service come first, near ones before
+    others. Whole data centres lose their paths together, so
     each host that follows is in another data centre than those before it, as
     far as there are others. Within a data centre the load is spread by
     capacity (weighted rendezvous hashing).
@@ -69,20 +73,23 @@
 
     """
 
-    def rank(candidate: RelayCandidate) -> tuple[bool, int, float]:
+    def rank(candidate: RelayCandidate) -> tuple[bool, bool, int, float]:
         weight = f'{host}\n{candidate.name}'.encode()
         drawn = (xxhash.xxh3_64_intdigest(weight) + 1) / (2**_HASH_BITS + 1)
         return (
             candidate.has_failed,
+            not candidate.has_proved,
             candidate.distance,
             -math.log(drawn) / candidate.capacity,
         )
 
     places: dict[str, int] = {}
-    rounds: list[tuple[bool, int, RelayCandidate]] = []
+    rounds: list[tuple[bool, bool, int, RelayCandidate]] = []
     for candidate in sorted(candidates, key=rank):
         place = places.get(candidate.data_centre, 0)
         places[candidate.data_centre] = place + 1
-        rounds.append((candidate.has_failed, place, candidate))
-    rounds.sort(key=lambda entry: entry[:2])
-    return [candidate for _, _, candidate in rounds]
+        rounds.append(
+            (candidate.has_failed, not candidate.has_proved, place, candidate)
+        )
+    rounds.sort(key=lambda entry: entry[:3])
+    return [candidate for _, _, _, candidate in rounds]
--- a/packages/policy/ladder_policy/routing/tests/test_relay_patterns.py
+++ b/packages/policy/ladder_policy/routing/tests/test_relay_patterns.py
@@ -45,6 +45,13 @@
     assert order_relays('leith-9', [failed, far]) == [far, failed]
 
 
+def test_hosts_that_are_known_to_reach_the_service_come_first():
+    """Guards against requests that wait at hosts that are cut, too."""
+    near = make_hosts('leith', 0, 6)
+    proved = RelayCandidate('inverness-1', '', 2, 'inverness', has_proved=True)
+    assert order_relays('leith-9', [*near, proved])[0] == proved
+
+
 def test_two_thirds_of_the_hosts_are_cut_and_the_rest_share_by_capacity():
     left = make_hosts('leith', 0, 10) + make_hosts('govan', 0, 10, 4)
     first = Counter(
