Let the kernel probe connections that only wait

A kept connection whose path went silent was ended by nothing while it waited for a response: TCP_USER_TIMEOUT was set without keep-alive probes, and its time only runs while sent data is unacknowledged. Requests waited there for their whole time limit.

The first test fails with the options as they were; the second shows that a response after 2.5 s outlives a limit of 1 s on a sound path.

--- a/packages/clients/ladder_clients/exchanges/opener.py
+++ b/packages/clients/ladder_clients/exchanges/opener.py
@@ -6,11 +6,10 @@
 from prometheus_client import Counter
 
 from ladder_clients.exchanges.connection import PersistentConnection
+from ladder_clients.exchanges.dead_paths import detect_dead_path
 from ladder_clients.exchanges.errors import RefusedError, UnreachableError
 from ladder_clients.exchanges.observer import ConnectionObserver
 
-_MILLISECONDS_PER_SECOND = 1000
-
 _opened_counter = Counter(
     'ladder_connections_opened_total',
     'Connections made to targets and to the platform',
@@ -24,8 +23,8 @@
     Parameters
     ----------
     dead_path_seconds : float
-        Time for which sent data may stay unacknowledged before the kernel
-        closes a connection (``TCP_USER_TIMEOUT``).
+        Time without an acknowledgement after which the kernel closes a
+        connection.
 
     """
 
@@ -78,11 +77,7 @@
 
     def _set_socket_options(self, opened: socket.socket) -> None:
         opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        opened.setsockopt(
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            int(self._dead_path_seconds * _MILLISECONDS_PER_SECOND),
-        )
+        detect_dead_path(opened, self._dead_path_seconds)
 
 
 def _choose_error(error: Exception) -> type[UnreachableError]:
--- a/packages/clients/ladder_clients/exchanges/pool.py
+++ b/packages/clients/ladder_clients/exchanges/pool.py
@@ -72,8 +72,8 @@
         Time before the peer's keep-alive time-out at which an idle connection
         is closed.
     dead_path_seconds : float
-        Time for which sent data may stay unacknowledged before the kernel
-        closes the connection (``TCP_USER_TIMEOUT``).
+        Time without an acknowledgement after which the kernel closes a
+        connection.
 
     """
 
--- a/packages/clients/ladder_clients/exchanges/tests/test_pool.py
+++ b/packages/clients/ladder_clients/exchanges/tests/test_pool.py
@@ -218,3 +218,39 @@
     await asyncio.gather(*requests)
     await harness.close()
     assert target.connections == 2
+
+
+async def test_connection_that_only_waits_detects_a_dead_path(harness):
+    """
+    Guards against exchanges on a silent path that nothing ends.
+
+    Without probes the time-out of unacknowledged data never starts on a
+    connection that has sent everything and waits for its response.
+    """
+    target = await harness.serve(answer_whole)
+    await harness.fetch(target)
+    kept = harness.pool.list_connections(target.address)
+    opened = kept[0]._transport.get_extra_info('socket')
+    assert opened.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+    for option, setting in (
+        (socket.TCP_KEEPIDLE, 1),
+        (socket.TCP_KEEPINTVL, 1),
+        (socket.TCP_USER_TIMEOUT, 3000),
+    ):
+        assert opened.getsockopt(socket.IPPROTO_TCP, option) == setting
+
+
+async def test_slow_sound_stream_outlives_the_limit_of_dead_paths():
+    """Guards against sound connections that are closed as dead."""
+
+    async def answer_late(request, writer):
+        await asyncio.sleep(2.5)
+        await answer_whole(request, writer)
+
+    harness = PoolHarness(PoolLimits(dead_path_seconds=1))
+    target = await harness.serve(answer_late)
+    async with harness.pool.exchange(
+        target.address, GET, Timeouts(5, 5)
+    ) as response:
+        assert await response.read() == b'/kegs?full=%20'
+    await harness.close()
