Find the next holder before the duty is given up

It asks while the runs go on now, takes the first node that reaches them, and keeps the duty if none does; the search is repeated after half a second.

--- a/packages/node/ladder_node/batches/fitness.py
+++ b/packages/node/ladder_node/batches/fitness.py
@@ -5,12 +5,16 @@
 
 from ladder_core.timers import TimerService
 from ladder_core.values import RouteKind, RouteTable
+from ladder_node.batches.fence import DutyUnfitError
 from ladder_node.batches.offers import DutyOffer, OfferSender
 from ladder_node.members import Member
 from ladder_node.routes import RouteCache
 from ladder_policy.duties import DutyTenure
 from ladder_policy.routing import RelayCandidate
 
+# Pause between two searches for a node that should hold the duty.
+_SEARCH_INTERVAL_SECONDS = 0.5
+
 
 class DutyFitness(ABC):
     """Decides whether a node holds or takes the duty."""
@@ -108,6 +112,52 @@
         return self._tenure
 
 
+class HandoverCheck:
+    """
+    End a tenure for which another node is better.
+
+    Parameters
+    ----------
+    fitness : DutyFitness
+        Decides on the tenure of this node.
+    timers : TimerService
+        Clock of the searches.
+
+    """
+
+    def __init__(self, fitness: DutyFitness, timers: TimerService) -> None:
+        self._fitness = fitness
+        self._timers = timers
+        self._successor: RelayCandidate | None = None
+        self._search_at: float = 0
+
+    @property
+    def successor(self) -> RelayCandidate | None:
+        """Node that should hold the duty next; None while it stays."""
+        return self._successor
+
+    async def check(self) -> None:
+        """
+        Return if the duty stays; it does if no other node reaches the engines.
+
+        Raises
+        ------
+        DutyUnfitError
+            The successor should hold the duty.
+
+        """
+        now = self._timers.now()
+        if now < self._search_at or self._fitness.should_hold():
+            return
+        self._search_at = now + _SEARCH_INTERVAL_SECONDS
+        self._successor = await self._fitness.find_successor()
+        if self._successor is not None:
+            raise DutyUnfitError(
+                'this node has lost its path to the engines',
+                remedy='hand the duty over to a node that has one',
+            )
+
+
 def list_batch_services(table: RouteTable | None) -> frozenset[str]:
     """Return the services that run the tasks of batches."""
     if table is None:
--- a/packages/node/ladder_node/batches/owner.py
+++ b/packages/node/ladder_node/batches/owner.py
@@ -11,6 +11,7 @@
 from ladder_node.batches.offers import DutyOffer, DutyOfferReply
 from ladder_node.batches.session import OwnerSession
 from ladder_node.leases import Lease, LeaseCandidate
+from ladder_policy.routing import RelayCandidate
 
 DUTY = 'batches'
 _ATTEMPT_INTERVAL_SECONDS = 0.3
@@ -81,13 +82,10 @@
             return await self._candidate.acquire_now(DUTY)
         return await self._candidate.try_acquire(DUTY)
 
-    async def _hand_over(self, lease: Lease) -> None:
+    async def _hand_over(self, lease: Lease, successor: RelayCandidate) -> None:
         """Release the lease for a node that reaches the engines."""
-        fitness = self._dependencies.fitness
-        successor = await fitness.find_successor()
-        await lease.release(successor.name if successor else '')
-        if successor is not None:
-            await fitness.offer(successor, DUTY)
+        await lease.release(successor.name)
+        await self._dependencies.fitness.offer(successor, DUTY)
 
     async def _wait(self) -> None:
         """Wait for the next attempt, or until the duty is offered."""
@@ -110,12 +108,13 @@
             'duty-begun', DUTY, epoch=lease.epoch
         )
         reason = 'closed'
+        session = OwnerSession(self._dependencies, lease)
         try:
-            await OwnerSession(self._dependencies, lease).run()
+            await session.run()
         except OwnershipLostError as error:
             reason = error.message
-            if not self._dependencies.fitness.should_hold():
-                await self._hand_over(lease)
+            if session.handover.successor is not None:
+                await self._hand_over(lease, session.handover.successor)
         except Exception as error:
             reason = repr(error)
             logger.exception('duty {} failed; its lease is released', DUTY)
--- a/packages/node/ladder_node/batches/session.py
+++ b/packages/node/ladder_node/batches/session.py
@@ -20,12 +20,11 @@
 from ladder_node.batches.dispatcher import TaskDispatcher
 from ladder_node.batches.drafts import DraftSaver
 from ladder_node.batches.engines import EngineTracker
-from ladder_node.batches.fence import (
-    DutyUnfitError,
-    Fence,
-    OwnershipLostError,
+from ladder_node.batches.fence import Fence, OwnershipLostError
+from ladder_node.batches.fitness import (
+    HandoverCheck,
+    list_batch_services,
 )
-from ladder_node.batches.fitness import list_batch_services
 from ladder_node.batches.intake import BatchIntake
 from ladder_node.batches.loading import VersionLoader
 from ladder_node.batches.open_batch import OpenBatch, Stage, needs_one_version
@@ -64,9 +63,15 @@
     lease : Lease
         Lease of the duty, valid at the start of the session.
 
+    Attributes
+    ----------
+    handover : HandoverCheck
+        Knows the node that should hold the duty next, if any.
+
     """
 
     def __init__(self, dependencies: OwnerDependencies, lease: Lease) -> None:
+        self.handover = HandoverCheck(dependencies.fitness, dependencies.timers)
         self._dependencies = dependencies
         self._timers = dependencies.timers
         self._fence = Fence(
@@ -162,11 +167,7 @@
         while True:
             self._wake.clear()
             self._fence.check()
-            if not self._dependencies.fitness.should_hold():
-                raise DutyUnfitError(
-                    'this node has lost its path to the engines',
-                    remedy='hand the duty over to a node that has one',
-                )
+            await self.handover.check()
             runs.give_up_expired()
             runs.move_runs()
             for service in sorted(
--- a/packages/node/ladder_node/replica_paths/comparer.py
+++ b/packages/node/ladder_node/replica_paths/comparer.py
@@ -1,7 +1,7 @@
 """Compare the replicas that this node reaches with those of other nodes."""
 
 import asyncio
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Sequence
 from contextlib import aclosing
 
 from ladder_clients.exchanges import ConnectionPool, Reachability
@@ -48,7 +48,9 @@
         self._registry = registry
         self._relays = relays
         self._sender = sender
-        self._questions: set[asyncio.Task[PathReply]] = set()
+        self._questions: set[asyncio.Task[tuple[RelayCandidate, PathReply]]] = (
+            set()
+        )
 
     async def close(self) -> None:
         """Cancel the questions that are not answered yet."""
@@ -63,8 +65,11 @@
 
         The first node that reaches any of them decides.
         """
-        async with aclosing(self._ask_nodes(service, replicas)) as replies:
-            async for reply in replies:
+        nodes = self._relays.list_relays(service)
+        async with aclosing(
+            self._ask_nodes(service, replicas, nodes)
+        ) as replies:
+            async for _, reply in replies:
                 if reply.reached:
                     return set(reply.reached)
         return set()
@@ -74,21 +79,23 @@
         replicas = tuple(
             record.name for record in self._registry.list_service(service)
         )
-        nodes = order_successors(self._relays.list_relays(service))[
-            :_ASKED_NODES
-        ]
-        question = PathQuestion(replicas[:_MAX_REPLICAS])
-        replies = await asyncio.gather(
-            *(self._ask(node, service, question) for node in nodes)
-        )
-        answered = zip(nodes, replies, strict=True)
-        return next((node for node, reply in answered if reply.reached), None)
+        nodes = order_successors(self._relays.list_relays(service))
+        async with aclosing(
+            self._ask_nodes(service, replicas, nodes)
+        ) as replies:
+            async for node, reply in replies:
+                if reply.reached:
+                    return node
+        return None
 
     async def is_gone(self, service: str, replica: str) -> bool:
         """Return whether other nodes are refused by a replica."""
         refusals = 0
-        async with aclosing(self._ask_nodes(service, (replica,))) as replies:
-            async for reply in replies:
+        nodes = self._relays.list_relays(service)
+        async with aclosing(
+            self._ask_nodes(service, (replica,), nodes)
+        ) as replies:
+            async for _, reply in replies:
                 if reply.reached:
                     return False
                 refusals += len(reply.refused)
@@ -116,14 +123,16 @@
         )
 
     async def _ask_nodes(
-        self, service: str, replicas: tuple[str, ...]
-    ) -> AsyncGenerator[PathReply, None]:
-        """Ask some nodes at once, and yield their replies as they come."""
-        nodes = self._relays.list_relays(service)[:_ASKED_NODES]
+        self,
+        service: str,
+        replicas: tuple[str, ...],
+        nodes: Sequence[RelayCandidate],
+    ) -> AsyncGenerator[tuple[RelayCandidate, PathReply], None]:
+        """Ask the first nodes at once, and yield their replies as they come."""
         question = PathQuestion(replicas[:_MAX_REPLICAS])
         questions = [
             asyncio.ensure_future(self._ask(node, service, question))
-            for node in nodes
+            for node in nodes[:_ASKED_NODES]
         ]
         # Late replies still show which nodes may relay requests.
         self._questions.update(questions)
@@ -134,10 +143,10 @@
 
     async def _ask(
         self, node: RelayCandidate, service: str, question: PathQuestion
-    ) -> PathReply:
+    ) -> tuple[RelayCandidate, PathReply]:
         reply = await self._sender.send(node.address, question)
         if reply is None or not reply.reached:
             self._relays.record_failure(node.name)
         else:
             self._relays.record_success(node.name, service)
-        return reply or PathReply()
+        return node, reply or PathReply()
