Make few connections while paths are compared

Each of six nodes that were asked connected to four replicas, and each quiet host probed two replicas of each service every two seconds as long as any other host had lost its path.

A node that is asked replies at once for a replica whose open connection is new or has just sent bytes, and else tries one; only a crash needs a new connection as a proof. A quiet host checks its path with one probe each eight seconds while others lack theirs, and goes on only if that one fails.

--- a/packages/clients/ladder_clients/exchanges/__init__.py
+++ b/packages/clients/ladder_clients/exchanges/__init__.py
@@ -1,5 +1,6 @@
 """HTTP exchanges over persistent connections."""
 
+from ladder_clients.exchanges.connection import PersistentConnection
 from ladder_clients.exchanges.errors import (
     AbandonedError,
     BrokenPathError,
@@ -33,6 +34,7 @@
     'StreamedResponse',
     'OutgoingRequest',
     'PendingExchanges',
+    'PersistentConnection',
     'PoolLimits',
     'Reachability',
     'ResponseTooLargeError',
--- a/packages/clients/ladder_clients/exchanges/connection.py
+++ b/packages/clients/ladder_clients/exchanges/connection.py
@@ -87,10 +87,15 @@
         """Whether the connection is open and no exchange is in flight."""
         return not self._is_closed and self._is_idle
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection was made and has not ended."""
+        return self._transport is not None and not self._is_closed
+
     @property
     def silent_since(self) -> float | None:
         """Time from which an exchange waits for bytes; None without one."""
-        if self._is_idle or self._is_closed:
+        if self._is_idle or not self.is_open:
             return None
         return max(self.requested_at, self.received_at)
 
@@ -110,10 +115,6 @@
             self._transport.pause_reading()
         self._wakeup.set()
 
-    def eof_received(self) -> bool:
-        """Return False, so that asyncio closes the transport."""
-        return False
-
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the error, and wake the exchange that waits for bytes."""
         is_cut = not self._is_idle and not self._is_closed
--- a/packages/node/ladder_node/replica_paths/comparer.py
+++ b/packages/node/ladder_node/replica_paths/comparer.py
@@ -5,19 +5,23 @@
 from contextlib import aclosing
 
 from ladder_clients.exchanges import ConnectionPool, Reachability
+from ladder_core.timers import TimerService
 from ladder_node.replica_paths.messages import (
     PathQuestion,
     PathReply,
     PathSender,
 )
 from ladder_node.replica_paths.relays import RelayDirectory
-from ladder_node.replicas import ReplicaRegistry
+from ladder_node.replicas import ReplicaRecord, ReplicaRegistry
 from ladder_policy.duties import order_successors
 from ladder_policy.routing import RelayCandidate
 
 _CONNECT_SECONDS = 0.3
 _ASKED_NODES = 6
 _MAX_REPLICAS = 4
+# Age of bytes on an open connection that still show that a replica is reached.
+# It is shorter than it takes the node that asks to find out that it isn't.
+_FRESH_SECONDS = 0.2
 
 
 class PathComparer:
@@ -34,6 +38,8 @@
         Nodes that are asked.
     sender : PathSender
         Sends the questions.
+    timers : TimerService
+        Clock of the age of received bytes.
 
     """
 
@@ -43,11 +49,13 @@
         registry: ReplicaRegistry,
         relays: RelayDirectory,
         sender: PathSender,
+        timers: TimerService,
     ) -> None:
         self._pool = pool
         self._registry = registry
         self._relays = relays
         self._sender = sender
+        self._timers = timers
         self._questions: set[asyncio.Task[tuple[RelayCandidate, PathReply]]] = (
             set()
         )
@@ -58,7 +66,11 @@
             question.cancel()
 
     async def find_reached(
-        self, service: str, replicas: tuple[str, ...]
+        self,
+        service: str,
+        replicas: tuple[str, ...],
+        *,
+        needs_proof: bool = False,
     ) -> set[str]:
         """
         Return those of some replicas that another node reaches.
@@ -66,8 +78,9 @@
         The first node that reaches any of them decides.
         """
         nodes = self._relays.list_relays(service)
+        question = PathQuestion(replicas[:_MAX_REPLICAS], needs_proof)
         async with aclosing(
-            self._ask_nodes(service, replicas, nodes)
+            self._ask_nodes(service, question, nodes)
         ) as replies:
             async for _, reply in replies:
                 if reply.reached:
@@ -80,8 +93,9 @@
             record.name for record in self._registry.list_service(service)
         )
         nodes = order_successors(self._relays.list_relays(service))
+        question = PathQuestion(replicas[:_MAX_REPLICAS])
         async with aclosing(
-            self._ask_nodes(service, replicas, nodes)
+            self._ask_nodes(service, question, nodes)
         ) as replies:
             async for node, reply in replies:
                 if reply.reached:
@@ -92,8 +106,9 @@
         """Return whether other nodes are refused by a replica."""
         refusals = 0
         nodes = self._relays.list_relays(service)
+        question = PathQuestion((replica,), needs_proof=True)
         async with aclosing(
-            self._ask_nodes(service, (replica,), nodes)
+            self._ask_nodes(service, question, nodes)
         ) as replies:
             async for _, reply in replies:
                 if reply.reached:
@@ -108,28 +123,37 @@
             for name in question.replicas[:_MAX_REPLICAS]
             if (record := self._registry.find(name)) is not None
         ]
-        outcomes = await asyncio.gather(
-            *(
-                self._pool.probe(record.replica.address, _CONNECT_SECONDS)
-                for record in records
+        if not question.needs_proof:
+            for known in records:
+                if self._has_just_sent(known):
+                    return PathReply((known.name,))
+        for record in records[:1]:
+            outcome = await self._pool.probe(
+                record.replica.address, _CONNECT_SECONDS
+            )
+            if outcome is Reachability.reached:
+                return PathReply((record.name,))
+            if outcome is Reachability.refused:
+                return PathReply((), (record.name,))
+        return PathReply()
+
+    def _has_just_sent(self, record: ReplicaRecord) -> bool:
+        """Return whether an open connection is new or has just got bytes."""
+        oldest = self._timers.now() - _FRESH_SECONDS
+        return any(
+            connection.is_open and connection.received_at > oldest
+            for connection in self._pool.list_connections(
+                record.replica.address
             )
-        )
-        found: dict[Reachability, list[str]] = {}
-        for record, outcome in zip(records, outcomes, strict=True):
-            found.setdefault(outcome, []).append(record.name)
-        return PathReply(
-            tuple(found.get(Reachability.reached, ())),
-            tuple(found.get(Reachability.refused, ())),
         )
 
     async def _ask_nodes(
         self,
         service: str,
-        replicas: tuple[str, ...],
+        question: PathQuestion,
         nodes: Sequence[RelayCandidate],
     ) -> AsyncGenerator[tuple[RelayCandidate, PathReply], None]:
         """Ask the first nodes at once, and yield their replies as they come."""
-        question = PathQuestion(replicas[:_MAX_REPLICAS])
         questions = [
             asyncio.ensure_future(self._ask(node, service, question))
             for node in nodes[:_ASKED_NODES]
--- a/packages/node/ladder_node/replica_paths/messages.py
+++ b/packages/node/ladder_node/replica_paths/messages.py
@@ -16,11 +16,15 @@
     Attributes
     ----------
     replicas : tuple of str
-        Names of the replicas.
+        Names of the replicas, the most important first.
+    needs_proof : bool
+        Whether only a new connection shows that a replica is reached. If not,
+        bytes that it has just sent do, and one replica is enough.
 
     """
 
     replicas: tuple[str, ...]
+    needs_proof: bool = False
 
 
 class PathReply(msgspec.Struct, frozen=True, array_like=True):
@@ -30,7 +34,7 @@
     Attributes
     ----------
     reached : tuple of str
-        Names of the replicas to which the node made a connection.
+        Names of replicas that the node reaches.
     refused : tuple of str
         Names of the replicas at whose address no process listens.
 
--- a/packages/node/ladder_node/replica_paths/monitor.py
+++ b/packages/node/ladder_node/replica_paths/monitor.py
@@ -30,8 +30,6 @@
 from ladder_policy.routing import ServicePath
 
 _CHECK_INTERVAL_SECONDS = 0.2
-# Replicas that are probed at once while the path is in doubt.
-_DOUBT_PROBES = 2
 
 _unreachable_counter = Counter(
     'ladder_replica_unreachable_total',
@@ -179,15 +177,13 @@
         lost_elsewhere = self._relays.list_services_lost_elsewhere()
         for service, addresses in self._groups.list_all():
             self._compare_if_needed(service, addresses)
-            count = 0
             if not self._prober.is_due(service):
                 continue
-            if self.is_lost(service):
-                count = 1
-            elif self._prober.is_in_doubt(
-                service, addresses, service in lost_elsewhere
-            ):
-                count = _DOUBT_PROBES
+            count = 1
+            if not self.is_lost(service):
+                count = self._prober.count_needed(
+                    service, addresses, service in lost_elsewhere
+                )
             if count:
                 self._begin(
                     f'probe {service}',
--- a/packages/node/ladder_node/replica_paths/parts.py
+++ b/packages/node/ladder_node/replica_paths/parts.py
@@ -52,7 +52,7 @@
 ) -> PathParts:
     """Return the parts of a node, not started."""
     relays = RelayDirectory(own, list_members, timers)
-    comparer = PathComparer(pool, registry, relays, sender)
+    comparer = PathComparer(pool, registry, relays, sender, timers)
     paths = ReplicaPaths(pool, registry, relays, comparer, timers, timeline)
     probe = ComparedProbe(TcpProbe(timers), comparer, registry, paths.is_lost)
     return PathParts(relays, comparer, paths, probe)
--- a/packages/node/ladder_node/replica_paths/probe.py
+++ b/packages/node/ladder_node/replica_paths/probe.py
@@ -53,7 +53,9 @@
             return await self._comparer.is_gone(service, record.name)
         if not await self._probe.is_gone(address):
             return False
-        reached = await self._comparer.find_reached(service, (record.name,))
+        reached = await self._comparer.find_reached(
+            service, (record.name,), needs_proof=True
+        )
         if reached:
             logger.info('{} refuses this host only', record.name)
         return not reached
--- a/packages/node/ladder_node/replica_paths/prober.py
+++ b/packages/node/ladder_node/replica_paths/prober.py
@@ -3,7 +3,11 @@
 import asyncio
 from collections.abc import Sequence
 
-from ladder_clients.exchanges import ConnectionPool, Reachability
+from ladder_clients.exchanges import (
+    ConnectionPool,
+    PersistentConnection,
+    Reachability,
+)
 from ladder_core.timers import TimerService
 
 # Time without a byte from any replica of a service, while an answer is waited
@@ -12,9 +16,12 @@
 _MANY_SILENT_SECONDS = 0.25
 _MANY_ANSWERS = 4
 _CONNECT_SECONDS = 0.3
+_DOUBT_PROBES = 2
 _INTERVAL_SECONDS = 0.6
 # Pause after a probe that found the path sound.
 _SOUND_INTERVAL_SECONDS = 2
+# Pause between two checks of a quiet path while other hosts have lost theirs.
+_VERIFICATION_INTERVAL_SECONDS = 8
 
 
 class PathProber:
@@ -34,6 +41,7 @@
         self._pool = pool
         self._timers = timers
         self._next_at: dict[str, float] = {}
+        self._verify_at: dict[str, float] = {}
         self._suspected: set[str] = set()
         self._probes = 0
 
@@ -45,46 +53,27 @@
         """Let the path be probed unless a replica sends something now."""
         self._suspected.add(service)
 
-    def is_in_doubt(
+    def count_needed(
         self, service: str, addresses: Sequence[str], is_lost_elsewhere: bool
-    ) -> bool:
+    ) -> int:
         """
-        Return whether the path to a service should be probed.
+        Return the number of replicas to probe at once, or zero.
 
         Parameters
         ----------
         service : str
-            Name of the service.
+            Name of the service, whose path is not known to be lost.
         addresses : sequence of str
             ``ip:port`` of its replicas.
         is_lost_elsewhere : bool
             Whether another node has lost its path to the service.
 
-        Returns
-        -------
-        bool
-            True if no replica has sent a byte for a while, and an answer is
-            overdue, a connection broke, or another node has lost its path.
-
         """
-        connections = [
-            connection
-            for address in addresses
-            for connection in self._pool.list_connections(address)
-        ]
-        waiting = [
-            connection.silent_since
-            for connection in connections
-            if connection.silent_since is not None
-        ]
-        is_many = len(waiting) >= _MANY_ANSWERS
-        silence = _MANY_SILENT_SECONDS if is_many else _SILENCE_SECONDS
-        limit = self._timers.now() - silence
-        if any(connection.received_at > limit for connection in connections):
-            self._suspected.discard(service)
-            return False
-        is_suspected = service in self._suspected or is_lost_elsewhere
-        return is_suspected or any(since <= limit for since in waiting)
+        if self._is_in_doubt(service, addresses):
+            return _DOUBT_PROBES
+        return int(
+            is_lost_elsewhere and self._needs_verification(service, addresses)
+        )
 
     async def probe(
         self, service: str, addresses: Sequence[str], count: int
@@ -116,7 +105,70 @@
                 for address in sorted(chosen)
             )
         )
-        if Reachability.reached in reached:
+        if Reachability.reached not in reached:
+            self._suspected.add(service)
+        else:
             self._next_at[service] = (
                 self._timers.now() + _SOUND_INTERVAL_SECONDS
             )
+
+    def _is_in_doubt(self, service: str, addresses: Sequence[str]) -> bool:
+        """
+        Return whether the path to a service should be probed.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        addresses : sequence of str
+            ``ip:port`` of its replicas.
+
+        Returns
+        -------
+        bool
+            True if no replica has sent a byte for a while, and an answer is
+            overdue or a connection broke.
+
+        """
+        waiting = [
+            connection.silent_since
+            for connection in self._list_connections(addresses)
+            if connection.silent_since is not None
+        ]
+        is_many = len(waiting) >= _MANY_ANSWERS
+        silence = _MANY_SILENT_SECONDS if is_many else _SILENCE_SECONDS
+        if not self._is_quiet(addresses, silence):
+            self._suspected.discard(service)
+            return False
+        limit = self._timers.now() - silence
+        return service in self._suspected or any(
+            since <= limit for since in waiting
+        )
+
+    def _needs_verification(
+        self, service: str, addresses: Sequence[str]
+    ) -> bool:
+        """Return whether a path is to be checked, as others lost theirs."""
+        now = self._timers.now()
+        is_due = now >= self._verify_at.get(service, 0)
+        if not is_due or not self._is_quiet(addresses, _SILENCE_SECONDS):
+            return False
+        self._verify_at[service] = now + _VERIFICATION_INTERVAL_SECONDS
+        return True
+
+    def _is_quiet(self, addresses: Sequence[str], seconds: float) -> bool:
+        """Return whether no replica has sent a byte for some time."""
+        limit = self._timers.now() - seconds
+        return all(
+            connection.received_at <= limit
+            for connection in self._list_connections(addresses)
+        )
+
+    def _list_connections(
+        self, addresses: Sequence[str]
+    ) -> list[PersistentConnection]:
+        return [
+            connection
+            for address in addresses
+            for connection in self._pool.list_connections(address)
+        ]
