Bound the connections by which a fleet compares its paths

Each of 195 hosts checked its path since others had lost theirs, and each that was cut had six nodes connect.

Ten hosts of a fleet check a quiet path, all of a small one; the others notice at their first request. Two nodes are asked at a time, the next after 0.08 s without an answer.

--- a/packages/node/ladder_node/replica_paths/comparer.py
+++ b/packages/node/ladder_node/replica_paths/comparer.py
@@ -18,6 +18,8 @@
 
 _CONNECT_SECONDS = 0.3
 _ASKED_NODES = 6
+_ASKED_AT_ONCE = 2
+_NEXT_NODE_SECONDS = 0.08
 _MAX_REPLICAS = 4
 # Age of bytes on an open connection that still show that a replica is reached.
 # It is shorter than it takes the node that asks to find out that it isn't.
@@ -153,17 +155,34 @@
         question: PathQuestion,
         nodes: Sequence[RelayCandidate],
     ) -> AsyncGenerator[tuple[RelayCandidate, PathReply], None]:
-        """Ask the first nodes at once, and yield their replies as they come."""
-        questions = [
-            asyncio.ensure_future(self._ask(node, service, question))
-            for node in nodes[:_ASKED_NODES]
-        ]
-        # Late replies still show which nodes may relay requests.
-        self._questions.update(questions)
-        for asked in questions:
-            asked.add_done_callback(self._questions.discard)
-        for reply in asyncio.as_completed(questions):
-            yield await reply
+        """
+        Ask one node after the other, and yield their replies as they come.
+
+        The next ones are asked without waiting long for those before, since
+        they may be cut, too.
+        """
+        waiting = list(nodes[:_ASKED_NODES])
+        asked: set[asyncio.Task[tuple[RelayCandidate, PathReply]]] = set()
+        while waiting or asked:
+            for node in waiting[:_ASKED_AT_ONCE]:
+                asked.add(self._begin_question(node, service, question))
+            waiting = waiting[_ASKED_AT_ONCE:]
+            replied, asked = await asyncio.wait(
+                asked,
+                timeout=_NEXT_NODE_SECONDS if waiting else None,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for reply in replied:
+                yield reply.result()
+
+    def _begin_question(
+        self, node: RelayCandidate, service: str, question: PathQuestion
+    ) -> asyncio.Task[tuple[RelayCandidate, PathReply]]:
+        """Ask a node; a late reply still tells whether it may relay."""
+        asked = asyncio.create_task(self._ask(node, service, question))
+        self._questions.add(asked)
+        asked.add_done_callback(self._questions.discard)
+        return asked
 
     async def _ask(
         self, node: RelayCandidate, service: str, question: PathQuestion
--- a/packages/node/ladder_node/replica_paths/monitor.py
+++ b/packages/node/ladder_node/replica_paths/monitor.py
@@ -182,7 +182,10 @@
             count = 1
             if not self.is_lost(service):
                 count = self._prober.count_needed(
-                    service, addresses, service in lost_elsewhere
+                    service,
+                    addresses,
+                    service in lost_elsewhere
+                    and self._relays.is_verifier(service),
                 )
             if count:
                 self._begin(
--- a/packages/node/ladder_node/replica_paths/prober.py
+++ b/packages/node/ladder_node/replica_paths/prober.py
@@ -54,7 +54,7 @@
         self._suspected.add(service)
 
     def count_needed(
-        self, service: str, addresses: Sequence[str], is_lost_elsewhere: bool
+        self, service: str, addresses: Sequence[str], is_verifier: bool
     ) -> int:
         """
         Return the number of replicas to probe at once, or zero.
@@ -65,15 +65,13 @@
             Name of the service, whose path is not known to be lost.
         addresses : sequence of str
             ``ip:port`` of its replicas.
-        is_lost_elsewhere : bool
-            Whether another node has lost its path to the service.
+        is_verifier : bool
+            Whether this node checks its path since another one lost its own.
 
         """
         if self._is_in_doubt(service, addresses):
             return _DOUBT_PROBES
-        return int(
-            is_lost_elsewhere and self._needs_verification(service, addresses)
-        )
+        return int(is_verifier and self._needs_verification(service, addresses))
 
     async def probe(
         self, service: str, addresses: Sequence[str], count: int
--- a/packages/node/ladder_node/replica_paths/relays.py
+++ b/packages/node/ladder_node/replica_paths/relays.py
@@ -5,7 +5,11 @@
 
 from ladder_core.timers import TimerService
 from ladder_node.members import Member
-from ladder_policy.routing import RelayCandidate, order_relays
+from ladder_policy.routing import (
+    RelayCandidate,
+    is_verifier,
+    order_relays,
+)
 
 # Time for which a node that could not relay comes last, and one that is known
 # to reach a service comes first.
@@ -66,6 +70,13 @@
             for service in member.lost_services
         }
 
+    def is_verifier(self, service: str) -> bool:
+        """Return whether this node checks a path that another node lost."""
+        members = [*self._list_others(), self._own]
+        return is_verifier(
+            self._own.name, service, [member.name for member in members]
+        )
+
     def record_success(self, name: str, service: str) -> None:
         """Record that a node reaches a service."""
         self._failed_at.pop(name, None)
--- a/packages/policy/ladder_policy/routing/__init__.py
+++ b/packages/policy/ladder_policy/routing/__init__.py
@@ -14,6 +14,7 @@
 from ladder_policy.routing.round_robin import RoundRobinChooser
 from ladder_policy.routing.service_path import ServicePath
 from ladder_policy.routing.success_rate import SuccessRate
+from ladder_policy.routing.verifiers import is_verifier
 
 __all__ = (
     'Candidate',
@@ -29,5 +30,6 @@
     'TargetChooser',
     'TargetCircuitBreaker',
     'choose_forward_target',
+    'is_verifier',
     'order_relays',
 )
--- a/packages/policy/ladder_policy/routing/tests/test_relay_patterns.py
+++ b/packages/policy/ladder_policy/routing/tests/test_relay_patterns.py
@@ -7,7 +7,11 @@
 
 from collections import Counter
 
-from ladder_policy.routing import RelayCandidate, order_relays
+from ladder_policy.routing import (
+    RelayCandidate,
+    is_verifier,
+    order_relays,
+)
 
 
 def make_hosts(data_centre, distance, count, capacity=1):
@@ -66,6 +70,18 @@
     assert max(first.values()) < 3 * 400 / 10
 
 
+def test_hundreds_of_quiet_hosts_check_their_paths_with_few_connections():
+    """Guards against a connection of each host of a fleet for one cut."""
+    hosts = [f'host-{number}' for number in range(195)]
+    verifiers = [host for host in hosts if is_verifier(host, 'app', hosts)]
+    assert 0 < len(verifiers) <= 10
+
+
+def test_all_quiet_hosts_of_a_small_fleet_check_their_paths():
+    hosts = [f'host-{number}' for number in range(9)]
+    assert all(is_verifier(host, 'app', hosts) for host in hosts)
+
+
 def test_a_host_chooses_the_same_relay_each_time():
     hosts = make_hosts('leith', 0, 9)
     assert order_relays('a', hosts) == order_relays('a', list(reversed(hosts)))
