--- a/packages/node/ladder_node/replica_paths/prober.py
+++ b/packages/node/ladder_node/replica_paths/prober.py
@@ -15,7 +15,7 @@
 _SILENCE_SECONDS = 0.4
 _MANY_SILENT_SECONDS = 0.25
 _MANY_ANSWERS = 4
-_CONNECT_SECONDS = 0.3
+_CONNECT_SECONDS = 0.2
 _DOUBT_PROBES = 2
 _INTERVAL_SECONDS = 0.6
 # Pause after a probe that found the path sound.
