Forget the lost path to a service that is gone

A host that had lost its path to a service whose replicas were then all removed never made a connection to it again, so it stayed lost: the host was left out of the directory and of the candidates for duties for good. Found by reading the diff; the new test fails without the mend. Tasks of the monitor that fail leave a line, too.

--- a/packages/node/ladder_node/replica_paths/groups.py
+++ b/packages/node/ladder_node/replica_paths/groups.py
@@ -1,7 +1,5 @@
 """Addresses of the replicas of each service."""
 
-from collections.abc import Iterable
-
 from ladder_node.replicas import ReplicaRegistry
 
 
@@ -30,15 +28,12 @@
         """Unsubscribe."""
         self._registry.remove_listener(self._forget)
 
-    def list_all(self) -> Iterable[tuple[str, list[str]]]:
-        """Return each service with the addresses of its replicas."""
-        return self._find_groups().items()
-
     def list_addresses(self, service: str) -> list[str]:
         """Return the addresses of the replicas of a service."""
-        return self._find_groups().get(service, [])
+        return self.find_all().get(service, [])
 
-    def _find_groups(self) -> dict[str, list[str]]:
+    def find_all(self) -> dict[str, list[str]]:
+        """Return the addresses of the replicas of each service."""
         if self._groups is None:
             self._groups = {}
             for record in self._registry.list_all():
--- a/packages/node/ladder_node/replica_paths/monitor.py
+++ b/packages/node/ladder_node/replica_paths/monitor.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable, Coroutine
 from functools import partial
 
+from loguru import logger
 from prometheus_client import Counter, Gauge
 
 from ladder_clients.exchanges import ConnectionObserver, ConnectionPool
@@ -175,7 +176,12 @@
     async def check(self) -> None:
         """Start the probes and comparisons that are due."""
         lost_elsewhere = self._relays.list_services_lost_elsewhere()
-        for service, addresses in self._groups.list_all():
+        groups = self._groups.find_all()
+        for gone in self._lost_at.keys() - groups.keys():
+            # Nothing is left of the service that could be out of reach.
+            self.find_path(gone).record_connected()
+            self._update(gone)
+        for service, addresses in groups.items():
             self._compare_if_needed(service, addresses)
             if not self._prober.is_due(service):
                 continue
@@ -243,7 +249,13 @@
         task = asyncio.create_task(work())
         self._tasks[name] = task
         task.add_done_callback(lambda _: self._tasks.pop(name, None))
+        task.add_done_callback(partial(_log_failure, name))
 
 
 def _name_comparison(service: str) -> str:
     return f'compare {service}'
+
+
+def _log_failure(name: str, task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        logger.opt(exception=task.exception()).error('{} failed', name)
--- a/packages/node/ladder_node/replica_paths/tests/test_paths.py
+++ b/packages/node/ladder_node/replica_paths/tests/test_paths.py
@@ -122,6 +122,17 @@
     assert node.paths.list_lost() == SERVICES[:1]
 
 
+async def test_path_to_a_service_that_is_gone_is_not_lost_for_good(fleet):
+    """Guards against a host that is left out of the directory for ever."""
+    node = fleet.nodes['a0']
+    await cut(node, PathLoss.refuse, SERVICES[:1])
+    await send_to_all(node)
+    await wait_until(lambda: node.paths.list_lost() == SERVICES[:1])
+    left = [one for one in node.list_replicas() if one.service == SERVICES[1]]
+    node.registry.replace(left, 0)
+    assert await wait_until(lambda: not node.paths.list_lost()) < BOUND_SECONDS
+
+
 async def test_sound_paths_are_not_probed(fleet):
     node = fleet.nodes['a0']
     for _ in range(20):
