--- a/standins/ladder_standins/tcp_proxy.py
+++ b/standins/ladder_standins/tcp_proxy.py
@@ -10,6 +10,7 @@
 from ladder_standins.fleet.ports import find_free_ports
 
 _CHUNK_BYTES = 65_536
+_LOOPBACK = '127.0.0.1'
 # More than a queue of length zero accepts.
 _QUEUE_FILLERS = 4
 # Lets a close reset the connection.
@@ -48,16 +49,13 @@
     """
 
     def __init__(self, port: int) -> None:
-        address = ('127.0.0.1', port)
-        listener = socket.socket()
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind(address)
+        listener = _bind(port)
         listener.listen(0)
         self._sockets = [listener]
         for _ in range(_QUEUE_FILLERS):
             filler = socket.socket()
             filler.setblocking(False)
-            filler.connect_ex(address)
+            filler.connect_ex((_LOOPBACK, port))
             self._sockets.append(filler)
 
     def close(self) -> None:
@@ -131,27 +129,32 @@
         self._is_refusing = False
         self._server: asyncio.Server | None = None
         self._silent_listener: SilentListener | None = None
+        self._reservation: socket.socket | None = None
 
     @property
     def address(self) -> str:
         """Address ``ip:port`` of the proxy."""
-        return f'127.0.0.1:{self._port}'
+        return f'{_LOOPBACK}:{self._port}'
 
     async def start(self) -> None:
         """Listen on the address of the proxy."""
+        self._close_silent_listener()
         self._server = await asyncio.start_server(
             self._handle_connection,
-            '127.0.0.1',
+            _LOOPBACK,
             self._port,
         )
+        self._release_port()
 
     async def close(self) -> None:
-        """Cut all connections and stop listening."""
+        """Cut all connections, stop listening and release the port."""
+        self.stop_listening()
+        self._release_port()
+
+    def stop_listening(self) -> None:
+        """Cut all connections and refuse new ones until the next start."""
         self.cut()
-        if self._server is not None:
-            self._server.close()
-            self._server = None
-        self._close_silent_listener()
+        self._close_server()
 
     def silence_open_connections(self) -> None:
         """Silence all open connections permanently; new connections work."""
@@ -160,9 +163,7 @@
 
     async def strand(self, form: PathLoss) -> None:
         """Lose the path to the target until `restore_path`."""
-        if self._server is not None:
-            self._server.close()
-            self._server = None
+        self._close_server()
         if form is PathLoss.hang:
             self._silent_listener = SilentListener(self._port)
             self.silence_open_connections()
@@ -174,7 +175,6 @@
     async def restore_path(self) -> None:
         """Accept connections again, and forward them."""
         self.restore()
-        self._close_silent_listener()
         if self._server is None:
             await self.start()
 
@@ -188,6 +188,20 @@
         """Accept connections again."""
         self._is_refusing = False
 
+    def _close_server(self) -> None:
+        """Stop listening; the port stays reserved, so that no one takes it."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        self._close_silent_listener()
+        if self._reservation is None:
+            self._reservation = _bind(self._port)
+
+    def _release_port(self) -> None:
+        if self._reservation is not None:
+            self._reservation.close()
+            self._reservation = None
+
     def _close_silent_listener(self) -> None:
         if self._silent_listener is not None:
             self._silent_listener.close()
@@ -220,3 +234,11 @@
             )
         self._connections.discard(connection)
         connection.cut()
+
+
+def _bind(port: int) -> socket.socket:
+    """Return a socket that has a port of the loopback address."""
+    bound = socket.socket()
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.bind((_LOOPBACK, port))
+    return bound
