Pause between attempts after an offer of the duty

A node that had accepted an offer and could then not take the duty up, since it lost its path or had no configuration yet, tried again without any pause: the offer stayed set, and the wait for the next attempt ended at once.

--- a/packages/node/ladder_node/batches/owner.py
+++ b/packages/node/ladder_node/batches/owner.py
@@ -44,6 +44,7 @@
         self._candidate = candidate
         self._lease: Lease | None = None
         self._offered = asyncio.Event()
+        self._is_offered = False
 
     def receive_offer(self, offer: DutyOffer) -> DutyOfferReply:
         """Try to take the duty, which was released for this node."""
@@ -75,10 +76,11 @@
 
     async def _try_acquire(self) -> Lease | None:
         """Return the lease if this node should hold the duty and does."""
+        is_offered = self._is_offered
+        self._is_offered = False
         if not self._dependencies.fitness.should_take():
             return None
-        if self._offered.is_set():
-            self._offered.clear()
+        if is_offered:
             return await self._candidate.acquire_now(DUTY)
         return await self._candidate.try_acquire(DUTY)
 
@@ -100,6 +102,8 @@
         finally:
             timer.cancel()
             offer.cancel()
+        self._is_offered = self._is_offered or self._offered.is_set()
+        self._offered.clear()
 
     async def _hold(self, lease: Lease) -> None:
         self._lease = lease
--- a/packages/node/ladder_node/batches/tests/test_lost_paths.py
+++ b/packages/node/ladder_node/batches/tests/test_lost_paths.py
@@ -5,6 +5,8 @@
 trainer ran until the cut ended; versions were not loaded.
 """
 
+from functools import partial
+
 import pytest
 
 from ladder_core.errors import TargetUnavailableError
@@ -124,6 +126,25 @@
     assert count_tenures(deployment) == 2
 
 
+async def test_offer_that_is_not_taken_up_is_forgotten(deployment, monkeypatch):
+    """Guards against a node that tries without a pause after an offer."""
+    owner = find_owner(deployment)
+    other = next(name for name in deployment.nodes if name != owner)
+    node = deployment.nodes[other]
+    node.owner.receive_offer(DutyOffer('batches'))
+    deployment.lost_services[other] = ENGINES
+    attempts: list[int] = []
+    monkeypatch.setattr(
+        node.owner, '_try_acquire', partial(record_attempt, attempts)
+    )
+    await deployment.advance(3)
+    assert len(attempts) <= 3 / 0.3 + 1
+
+
+async def record_attempt(attempts):
+    attempts.append(1)
+
+
 async def test_another_host_takes_the_duty_if_the_offer_is_lost(deployment):
     owner = find_owner(deployment)
     deployment.are_offers_lost = True
