Take no body for whole whose connection this host closes

A body without a length ends with its connection. If this host closed the connection, as its pool does at the end of the process, the reader saw the same end, and a part of a body counted as all of it. Found by reading the change; older than it. The new test fails without the mend.

--- a/packages/clients/ladder_clients/exchanges/connection.py
+++ b/packages/clients/ladder_clients/exchanges/connection.py
@@ -244,7 +244,11 @@
             Ends the exchange in flight, after the bytes received before.
 
         """
-        self._failure = error
+        # Without an error, a body without a length would count as whole.
+        if self._failure is None:
+            self._failure = error or _make_broken_error(
+                self.address, 'this host closed it'
+            )
         self._is_closed = True
         if self._transport is not None:
             self._transport.abort()
--- a/packages/clients/ladder_clients/exchanges/tests/test_pool.py
+++ b/packages/clients/ladder_clients/exchanges/tests/test_pool.py
@@ -254,3 +254,23 @@
     ) as response:
         assert await response.read() == b'/kegs?full=%20'
     await harness.close()
+
+
+async def test_body_without_a_length_is_not_whole_if_this_host_closes_it():
+    """Guards against a part of a body that is taken for all of it."""
+
+    async def answer_in_part(request, writer):
+        writer.write(b'HTTP/1.1 200 OK\r\n\r\npart')
+        await writer.drain()
+        await asyncio.sleep(9)
+
+    harness = PoolHarness()
+    target = await harness.serve(answer_in_part)
+    async with harness.pool.exchange(
+        target.address, GET, Timeouts(1, 1)
+    ) as response:
+        assert await response.read_chunk() == b'part'
+        await harness.pool.close()
+        with pytest.raises(TransportBrokenError):
+            await response.read_chunk()
+    await harness.close()
