Leave connections that are being made when a path is lost

When a silent path was known to be lost, connections that were just being made were closed with the others. One that was made after all failed at its request as broken: the request was called maybe run although nothing was sent, and a caller's request that runs once got a 502. An open connection is required now. The new test fails without it (the others of the file show what ends and what is waited for).

--- a/packages/node/ladder_node/replica_relay/lost_paths.py
+++ b/packages/node/ladder_node/replica_relay/lost_paths.py
@@ -61,7 +61,7 @@
             address = record.replica.address
             self._pool.close_address(address)
             for connection in self._pool.list_connections(address):
-                if connection.runs_once:
+                if connection.runs_once or not connection.is_open:
                     continue
                 ended += 1
                 connection.abort(
