Judge by the latest attempt whether a path is silent

One time-out since the last connection made a path silent, also that of a dark replica long before new connections were refused. Kept connections, which live on while new ones are refused, were then closed and their exchanges ended. The first new test fails with the earlier rule; the second keeps what it was for.

--- a/packages/policy/ladder_policy/routing/service_path.py
+++ b/packages/policy/ladder_policy/routing/service_path.py
@@ -57,7 +57,7 @@
 
     @property
     def is_silent(self) -> bool:
-        """Whether an attempt since the last connection got no answer."""
+        """Whether the latest attempt got no answer."""
         return self._is_silent
 
     @property
@@ -107,7 +107,7 @@
             Whether there was no answer, rather than a refusal.
 
         """
-        self._is_silent = self._is_silent or is_silent
+        self._is_silent = is_silent
         self._unreachable.pop(replica, None)
         self._unreachable[replica] = now
 
--- a/packages/policy/ladder_policy/routing/tests/test_path_patterns.py
+++ b/packages/policy/ladder_policy/routing/tests/test_path_patterns.py
@@ -67,6 +67,22 @@
     assert not path.is_lost
 
 
+def test_a_path_that_refuses_is_not_silent_after_an_older_time_out():
+    """Guards against kept connections that are given up though they live."""
+    path = ServicePath()
+    path.record_unreachable('dark', 1, is_silent=True)
+    path.record_unreachable('a', 2)
+    path.record_unreachable('b', 2)
+    assert not path.is_silent
+
+
+def test_a_path_that_gives_no_answer_is_silent_after_an_older_refusal():
+    path = ServicePath()
+    path.record_unreachable('crashed', 1)
+    path.record_unreachable('a', 2, is_silent=True)
+    assert path.is_silent
+
+
 def test_a_path_that_comes_and_goes_is_noticed_each_time():
     path = ServicePath()
     for start in (1, 2, 3, 4):
