Probe no path since a response ended with its connection

A body without a length ends with its connection. Each such response made the path of a quiet host suspect, and cost the service two new connections. Only a connection that ends with an error does so now. The new test fails without the mend (eight connections for four requests).

--- a/packages/clients/ladder_clients/exchanges/connection.py
+++ b/packages/clients/ladder_clients/exchanges/connection.py
@@ -40,7 +40,7 @@
     read_clock : callable
         Returns the time in seconds by which silences are measured.
     on_broken : callable
-        Called if the connection ends with an error, or during an exchange.
+        Called if the connection ends with an error.
 
     Attributes
     ----------
@@ -117,11 +117,10 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the error, and wake the exchange that waits for bytes."""
-        is_cut = not self._is_idle and not self._is_closed
         self._is_closed = True
         self._error = exc
         self._wakeup.set()
-        if is_cut or exc is not None:
+        if exc is not None:
             self._on_broken(self.address)
 
     def send(self, request: OutgoingRequest) -> None:
--- a/packages/node/ladder_node/replica_paths/tests/test_paths.py
+++ b/packages/node/ladder_node/replica_paths/tests/test_paths.py
@@ -133,6 +133,24 @@
     assert await wait_until(lambda: not node.paths.list_lost()) < BOUND_SECONDS
 
 
+async def test_responses_that_end_with_their_connection_start_no_probe(fleet):
+    """Guards against new connections after each body without a length."""
+
+    async def answer_without_length(request, writer):
+        writer.write(b'HTTP/1.1 200 OK\r\n\r\nwhole')
+        await writer.drain()
+        writer.close()
+
+    for target in fleet.targets:
+        target.script = answer_without_length
+    node = fleet.nodes['a0']
+    await send_to_all(node)
+    await asyncio.sleep(1.2)
+    assert sum(target.connections for target in fleet.targets) == len(
+        fleet.targets
+    )
+
+
 async def test_sound_paths_are_not_probed(fleet):
     node = fleet.nodes['a0']
     for _ in range(20):
