Compare a second replica if the first one has crashed

The node that is asked tried one replica, the one that the asker had tried last. If that one had crashed, no node reached it, and the loss of the asker's path stayed unknown until another replica came first. Two are tried now, one after the other, within the time of the call; the attempts of comparisons and probes share their time limit. The new test fails without the mend.

--- a/packages/node/ladder_node/replica_paths/comparer.py
+++ b/packages/node/ladder_node/replica_paths/comparer.py
@@ -11,16 +11,19 @@
     PathReply,
     PathSender,
 )
+from ladder_node.replica_paths.prober import PROBE_CONNECT_SECONDS
 from ladder_node.replica_paths.relays import RelayDirectory
 from ladder_node.replicas import ReplicaRecord, ReplicaRegistry
 from ladder_policy.duties import order_successors
 from ladder_policy.routing import RelayCandidate
 
-_CONNECT_SECONDS = 0.3
 _ASKED_NODES = 6
 _ASKED_AT_ONCE = 2
 _NEXT_NODE_SECONDS = 0.08
 _MAX_REPLICAS = 4
+# Replicas that are probed one after the other for another node. With one alone a
+# crash would look as if this node had no path either.
+_MAX_PROBES = 2
 # Age of bytes on an open connection that still show that a replica is reached.
 # It is shorter than it takes the node that asks to find out that it isn't.
 _FRESH_SECONDS = 0.2
@@ -129,15 +132,16 @@
             for known in records:
                 if self._has_just_sent(known):
                     return PathReply((known.name,))
-        for record in records[:1]:
+        refused = []
+        for record in records[:_MAX_PROBES]:
             outcome = await self._pool.probe(
-                record.replica.address, _CONNECT_SECONDS
+                record.replica.address, PROBE_CONNECT_SECONDS
             )
             if outcome is Reachability.reached:
                 return PathReply((record.name,))
             if outcome is Reachability.refused:
-                return PathReply((), (record.name,))
-        return PathReply()
+                refused.append(record.name)
+        return PathReply((), tuple(refused))
 
     def _has_just_sent(self, record: ReplicaRecord) -> bool:
         """Return whether an open connection is new or has just got bytes."""
--- a/packages/node/ladder_node/replica_paths/messages.py
+++ b/packages/node/ladder_node/replica_paths/messages.py
@@ -5,7 +5,7 @@
 from ladder_node.peer_calls import HttpPeerSender, PeerCaller, PeerSender
 
 PATH_PATH = '/v1/replica-paths'
-# The node that is asked may have to make a connection first.
+# The node that is asked may have to make two connections first.
 _TIMEOUT_SECONDS = 0.6
 
 
--- a/packages/node/ladder_node/replica_paths/prober.py
+++ b/packages/node/ladder_node/replica_paths/prober.py
@@ -15,7 +15,7 @@
 _SILENCE_SECONDS = 0.4
 _MANY_SILENT_SECONDS = 0.25
 _MANY_ANSWERS = 4
-_CONNECT_SECONDS = 0.2
+PROBE_CONNECT_SECONDS = 0.2
 _DOUBT_PROBES = 2
 _INTERVAL_SECONDS = 0.6
 # Pause after a probe that found the path sound.
@@ -99,7 +99,7 @@
         self._suspected.discard(service)
         reached = await asyncio.gather(
             *(
-                self._pool.probe(address, _CONNECT_SECONDS)
+                self._pool.probe(address, PROBE_CONNECT_SECONDS)
                 for address in sorted(chosen)
             )
         )
--- a/packages/node/ladder_node/replica_paths/tests/test_paths.py
+++ b/packages/node/ladder_node/replica_paths/tests/test_paths.py
@@ -151,6 +151,17 @@
     )
 
 
+async def test_lost_path_is_known_though_the_replica_tried_last_crashed(fleet):
+    """Guards against a crash that hides the loss of the path."""
+    node, *others = fleet.nodes.values()
+    await cut(node, PathLoss.refuse, SERVICES[:1])
+    for other in others:
+        await other.proxies[1].strand(PathLoss.refuse)
+    for number in (0, 1):
+        await node.pool.probe(node.proxies[number].address, 0.3)
+    assert await node.paths.settle(SERVICES[0])
+
+
 async def test_sound_paths_are_not_probed(fleet):
     node = fleet.nodes['a0']
     for _ in range(20):
