--- a/packages/node/ladder_node/replica_paths/comparer.py
+++ b/packages/node/ladder_node/replica_paths/comparer.py
@@ -21,8 +21,8 @@
 _ASKED_AT_ONCE = 2
 _NEXT_NODE_SECONDS = 0.08
 _MAX_REPLICAS = 4
-# Replicas that are probed one after the other for another node. With one alone a
-# crash would look as if this node had no path either.
+# Replicas that are probed one after the other for another node. With one alone
+# a crash would look as if this node had no path either.
 _MAX_PROBES = 2
 # Age of bytes on an open connection that still show that a replica is reached.
 # It is shorter than it takes the node that asks to find out that it isn't.
--- a/packages/node/ladder_node/replica_relay/tests/test_lost_path_handler.py
+++ b/packages/node/ladder_node/replica_relay/tests/test_lost_path_handler.py
@@ -1,8 +1,8 @@
 """
 Guards against exchanges that end, or live on, wrongly when a path is lost.
 
-What ends may be repeated elsewhere, so it must not be what may run only once, nor
-a connection over which nothing was sent yet.
+What ends may be repeated elsewhere, so it must not be what may run only once,
+nor a connection over which nothing was sent yet.
 """
 
 import asyncio
