Close idle connections to make room for new ones

A request that runs once needs a new connection and leaves an idle one behind. Idle ones counted towards the limit of an address and were not reused for such requests, so with more than six a second to one address the pool refused them as overloaded though no connection was in use. The oldest idle connection is closed now. The new test fails without the mend.

--- a/packages/clients/ladder_clients/exchanges/pool.py
+++ b/packages/clients/ladder_clients/exchanges/pool.py
@@ -228,10 +228,14 @@
     async def _open(
         self, address: str, connect_seconds: float
     ) -> PersistentConnection:
-        count = len(self._idle[address]) + len(self._busy[address])
-        if count >= self._limits.max_per_address:
+        idle, busy = self._idle[address], self._busy[address]
+        limit = self._limits.max_per_address
+        while idle and len(idle) + len(busy) >= limit:
+            # The oldest one is the next to be closed by the peer.
+            idle.pop(0).abort()
+        if len(busy) >= limit:
             raise OverloadedError(
-                f'{count} connections to {address} are open',
+                f'{len(busy)} connections to {address} are in use',
                 remedy='send the request to another target',
                 retry_after=_RETRY_AFTER_SECONDS,
             )
--- a/packages/clients/ladder_clients/exchanges/tests/test_pool.py
+++ b/packages/clients/ladder_clients/exchanges/tests/test_pool.py
@@ -274,3 +274,18 @@
         with pytest.raises(TransportBrokenError):
             await response.read_chunk()
     await harness.close()
+
+
+async def test_idle_connections_make_room_for_new_ones():
+    """
+    Guards against refusals while only idle connections reach the limit.
+
+    Requests that run once need new connections, and leave idle ones behind.
+    """
+    harness = PoolHarness(PoolLimits(max_per_address=2))
+    target = await harness.serve(answer_whole)
+    for _ in range(4):
+        await harness.fetch(target, needs_new_connection=True)
+    assert target.connections == 4
+    assert harness.pool.count_idle(target.address) <= 2
+    await harness.close()
