Choose relays by what they showed, and blame what failed

A request tried three nodes each time, also those that had just failed, so it could wait for dead nodes one after the other. A node that cannot be called counted as one that does not reach the replica, so a sound replica was rested; a node that reaches the service and is refused by a crashed replica counted as failed. A denial by this node's own limits was recorded as broken.

--- a/packages/node/ladder_node/replica_relay/client.py
+++ b/packages/node/ladder_node/replica_relay/client.py
@@ -17,7 +17,7 @@
     UnreachableError,
 )
 from ladder_clients.replicas import ExchangeTerms
-from ladder_core.errors import OverloadedError
+from ladder_core.errors import NotRunError, OverloadedError
 from ladder_core.timeline import Timeline
 from ladder_core.values import Replica
 from ladder_node.replica_paths import RelayDirectory
@@ -111,26 +111,21 @@
         before_send: Callable[[], None],
     ) -> StreamedResponse:
         """Try one node after the other until one has sent the request."""
-        attempted = False
-        for node in self._relays.list_relays(replica.service)[:_MAX_NODES]:
-            outcome = RelayOutcome.broken
-            try:
-                response = await self._open_at(
-                    stack, node, message, timeouts, before_send
-                )
-                outcome = RelayOutcome.answered
-            except UnreachableError:
-                outcome = RelayOutcome.not_sent
-                attempted = True
-                self._relays.record_failure(node.name)
-            except OverloadedError:
-                outcome = RelayOutcome.unable
-                self._relays.record_failure(node.name)
-            finally:
-                self._record(message, node, outcome)
-            if outcome is RelayOutcome.answered:
-                return response
-        if attempted:
+        is_attempted = False
+        for node in self._choose_nodes(replica.service):
+            tried = await self._try_node(
+                stack, node, message, timeouts, before_send
+            )
+            if isinstance(tried, StreamedResponse):
+                self._relays.record_success(node.name, replica.service)
+                return tried
+            is_not_sent = tried is RelayOutcome.not_sent
+            is_attempted = is_attempted or is_not_sent
+            if is_not_sent and node.has_proved:
+                # The replica is the matter, not the path of that node.
+                break
+            self._relays.record_failure(node.name)
+        if is_attempted:
             raise UnreachableError(
                 f'no other node reaches {replica.name} either',
                 remedy='send the request to another target, or later',
@@ -141,6 +136,39 @@
             retry_after=_RETRY_AFTER_SECONDS,
         )
 
+    def _choose_nodes(self, service: str) -> list[RelayCandidate]:
+        """Return the nodes to try; one if all of them failed just now."""
+        relays = self._relays.list_relays(service)
+        sound = [node for node in relays if not node.has_failed]
+        return sound[:_MAX_NODES] or relays[:1]
+
+    async def _try_node(
+        self,
+        stack: AsyncExitStack,
+        node: RelayCandidate,
+        message: RelayedExchange,
+        timeouts: Timeouts,
+        before_send: Callable[[], None],
+    ) -> StreamedResponse | RelayOutcome:
+        """Return the response, or why nothing was sent to the replica."""
+        outcome = RelayOutcome.broken
+        try:
+            response = await self._open_at(
+                stack, node, message, timeouts, before_send
+            )
+            outcome = RelayOutcome.answered
+        except _ReplicaUnreachableError:
+            outcome = RelayOutcome.not_sent
+        except (UnreachableError, OverloadedError):
+            outcome = RelayOutcome.unable
+        except NotRunError:
+            # This node itself may not send the request to the replica.
+            outcome = RelayOutcome.unable
+            raise
+        finally:
+            self._record(message, node, outcome)
+        return response if outcome is RelayOutcome.answered else outcome
+
     async def _open_at(
         self,
         stack: AsyncExitStack,
@@ -190,6 +218,10 @@
         )
 
 
+class _ReplicaUnreachableError(UnreachableError):
+    """Another node could not make a connection to the replica."""
+
+
 class _RelayedBody(BodySource):
     """Head and body of a relayed response."""
 
@@ -236,7 +268,7 @@
 def _check_outcome(head: RelayedHead) -> None:
     """Raise the error that another node reports for an exchange."""
     if head.outcome is RelayOutcome.not_sent:
-        raise UnreachableError(
+        raise _ReplicaUnreachableError(
             head.reason, remedy='relay the request through another node'
         )
     if head.outcome is RelayOutcome.unable:
--- a/packages/node/ladder_node/replica_relay/tests/test_relay.py
+++ b/packages/node/ladder_node/replica_relay/tests/test_relay.py
@@ -23,7 +23,7 @@
     UnreachableError,
 )
 from ladder_clients.replicas import ExchangeTerms
-from ladder_core.errors import OverloadedError
+from ladder_core.errors import OverloadedError, TargetLimitedError
 from ladder_core.timeline import HybridClock, HybridTime, Timeline
 from ladder_core.timers import SystemTimerService
 from ladder_core.values import Replica
@@ -91,6 +91,9 @@
         self.target = ScriptedTarget(answer, keeps_connections=True)
         self.peers = []
         self.failed: list[str] = []
+        self.reached: list[str] = []
+        self.dead: list[str] = []
+        self.known: set[str] = set()
         self.relay = ReplicaRelay(
             self.pool,
             cast(
@@ -98,6 +101,9 @@
                 SimpleNamespace(
                     list_relays=self.list_relays,
                     record_failure=self.failed.append,
+                    record_success=lambda name, service: self.reached.append(
+                        name
+                    ),
                 ),
             ),
             self.timeline,
@@ -108,9 +114,16 @@
         return Replica('r', 'app', self.target.address, 'a', 8, started_at=5)
 
     def list_relays(self, service):
+        addresses = [*self.dead, *(peer.address for peer in self.peers)]
+        names = [f'peer-{number}' for number in range(len(addresses))]
         return [
-            RelayCandidate(f'peer-{number}', peer.address)
-            for number, peer in enumerate(self.peers)
+            RelayCandidate(
+                name,
+                address,
+                has_failed=name in self.failed,
+                has_proved=name in self.known,
+            )
+            for name, address in zip(names, addresses, strict=True)
         ]
 
     async def add_peer(self, replica, capacity=1):
@@ -180,6 +193,57 @@
     assert harness.failed == ['peer-0', 'peer-1']
 
 
+async def test_node_that_has_relayed_a_request_comes_first_again(harness):
+    await harness.add_peer(harness.replica)
+    await harness.fetch()
+    assert harness.reached == ['peer-0']
+
+
+async def test_nodes_that_failed_are_not_tried_again_and_again(harness):
+    """Guards against requests that wait for dead nodes one after the other."""
+    harness.dead = [f'127.0.0.1:{port}' for port in find_free_ports(5)]
+    for attempts in (3, 2, 1, 1):
+        before = len(harness.list_outcomes())
+        with pytest.raises(OverloadedError):
+            await harness.fetch()
+        assert len(harness.list_outcomes()) - before == attempts
+
+
+async def test_replica_is_not_blamed_for_nodes_that_are_down(harness):
+    """Guards against sound replicas that get a rest as relays are down."""
+    harness.dead = [f'127.0.0.1:{port}' for port in find_free_ports(3)]
+    with pytest.raises(OverloadedError):
+        await harness.fetch()
+
+
+async def test_node_that_reaches_the_service_shows_that_a_replica_is_down(
+    harness,
+):
+    """Guards against sound relays that count as failed after a crash."""
+    for _ in range(2):
+        await harness.add_peer(
+            Replica('r', 'app', '127.0.0.1:1', 'a', 8, started_at=5)
+        )
+    harness.known.add('peer-0')
+    with pytest.raises(UnreachableError):
+        await harness.fetch()
+    assert harness.list_outcomes() == ['not_sent']
+    assert not harness.failed
+
+
+async def test_limit_that_denies_the_request_ends_it_before_it_is_sent(harness):
+    await harness.add_peer(harness.replica)
+    await harness.add_peer(harness.replica)
+
+    def deny():
+        raise TargetLimitedError('limited', remedy='send it later')
+
+    with pytest.raises(TargetLimitedError):
+        await harness.fetch(ExchangeTerms('id-1', before_send=deny))
+    assert not harness.target.received
+    assert harness.list_outcomes() == ['unable']
+
+
 async def test_request_has_not_run_if_no_node_reaches_the_replica(harness):
     for _ in range(2):
         peer = await harness.add_peer(harness.replica)
