Go on to another relay if a node does not know the call

During an upgrade a node of older software answers a relayed request with 404. The bytes were read as a head, and the request was called maybe run although that node sent nothing. 400, 404 and 405 mean now that nothing was sent; other failures may have run. The new test fails without the mend.

--- a/packages/node/ladder_node/replica_relay/client.py
+++ b/packages/node/ladder_node/replica_relay/client.py
@@ -34,6 +34,9 @@
 _MAX_NODES = 3
 _RETRY_AFTER_SECONDS = 0.2
 _MAX_HEAD_BYTES = 1_048_576
+_OK_STATUS = 200
+# A node of other software answers these; it has sent nothing to the replica.
+_UNKNOWN_CALL_STATUSES = frozenset((400, 404, 405))
 
 _relayed_counter = Counter(
     'ladder_replica_exchanges_relayed_total',
@@ -196,6 +199,7 @@
                     before_send=before_send,
                 )
             )
+            _check_status(node, outer.status)
             body = _RelayedBody(node.address, outer)
             head = await body.read_head()
             _check_outcome(head)
@@ -265,6 +269,21 @@
         )
 
 
+def _check_status(node: RelayCandidate, status: int) -> None:
+    """Raise if another node has not handled an exchange."""
+    if status in _UNKNOWN_CALL_STATUSES:
+        raise OverloadedError(
+            f'{node.name} does not know the call: {status}',
+            remedy='relay the request through another node',
+            retry_after=_RETRY_AFTER_SECONDS,
+        )
+    if status != _OK_STATUS:
+        raise TransportBrokenError(
+            f'{node.name} failed to relay a request: {status}',
+            remedy='read back whether the request took effect',
+        )
+
+
 def _check_outcome(head: RelayedHead) -> None:
     """Raise the error that another node reports for an exchange."""
     if head.outcome is RelayOutcome.not_sent:
--- a/packages/node/ladder_node/replica_relay/tests/test_relay.py
+++ b/packages/node/ladder_node/replica_relay/tests/test_relay.py
@@ -231,6 +231,22 @@
     assert not harness.failed
 
 
+async def test_node_without_a_relay_has_not_sent_the_request(harness):
+    """Guards against nodes of older software, which know no such call."""
+
+    async def refuse(request, writer):
+        writer.write(format_response(b'Not Found', status=404))
+        await writer.drain()
+
+    older = ScriptedTarget(refuse, keeps_connections=True)
+    await older.start()
+    harness.dead = [older.address]
+    await harness.add_peer(harness.replica)
+    assert await harness.fetch() == (200, b'whole')
+    assert harness.list_outcomes() == ['unable', 'answered']
+    await older.close()
+
+
 async def test_limit_that_denies_the_request_ends_it_before_it_is_sent(harness):
     await harness.add_peer(harness.replica)
     await harness.add_peer(harness.replica)
