--- a/packages/node/ladder_node/members/membership.py
+++ b/packages/node/ladder_node/members/membership.py
@@ -122,10 +122,13 @@
         """Write the row of this node and read those of all nodes, when due."""
         now = self._timers.now()
         if now >= self._next_heartbeat_at:
+            lost_services = self._own.lost_services
             await self._write_own_row()
-            self._next_heartbeat_at = (
-                now + self._known_pause_seconds - _HEARTBEAT_SECONDS / 2
-            )
+            # What was lost during the write is published with the next one.
+            if self._own.lost_services == lost_services:
+                self._next_heartbeat_at = (
+                    now + self._known_pause_seconds - _HEARTBEAT_SECONDS / 2
+                )
         started_at = self._timers.now()
         if started_at >= self._next_read_at:
             await self._read_rows(started_at)
--- a/packages/node/ladder_node/members/tests/test_membership.py
+++ b/packages/node/ladder_node/members/tests/test_membership.py
@@ -1,3 +1,5 @@
+from types import SimpleNamespace
+
 import pytest
 
 from ladder_clients.table import StoreOutcomeUnknownError
@@ -97,6 +99,33 @@
         assert fleet.seen_by(name) == ['a', 'b', 'c']
 
 
+async def test_path_that_is_lost_during_a_heartbeat_is_published(
+    fleet, monkeypatch
+):
+    """Guards against a loss that waits for a whole pause between heartbeats."""
+    node = fleet.nodes['b']
+
+    async def commit_late(transaction):
+        node.publish_lost_services(('taproom',))
+        await fleet.timers.sleep(0.5)
+        return await fleet.table.commit(transaction)
+
+    # A slow table makes the node write each six seconds.
+    node._pause_seconds = 6
+    node._next_heartbeat_at = 0
+    monkeypatch.setattr(
+        node,
+        '_table',
+        SimpleNamespace(
+            commit=commit_late,
+            scan_partition=fleet.table.scan_partition,
+            estimate_clock=fleet.table.estimate_clock,
+        ),
+    )
+    await fleet.timers.advance(3)
+    assert fleet.seen_by('a') == ['a', 'c']
+
+
 async def test_nodes_without_paths_stay_if_no_other_is_left(fleet):
     for node in fleet.nodes.values():
         node.publish_lost_services(('taproom',))
