Keep the duty if the path is back when the search ends

The holder looked for a successor, which may take half a second, and handed over although its path had come back meanwhile: an await between the check and the act. The new test fails without the mend.

--- a/packages/node/ladder_node/batches/fitness.py
+++ b/packages/node/ladder_node/batches/fitness.py
@@ -150,8 +150,10 @@
         if now < self._search_at or self._fitness.should_hold():
             return
         self._search_at = now + _SEARCH_INTERVAL_SECONDS
-        self._successor = await self._fitness.find_successor()
-        if self._successor is not None:
+        successor = await self._fitness.find_successor()
+        # The path may have come back during the search.
+        if successor is not None and not self._fitness.should_hold():
+            self._successor = successor
             raise DutyUnfitError(
                 'this node has lost its path to the engines',
                 remedy='hand the duty over to a node that has one',
--- a/packages/node/ladder_node/batches/tests/fakes.py
+++ b/packages/node/ladder_node/batches/tests/fakes.py
@@ -359,6 +359,15 @@
             timers,
             0.3,
         )
+        eligibility = PathFitness(
+            name,
+            self.routes,
+            lambda: deployment.lost_services[name],
+            deployment.list_members,
+            deployment.find_node,
+            OfferSender(deployment),
+            timers,
+        )
         dependencies = OwnerDependencies(
             name,
             self.store,
@@ -372,15 +381,7 @@
             self.routes,
             self.versions,
             lambda: deployment.is_outage_shared,
-            PathFitness(
-                name,
-                self.routes,
-                lambda: deployment.lost_services[name],
-                deployment.list_members,
-                deployment.find_node,
-                OfferSender(deployment),
-                timers,
-            ),
+            eligibility,
             timers,
             self.timeline,
         )
--- a/packages/node/ladder_node/batches/tests/test_lost_paths.py
+++ b/packages/node/ladder_node/batches/tests/test_lost_paths.py
@@ -145,6 +145,28 @@
     attempts.append(1)
 
 
+async def test_duty_stays_if_the_path_is_back_during_the_search(
+    deployment, monkeypatch
+):
+    """Guards against a handover for a path that is there again."""
+    owner = find_owner(deployment)
+    node = deployment.nodes[owner]
+    find_node = deployment.find_node
+
+    async def find_late(service):
+        deployment.lost_services[owner] = ()
+        await node.timers.sleep(0.1)
+        return await find_node(service)
+
+    monkeypatch.setattr(
+        node.owner._dependencies.fitness, '_find_node', find_late
+    )
+    deployment.lost_services[owner] = ENGINES
+    await deployment.advance(HANDOVER_SECONDS)
+    assert find_owner(deployment) == owner
+    assert count_tenures(deployment) == 1
+
+
 async def test_another_host_takes_the_duty_if_the_offer_is_lost(deployment):
     owner = find_owner(deployment)
     deployment.are_offers_lost = True
