Leave relays in use that a crashed replica refuses

A node that was asked about a crashed replica and was refused there counted as failed for two seconds, so a crash took sound relays away from hosts that needed them. The new test fails without the mend.

--- a/packages/node/ladder_node/replica_paths/comparer.py
+++ b/packages/node/ladder_node/replica_paths/comparer.py
@@ -192,8 +192,9 @@
         self, node: RelayCandidate, service: str, question: PathQuestion
     ) -> tuple[RelayCandidate, PathReply]:
         reply = await self._sender.send(node.address, question)
-        if reply is None or not reply.reached:
-            self._relays.record_failure(node.name)
-        else:
+        if reply is not None and reply.reached:
             self._relays.record_success(node.name, service)
+        elif reply is None or not reply.refused:
+            # Where no process listens, the replica is the matter.
+            self._relays.record_failure(node.name)
         return node, reply or PathReply()
--- a/packages/node/ladder_node/replica_paths/tests/test_paths.py
+++ b/packages/node/ladder_node/replica_paths/tests/test_paths.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import time
+from types import SimpleNamespace
 
 import pytest
 
@@ -192,6 +193,16 @@
     assert await node.parts.probe.is_gone(node.proxies[0].address)
 
 
+async def test_node_that_is_refused_by_a_crashed_replica_may_still_relay(fleet):
+    """Guards against sound relays that are left alone after a crash."""
+    for node in fleet.nodes.values():
+        await node.proxies[0].strand(PathLoss.refuse)
+    node = fleet.nodes['a0']
+    assert await node.parts.probe.is_gone(node.proxies[0].address)
+    relays = node.parts.relays.list_relays(SERVICES[0])
+    assert not any(relay.has_failed for relay in relays)
+
+
 async def test_crash_is_seen_by_a_host_that_lost_its_path(fleet):
     """
     Guards against requests that crash replicas through other nodes unnoticed.
