--- a/packages/node/ladder_node/replica_paths/comparer.py
+++ b/packages/node/ladder_node/replica_paths/comparer.py
@@ -67,8 +67,10 @@
 
     async def close(self) -> None:
         """Cancel the questions that are not answered yet."""
-        for question in tuple(self._questions):
+        questions = tuple(self._questions)
+        for question in questions:
             question.cancel()
+        await asyncio.gather(*questions, return_exceptions=True)
 
     async def find_reached(
         self,
--- a/packages/node/ladder_node/replica_paths/tests/test_paths.py
+++ b/packages/node/ladder_node/replica_paths/tests/test_paths.py
@@ -203,6 +203,28 @@
     assert not any(relay.has_failed for relay in relays)
 
 
+async def test_questions_end_with_the_node(fleet):
+    """Guards against tasks that nobody awaits at the close."""
+    node = fleet.nodes['a0']
+    ended = []
+
+    async def stay_silent(address, message):
+        try:
+            await asyncio.sleep(9)
+        finally:
+            await asyncio.sleep(0)
+            ended.append(address)
+
+    node.parts.comparer._sender = SimpleNamespace(send=stay_silent)
+    asking = asyncio.create_task(
+        node.parts.comparer.find_reached(SERVICES[0], ('r0',))
+    )
+    await asyncio.sleep(0.3)
+    await node.paths.close()
+    assert len(ended) == len(fleet.nodes) - 1
+    asking.cancel()
+
+
 async def test_crash_is_seen_by_a_host_that_lost_its_path(fleet):
     """
     Guards against requests that crash replicas through other nodes unnoticed.
