--- a/packages/node/ladder_node/leases/tests/test_lease.py
+++ b/packages/node/ladder_node/leases/tests/test_lease.py
@@ -260,6 +260,29 @@
     assert await second.acquire('stolen') is None
 
 
+async def test_lease_that_was_released_for_a_node_is_left_to_it_for_a_moment():
+    """Guards against a duty that goes to a host that can't do it either."""
+    timers = ManualTimerService()
+    rows = TableRows(ignore_write)
+    holder, named, other = (make_manager(one, rows, timers) for one in 'abc')
+    lease = await holder.acquire(DUTY)
+    await lease.release('b')
+    assert await other.acquire(DUTY) is None
+    await timers.advance(0.9)
+    assert await other.acquire(DUTY) is None
+    assert (await named.acquire(DUTY)).epoch == 2
+
+
+async def test_lease_whose_successor_is_gone_is_taken_after_a_second():
+    timers = ManualTimerService()
+    rows = TableRows(ignore_write)
+    holder, other = (make_manager(one, rows, timers) for one in 'ac')
+    await (await holder.acquire(DUTY)).release('gone')
+    assert await other.acquire(DUTY) is None
+    await timers.advance(1.1)
+    assert (await other.acquire(DUTY)).epoch == 2
+
+
 class RefusingRows(TableRows):
     """Rows that can refuse every transaction without naming a conflict."""
 
