Review: no stream goes on after all processes were killed (LOST)

Cause: where a stream began is kept in the memory of three nodes only.

Added: review/5, a script that kills all six node processes at once under 18 resumable streams of two software versions, starts them again after 1 s, and takes the streams up until well after the nodes are in touch.

--- /dev/null
+++ b/review/5/case.py
@@ -0,0 +1,228 @@
+"""
+Streams that are taken up again after all node processes were killed at once.
+
+Two software versions of a service serve side by side. While 18 resumable
+streams run, all processes of the system are killed and started again. The
+requesters take their streams up at the machines that are back, and go on trying
+until well after these are in touch. New streams are asked for beside them.
+"""
+
+import asyncio
+import random
+import signal
+import sys
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / 'standins'))
+
+from deployment import HOST, has_trouble, main  # noqa: E402
+from http11 import Connection  # noqa: E402
+from replicas import Engine  # noqa: E402
+
+NODES = 6
+STREAMS = 18
+EVENTS = 70
+EVENT_SECONDS = 0.15
+LIMIT_SECONDS = 20
+DOWN_SECONDS = 1.0
+# `stableWindowMs`: a machine is in touch this long after its start.
+STABLE_SECONDS = 4.0
+# The first try, and a few more.
+TRIES = 5
+PAUSE_SECONDS = 2.2
+SERVICE = 'loom-models'
+MODEL = 'm0'
+ROUTES = [
+    {
+        'name': 'advice',
+        'host': HOST,
+        'prefix': '/advice/',
+        'routeKind': 'streaming',
+        'resumable': True,
+        'service': SERVICE,
+        'timeoutMs': LIMIT_SECONDS * 1000,
+        'latencyGoalMs': 500,
+        'priority': 1,
+        'maxAttempts': 3,
+    },
+]
+SERVICES = [
+    {
+        'name': SERVICE,
+        'healthPath': '/health',
+        'maxConns': 130,
+        'engine': {
+            'slots': 8,
+            'kvCapacity': 107203,
+            'models': [{'name': MODEL}],
+        },
+    },
+]
+SOFTWARE = ('v1', 'v1', 'v1', 'v2', 'v2', 'v2')
+ZONES = ('hobart-a', 'melb-a', 'hobart-b')
+
+
+class Stream:
+    """A stream of a requester, over all of its tries."""
+
+    def __init__(self, name):
+        self.name = name
+        self.first_attempt = ''
+        self.last_event = 0
+        self.is_whole = False
+        # Machine, time, status and whether an event came, for each try.
+        self.tries = []
+
+
+async def case(deployment, record):
+    """Kill all processes while streams run, and follow the streams."""
+    replicas = [
+        Engine(
+            f'i-{number}',
+            SERVICE,
+            ZONES[number % 3],
+            MODEL,
+            lambda request_id: EVENTS,
+            EVENT_SECONDS,
+            version=software,
+        )
+        for number, software in enumerate(SOFTWARE)
+    ]
+    await deployment.start(NODES, ROUTES, SERVICES, replicas)
+    await asyncio.sleep(5)
+    rng = random.Random(7)
+    until = time.monotonic() + LIMIT_SECONDS
+    streams = [Stream(f'old{number}') for number in range(STREAMS)]
+    fresh = [Stream(f'new{number}') for number in range(STREAMS)]
+    tasks = [
+        asyncio.create_task(follow(deployment, record, rng, stream, until))
+        for stream in streams
+    ]
+    await asyncio.sleep(4)
+    if has_trouble():
+        await kill_all(deployment, record)
+    await asyncio.sleep(STABLE_SECONDS + 1.5)
+    tasks += [
+        asyncio.create_task(follow(deployment, record, rng, stream, until))
+        for stream in fresh
+    ]
+    await asyncio.gather(*tasks)
+    return check(deployment, record, streams, fresh, replicas)
+
+
+async def kill_all(deployment, record):
+    """Kill all processes at the same moment, and start them again."""
+    for node in deployment.nodes:
+        node.signal(signal.SIGKILL)
+    for node in deployment.nodes:
+        node.process.wait()
+    await asyncio.sleep(DOWN_SECONDS)
+    for node in deployment.nodes:
+        node.start()
+    for node in deployment.nodes:
+        await node.wait_ready()
+
+
+async def follow(deployment, record, rng, stream, until):
+    """Ask for a stream; after a broken connection take it up again."""
+    for number in range(TRIES):
+        if stream.is_whole or time.monotonic() > until:
+            return
+        if number:
+            await asyncio.sleep(PAUSE_SECONDS)
+        await try_once(
+            record, rng.choice(deployment.nodes), stream, number, until
+        )
+
+
+async def try_once(record, node, stream, number, until):
+    """Make one try at a stream, and record what came of it."""
+    attempt = f'{stream.name}x{number}'
+    headers = {
+        'Host': HOST,
+        'Attempt-Id': attempt,
+        'Deadline-Ms': int(max(until - time.monotonic(), 0.1) * 1000),
+    }
+    is_resumed = stream.last_event > 0
+    if is_resumed:
+        headers['Last-Event-Id'] = stream.last_event
+        headers['Resumes'] = stream.first_attempt
+    before = stream.last_event
+    sent_at = time.monotonic()
+    connection = Connection(node.address)
+    buffered = bytearray()
+
+    def take(chunk):
+        buffered.extend(chunk)
+        while b'\n\n' in buffered:
+            event, _, rest = bytes(buffered).partition(b'\n\n')
+            buffered[:] = rest
+            event_id = int(event.split(b'\n')[0].split(b':')[1])
+            stream.last_event = event_id
+            if not stream.first_attempt:
+                stream.first_attempt = attempt
+
+    answer = await connection.send(
+        'POST',
+        '/advice/1',
+        headers,
+        b'prompt',
+        max(until - time.monotonic(), 0.1),
+        take,
+    )
+    connection.close()
+    has_gone_on = stream.last_event > before
+    stream.is_whole = answer.is_complete and stream.last_event == EVENTS
+    is_in_touch = sent_at - node.started_at >= STABLE_SECONDS
+    stream.tries.append((is_resumed, is_in_touch, has_gone_on))
+    record.add(
+        f'{attempt} at {node.name}'
+        f' ({"in touch" if is_in_touch else "not in touch"}),'
+        f' after event {before}: {answer}; now at event {stream.last_event};'
+        f' {answer.body[:110] if answer.status != 200 else ""}'
+    )
+
+
+def check(deployment, record, streams, fresh, replicas):
+    """LOST: the share of taken up streams that go on, against new streams."""
+    serving = {
+        software: sum(
+            replica.is_up and replica.entry['version'] == software
+            for replica in replicas
+        )
+        for software in ('v1', 'v2')
+    }
+    record.add(f'replicas that serve, by software version: {serving}')
+    taken_up = [
+        any(
+            gone_on
+            for resumed, touch, gone_on in stream.tries
+            if resumed and touch
+        )
+        for stream in streams
+        if any(resumed and touch for resumed, touch, _ in stream.tries)
+    ]
+    begun = [
+        any(gone_on for _, touch, gone_on in stream.tries if touch)
+        for stream in fresh
+        if any(touch for _, touch, _ in stream.tries)
+    ]
+    share_on = sum(taken_up) / max(len(taken_up), 1)
+    share_new = sum(begun) / max(len(begun), 1)
+    record.add(
+        f'streams taken up at machines in touch: {len(taken_up)}, of these went'
+        f' on {sum(taken_up)} ({share_on:.2f}); new streams there: {len(begun)},'
+        f' of these began {sum(begun)} ({share_new:.2f})'
+    )
+    whole = sum(stream.is_whole for stream in streams)
+    record.add(f'whole in the end: {whole} of {len(streams)} old streams')
+    if min(serving.values()) < 2 or len(taken_up) < 12:
+        return []
+    if share_on < share_new / 2:
+        return [f'LOST share {share_on:.2f} is under half of {share_new:.2f}']
+    return []
+
+
+if __name__ == '__main__':
+    main(__file__, case)
