Review: streams are lost by a restart of all nodes in turn (LOST)

Cause: the nodes that know where a stream began are not asked while they stop, and know nothing after their start; nothing is stored.

Added: review/5 with planned work in place of the kill of all processes: six nodes get SIGTERM 2 s apart while 24 resumable streams run.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,10 +1,11 @@
 """
-Streams that are taken up again after all node processes were killed at once.
+Streams that are taken up again while all nodes are restarted in turn.
 
-Two software versions of a service serve side by side. While 18 resumable
-streams run, all processes of the system are killed and started again. The
-requesters take their streams up at the machines that are back, and go on trying
-until well after these are in touch. New streams are asked for beside them.
+Two software versions of a service serve side by side, and 24 resumable streams
+run. Then the nodes get SIGTERM one after the other, 2 s apart, and are started
+again when they have ended. A node cuts the streams that are not done when its
+drain ends. The requesters take these up at the nodes that the directory names.
+New streams are asked for beside them.
 """
 
 import asyncio
@@ -21,16 +22,15 @@
 from replicas import Engine  # noqa: E402
 
 NODES = 6
-STREAMS = 18
-EVENTS = 70
+STREAMS = 24
+EVENTS = 100
 EVENT_SECONDS = 0.15
 LIMIT_SECONDS = 20
-DOWN_SECONDS = 1.0
-# `stableWindowMs`: a machine is in touch this long after its start.
-STABLE_SECONDS = 4.0
+GAP_SECONDS = 2.0
+GRACE_SECONDS = 8.0
 # The first try, and a few more.
 TRIES = 5
-PAUSE_SECONDS = 2.2
+PAUSE_SECONDS = 2.0
 SERVICE = 'loom-models'
 MODEL = 'm0'
 ROUTES = [
@@ -76,7 +76,7 @@
 
 
 async def case(deployment, record):
-    """Kill all processes while streams run, and follow the streams."""
+    """Restart all nodes in turn while streams run, and follow the streams."""
     replicas = [
         Engine(
             f'i-{number}',
@@ -92,48 +92,60 @@
     await deployment.start(NODES, ROUTES, SERVICES, replicas)
     await asyncio.sleep(5)
     rng = random.Random(7)
-    until = time.monotonic() + LIMIT_SECONDS
     streams = [Stream(f'old{number}') for number in range(STREAMS)]
     fresh = [Stream(f'new{number}') for number in range(STREAMS)]
     tasks = [
-        asyncio.create_task(follow(deployment, record, rng, stream, until))
+        asyncio.create_task(follow(deployment, record, rng, stream, 0.5))
         for stream in streams
     ]
-    await asyncio.sleep(4)
+    await asyncio.sleep(1)
     if has_trouble():
-        await kill_all(deployment, record)
-    await asyncio.sleep(STABLE_SECONDS + 1.5)
-    tasks += [
-        asyncio.create_task(follow(deployment, record, rng, stream, until))
-        for stream in fresh
-    ]
+        tasks += [
+            asyncio.create_task(restart(node, number * GAP_SECONDS))
+            for number, node in enumerate(deployment.nodes)
+        ]
+    for stream in fresh:
+        await asyncio.sleep(0.5)
+        tasks.append(
+            asyncio.create_task(follow(deployment, record, rng, stream, 0))
+        )
     await asyncio.gather(*tasks)
     return check(deployment, record, streams, fresh, replicas)
 
 
-async def kill_all(deployment, record):
-    """Kill all processes at the same moment, and start them again."""
-    for node in deployment.nodes:
-        node.signal(signal.SIGKILL)
-    for node in deployment.nodes:
-        node.process.wait()
-    await asyncio.sleep(DOWN_SECONDS)
-    for node in deployment.nodes:
-        node.start()
-    for node in deployment.nodes:
-        await node.wait_ready()
+async def restart(node, after):
+    """Stop a node as the platform does, and start it again."""
+    await asyncio.sleep(after)
+    node.signal(signal.SIGTERM)
+    until = time.monotonic() + GRACE_SECONDS
+    while node.process.poll() is None and time.monotonic() < until:
+        await asyncio.sleep(0.02)
+    node.end()
+    await asyncio.sleep(0.3)
+    node.start()
 
 
-async def follow(deployment, record, rng, stream, until):
+async def follow(deployment, record, rng, stream, spread):
     """Ask for a stream; after a broken connection take it up again."""
+    await asyncio.sleep(rng.random() * spread)
+    until = time.monotonic() + LIMIT_SECONDS
     for number in range(TRIES):
         if stream.is_whole or time.monotonic() > until:
             return
-        if number:
+        if number > 1:
             await asyncio.sleep(PAUSE_SECONDS)
-        await try_once(
-            record, rng.choice(deployment.nodes), stream, number, until
-        )
+        node = await choose(deployment, rng)
+        await try_once(record, node, stream, number, until)
+
+
+async def choose(deployment, rng):
+    """Return a node that the directory names, as a requester does."""
+    for node in rng.sample(deployment.nodes, 3):
+        addresses, _ = await deployment.resolve(node)
+        if addresses:
+            address = rng.choice(addresses)
+            return next(n for n in deployment.nodes if n.address == address)
+    return rng.choice(deployment.nodes)
 
 
 async def try_once(record, node, stream, number, until):
@@ -149,7 +161,7 @@
         headers['Last-Event-Id'] = stream.last_event
         headers['Resumes'] = stream.first_attempt
     before = stream.last_event
-    sent_at = time.monotonic()
+    is_in_touch = node.is_in_touch
     connection = Connection(node.address)
     buffered = bytearray()
 
@@ -174,7 +186,6 @@
     connection.close()
     has_gone_on = stream.last_event > before
     stream.is_whole = answer.is_complete and stream.last_event == EVENTS
-    is_in_touch = sent_at - node.started_at >= STABLE_SECONDS
     stream.tries.append((is_resumed, is_in_touch, has_gone_on))
     record.add(
         f'{attempt} at {node.name}'
@@ -203,11 +214,8 @@
         for stream in streams
         if any(resumed and touch for resumed, touch, _ in stream.tries)
     ]
-    begun = [
-        any(gone_on for _, touch, gone_on in stream.tries if touch)
-        for stream in fresh
-        if any(touch for _, touch, _ in stream.tries)
-    ]
+    # Streams that are asked for anew, at a machine in touch.
+    begun = [stream.tries[0][2] for stream in fresh if stream.tries[0][1]]
     share_on = sum(taken_up) / max(len(taken_up), 1)
     share_new = sum(begun) / max(len(begun), 1)
     record.add(
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -102,6 +102,7 @@
         self.ip = ip
         self.zone = zone
         self.started_at = 0.0
+        self.is_stopping = False
         self.process = None
         self.log = folder / f'{name}.log'
         self._ports = ports
@@ -124,6 +125,12 @@
         """Address at which requesters ask where to connect."""
         return f'{self.ip}:{self._ports[2]}'
 
+    @property
+    def is_in_touch(self):
+        """Whether the process has run for `stableWindowMs`, and isn't stopped."""
+        age = time.monotonic() - self.started_at
+        return age >= BOUNDS['stableWindowMs'] / 1000 and not self.is_stopping
+
     def start(self):
         """Start the process with the command of the deploy file."""
         self._path.write_text(json.dumps(self._make_settings()))
@@ -147,11 +154,13 @@
                 stderr=log,
             )
         self.started_at = time.monotonic()
+        self.is_stopping = False
         self._record.add(f'{self.name} started at {self.address}')
 
     def signal(self, number):
         """Send a signal to the process."""
         self._record.add(f'{self.name} gets {signal.Signals(number).name}')
+        self.is_stopping = number == signal.SIGTERM
         self.process.send_signal(number)
 
     async def is_ready(self):
