Take only what ends before the stop, and leave at once

Cause: a draining node took every request, however long it might last. The release of the lease and the notice to other nodes waited for the store before the drain began, and the close had no limit.

Change: the drain begins with the signal, what needs the store runs beside it, and the close ends within a second. A request is taken only if its limit lies within the time left; the rest is refused as not run, before its body and again after it. The same holds for batches, relayed requests and relayed calls to the store; a closed owner declines the duty.

--- a/packages/core/ladder_core/errors/__init__.py
+++ b/packages/core/ladder_core/errors/__init__.py
@@ -1,6 +1,7 @@
 """Typed errors with a kind, an HTTP status and an execution state."""
 
 from ladder_core.errors.base import Execution, LadderError, SettingsError
+from ladder_core.errors.nodes import NodeLeavingError
 from ladder_core.errors.paths import PathLostError
 from ladder_core.errors.refusals import (
     BadRequestError,
@@ -52,6 +53,7 @@
     'KeyReusedError',
     'LadderError',
     'MayHaveRunError',
+    'NodeLeavingError',
     'NotReadyError',
     'NotRunError',
     'OverloadedError',
--- a/packages/node/ladder_node/batches/owner.py
+++ b/packages/node/ladder_node/batches/owner.py
@@ -45,11 +45,14 @@
         self._lease: Lease | None = None
         self._offered = asyncio.Event()
         self._is_offered = False
+        self._is_closed = False
 
     def receive_offer(self, offer: DutyOffer) -> DutyOfferReply:
         """Try to take the duty, which was released for this node."""
         is_accepted = (
-            offer.duty == DUTY and self._dependencies.fitness.should_take()
+            offer.duty == DUTY
+            and not self._is_closed
+            and self._dependencies.fitness.should_take()
         )
         if is_accepted:
             self._offered.set()
@@ -57,6 +60,7 @@
 
     async def close(self) -> None:
         """Stop all work and release the lease, so another node can take it."""
+        self._is_closed = True
         await super().close()
         if self._lease is not None:
             await self._lease.release()
--- a/packages/node/ladder_node/replica_relay/app.py
+++ b/packages/node/ladder_node/replica_relay/app.py
@@ -36,7 +36,7 @@
     encode_head,
 )
 from ladder_node.replicas import ReplicaRecord, ReplicaRegistry
-from ladder_node.serving import run_while_connected
+from ladder_node.serving import Drain, run_while_connected
 
 _OK_STATUS = 200
 _BAD_REQUEST_STATUS = 400
@@ -70,6 +70,8 @@
         Returns the id of the request that a response echoes, or None.
     capacity : float
         Processing capacity of this host, in cores of standard speed.
+    drain : Drain
+        Tells how much time exchanges have before the node stops.
 
     """
 
@@ -80,12 +82,14 @@
         paths: ReplicaPaths,
         find_request_id: FindRequestId,
         capacity: float,
+        drain: Drain,
     ) -> None:
         self._pool = pool
         self._registry = registry
         self._paths = paths
         self._find_request_id = find_request_id
         self._max_exchanges = max(int(_EXCHANGES_PER_CORE * capacity), 1)
+        self._drain = drain
         self._exchanges = 0
 
     async def __call__(
@@ -157,6 +161,10 @@
 
     def _require(self, exchange: RelayedExchange) -> ReplicaRecord:
         """Return the replica if this node may send a request to it."""
+        total_seconds, read_seconds = exchange.timeouts
+        self._drain.require_time(
+            read_seconds if total_seconds is None else total_seconds
+        )
         record = self._registry.find(exchange.replica)
         if record is None or record.replica.started_at != exchange.started_at:
             raise TargetUnavailableError(
--- a/packages/node/ladder_node/replica_relay/tests/test_relay.py
+++ b/packages/node/ladder_node/replica_relay/tests/test_relay.py
@@ -34,7 +34,7 @@
     ReplicaRelayApp,
 )
 from ladder_node.replicas import ReplicaRegistry
-from ladder_node.serving import EntryServer
+from ladder_node.serving import Drain, EntryServer
 from ladder_policy.routing import RelayCandidate
 from ladder_standins.fleet.ports import find_free_ports
 from ladder_standins.scripted import ScriptedTarget, format_response
@@ -54,9 +54,9 @@
 
     def __init__(self, replica, capacity=1):
         timers = SystemTimerService()
-        self.registry = ReplicaRegistry(
-            timers, Timeline('peer', HybridClock(timers))
-        )
+        timeline = Timeline('peer', HybridClock(timers))
+        self.registry = ReplicaRegistry(timers, timeline)
+        self.drain = Drain(lambda: None, 0, timers, timeline, 0)
         if replica is not None:
             self.registry.replace([replica], 0)
         self.lost: set[str] = set()
@@ -70,6 +70,7 @@
             ),
             lambda response: response.find_header(b'echo'),
             capacity,
+            self.drain,
         )
         self.address = f'127.0.0.1:{find_free_ports(1)[0]}'
         self.server = EntryServer(
@@ -385,3 +386,16 @@
     terms = ExchangeTerms('id-1', before_send=lambda: uses.append(1))
     assert await harness.fetch(terms) == (200, b'whole')
     assert len(uses) == 1
+
+
+async def test_stopping_node_relays_only_what_it_can_finish(harness):
+    """Guards against relayed requests that end with the relaying process."""
+    stopping = await harness.add_peer(harness.replica)
+    await harness.add_peer(harness.replica)
+    draining = asyncio.create_task(stopping.drain.run_within(0.5))
+    stopping.drain.begin_request()
+    await asyncio.sleep(0.01)
+    assert await harness.fetch(timeouts=Timeouts(None, 5)) == (200, b'whole')
+    assert harness.list_outcomes() == ['unable', 'answered']
+    assert len(harness.target.received) == 1
+    await draining
--- a/packages/node/ladder_node/serving/drain.py
+++ b/packages/node/ladder_node/serving/drain.py
@@ -1,15 +1,18 @@
 """Graceful drain of a node: no new callers, then no request in progress."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Coroutine
+import contextlib
+import math
+from collections.abc import Awaitable, Callable, Coroutine, Iterator
 from typing import Any, TypeVar
 
 from starlette.datastructures import MutableHeaders
 from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
+from ladder_core.errors import NodeLeavingError
 from ladder_core.timeline import Timeline
 from ladder_core.timers import TimerService
-from ladder_node.serving.metrics import DRAINING, REQUESTS
+from ladder_node.serving.metrics import DRAINING, REFUSED, REQUESTS
 
 # Time within which the other nodes learn that this one is leaving.
 LEAVE_PROPAGATION_SECONDS = 2
@@ -51,6 +54,8 @@
         self._timeline = timeline
         self._requests = 0
         self._is_leaving = False
+        self._ends_at = math.inf
+        self._readers: set[asyncio.Task[Any]] = set()
         self._idle = asyncio.Event()
         self._idle.set()
         self._caches_expired = asyncio.Event()
@@ -66,6 +71,11 @@
         """Whether the drain has started."""
         return self._is_leaving
 
+    @property
+    def seconds_left(self) -> float:
+        """Seconds until the drain ends; infinite without a time limit."""
+        return self._ends_at - self._timers.now()
+
     @property
     def is_done(self) -> bool:
         """Whether the drain has ended."""
@@ -108,6 +118,7 @@
             Time limit in seconds, after which the process may be killed.
 
         """
+        self._ends_at = self._timers.now() + seconds
         draining = asyncio.ensure_future(self.run())
         limit = asyncio.ensure_future(self._timers.sleep(seconds))
         await asyncio.wait(
@@ -115,6 +126,8 @@
             return_when=asyncio.FIRST_COMPLETED,
         )
         await _cancel(draining, limit)
+        for reader in tuple(self._readers):
+            reader.cancel()
         if not self.is_done:
             self._timeline.record(
                 'drain-cut',
@@ -123,6 +136,49 @@
                 seconds=seconds,
             )
 
+    def require_time(self, seconds: float) -> None:
+        """
+        Require that a request can end before the drain does.
+
+        Parameters
+        ----------
+        seconds : float
+            Longest time in seconds that the request may take.
+
+        Raises
+        ------
+        NodeLeavingError
+            The request might be cut, so it has to be refused.
+
+        """
+        if seconds > self.seconds_left:
+            raise self._make_error(f'a request may take {seconds:.1f} s')
+
+    @contextlib.contextmanager
+    def reading(self) -> Iterator[None]:
+        """
+        Read a request, at the longest until the drain ends.
+
+        Raises
+        ------
+        NodeLeavingError
+            The drain ended before the request was read.
+
+        """
+        task = asyncio.current_task()
+        if task is None:
+            raise RuntimeError('requests are read in tasks')
+        self._readers.add(task)
+        try:
+            yield
+        except asyncio.CancelledError:
+            if self.seconds_left > 0:
+                raise
+            task.uncancel()
+            raise self._make_error('the request is still arriving') from None
+        finally:
+            self._readers.discard(task)
+
     async def run_long_poll(
         self,
         pull: Callable[[float], Coroutine[None, None, Result]],
@@ -170,6 +226,18 @@
         if not self._requests:
             self._idle.set()
 
+    def _make_error(self, reason: str) -> NodeLeavingError:
+        REFUSED.inc()
+        left_seconds = max(self.seconds_left, 0)
+        self._timeline.record(
+            'drain-refused', 'node', reason=reason, left=round(left_seconds, 3)
+        )
+        return NodeLeavingError(
+            f'this node stops in {left_seconds:.1f} s, and {reason}',
+            remedy='send the request to another node',
+            retry_after=0,
+        )
+
     def _finish(self) -> None:
         self._done.set()
         self._timeline.record('drain-done', 'node')
--- a/packages/node/ladder_node/serving/tests/test_drain.py
+++ b/packages/node/ladder_node/serving/tests/test_drain.py
@@ -2,9 +2,10 @@
 
 import pytest
 
-from ladder_core.timeline import HybridClock, Timeline
+from ladder_core.errors import NodeLeavingError
+from ladder_core.timeline import HybridClock, HybridTime, Timeline
 from ladder_core.timers import ManualTimerService
-from ladder_node.serving import Drain, EntryMiddleware
+from ladder_node.serving import Drain, EntryMiddleware, Shutdown
 from ladder_node.serving.drain import LEAVE_PROPAGATION_SECONDS
 
 ADDRESS_TTL_SECONDS = 10
@@ -103,3 +104,45 @@
         LEAVE_PROPAGATION_SECONDS + ADDRESS_TTL_SECONDS
     )
     await task
+
+
+async def test_time_is_required_only_while_draining(harness):
+    harness.drain.require_time(3600)
+    task = asyncio.create_task(harness.drain.run_within(6))
+    await harness.timers.advance(2)
+    harness.drain.require_time(3.9)
+    with pytest.raises(NodeLeavingError):
+        harness.drain.require_time(4.1)
+    await harness.timers.advance(4)
+    await task
+    with pytest.raises(NodeLeavingError):
+        harness.drain.require_time(0.1)
+
+
+async def test_drain_does_not_wait_for_what_is_announced(harness):
+    """
+    Guards against a node that says it is ready while the store is silent.
+
+    The release of the lease and the notice to the other nodes waited for the
+    store before the node began to leave.
+    """
+    timeline = Timeline('node', HybridClock(harness.timers))
+    shutdown = Shutdown(harness.drain, harness.timers, timeline)
+    task = asyncio.create_task(
+        shutdown.run(6, harness.timers.sleep(3600), harness.timers.sleep(1))
+    )
+    await harness.timers.settle()
+    assert harness.drain.is_leaving
+    await harness.timers.advance(6.1)
+    assert task.done()
+    kinds = [one.kind for one in timeline.read(HybridTime(), 99)]
+    assert kinds == ['shutdown-not-announced']
+
+
+async def test_close_ends_within_its_time(harness):
+    """Guards against a close that is still in progress at the kill."""
+    timeline = Timeline('node', HybridClock(harness.timers))
+    shutdown = Shutdown(harness.drain, harness.timers, timeline)
+    task = asyncio.create_task(shutdown.close(harness.timers.sleep(3600), 1))
+    await harness.timers.advance(1.1)
+    assert task.done()
--- a/packages/node/ladder_node/store_relay/app.py
+++ b/packages/node/ladder_node/store_relay/app.py
@@ -7,7 +7,7 @@
 from starlette.types import Message, Receive, Scope, Send
 
 from ladder_clients.table import StoreOutcomeUnknownError
-from ladder_core.errors import StoreUnavailableError
+from ladder_core.errors import NotRunError
 from ladder_node.store_relay.messages import RelayedCall, RelayedResponse
 
 _OK_STATUS = 200
@@ -57,7 +57,7 @@
     async def _make(self, call: RelayedCall) -> RelayedResponse:
         try:
             return await self._make_call(call)
-        except StoreUnavailableError:
+        except NotRunError:
             return RelayedResponse(0, is_undone=True)
         except StoreOutcomeUnknownError:
             return RelayedResponse(0, is_undone=False)
