Keep the origins of streams in the store as well

Cause: origins were kept in the memory of three nodes, and stopping ones were not asked. Nothing outlived the loss of all three.

Ruled out: replicas and slots; new streams began at the same moments.

Change: the origins of streams in progress are written to a table in batches and removed when the stream is whole.

--- a/packages/node/ladder_node/forwarding/forwarder.py
+++ b/packages/node/ladder_node/forwarding/forwarder.py
@@ -180,10 +180,12 @@
             async with self._open_any(request, attempts) as response:
                 self._binding.tell(request, attempts)
                 yield response
-            outcome = str(response.status)
         except LadderError as error:
             outcome = error.kind
             raise
+        else:
+            self._binding.end(request)
+            outcome = str(response.status)
         finally:
             self._guard.release(attempts.guarded)
             self._record_stream_end(route, request, attempts, outcome)
--- a/packages/node/ladder_node/forwarding/stream_binding.py
+++ b/packages/node/ladder_node/forwarding/stream_binding.py
@@ -60,6 +60,11 @@
         attempts.service = origin.service
         attempts.software_id = origin.software_id
 
+    def end(self, request: CallerRequest) -> None:
+        """Note that a caller has received the end of a stream."""
+        if self._origins is not None:
+            self._origins.end(request.first_attempt or request.request_id)
+
     def tell(self, request: CallerRequest, attempts: RequestAttempts) -> None:
         """Tell where a new stream begins, once a replica has answered."""
         replica = attempts.answered_by
--- a/packages/node/ladder_node/forwarding/tests/test_forwarder.py
+++ b/packages/node/ladder_node/forwarding/tests/test_forwarder.py
@@ -373,6 +373,7 @@
     def __init__(self, origin):
         self.origin = origin
         self.told = []
+        self.ended = []
 
     async def find(self, attempt):
         return self.origin
@@ -380,6 +381,9 @@
     def tell(self, attempt, origin):
         self.told.append((attempt, origin))
 
+    def end(self, attempt):
+        self.ended.append(attempt)
+
 
 async def resume(harness, origin):
     harness.forwarder._binding = StreamBinding(KnownOrigins(origin))
--- a/packages/node/ladder_node/stream_origins/__init__.py
+++ b/packages/node/ladder_node/stream_origins/__init__.py
@@ -1,5 +1,6 @@
 """Which software began a stream, so that it goes on at the same one."""
 
+from ladder_node.stream_origins.journal import OriginJournal
 from ladder_node.stream_origins.memory import StreamOrigin
 from ladder_node.stream_origins.origins import StreamOrigins
 from ladder_node.stream_origins.peers import (
@@ -13,6 +14,7 @@
 __all__ = (
     'ORIGIN_PATH',
     'make_origin_sender',
+    'OriginJournal',
     'OriginMessage',
     'OriginReply',
     'OriginSender',
--- a/packages/node/ladder_node/stream_origins/memory.py
+++ b/packages/node/ladder_node/stream_origins/memory.py
@@ -8,7 +8,7 @@
 
 _MAX_ORIGINS = 10_000
 # No caller waits longer for a stream, over all of its attempts.
-_RETENTION_SECONDS = 120
+RETENTION_SECONDS = 120
 _MAX_ID_CHARACTERS = 200
 
 
@@ -66,7 +66,7 @@
         return known[1] if known else None
 
     def _forget_old(self) -> None:
-        oldest_allowed = self._timers.now() - _RETENTION_SECONDS
+        oldest_allowed = self._timers.now() - RETENTION_SECONDS
         while self._origins:
             attempt = next(iter(self._origins))
             if self._origins[attempt][0] >= oldest_allowed:
