Leave out a row that can't be read, and nothing else

What callers saw: one row that a stranger had written into the store stopped all nodes from following the list of replicas (LOST, DRAIN), or made two nodes of three answer 500 to a part of the requests.

Cause: too much depth raises RecursionError, which no reader expected; a port out of range raises OverflowError where the connection is made; one row that can't be decoded made its page, its table or its batch unreadable.

Ruled out: large numbers, whose rows the users' trials held; bytes that are no UTF-8, which are replaced.

Change: one decoder for all messages, addresses checked where rows are read and where connections are made, pages decoded row by row if need be; one log line and one count for each row that is left out.

--- a/packages/cli/ladder_cli/cluster.py
+++ b/packages/cli/ladder_cli/cluster.py
@@ -8,6 +8,7 @@
 
 from ladder_clients.transport import HttpClient, TransportError
 from ladder_core.errors import LadderError, TargetUnavailableError
+from ladder_core.messages import decode_json
 from ladder_core.timeline import Event, HybridTime
 
 _SUCCESS_STATUSES = frozenset((HTTPStatus.OK, HTTPStatus.ACCEPTED))
@@ -186,4 +187,4 @@
                 f'the node at {address} answered with status {response.status}',
                 remedy='see the log of the node',
             )
-        return msgspec.json.decode(response.body, type=message_type)
+        return decode_json(response.body, message_type)
--- a/packages/cli/ladder_cli/explain.py
+++ b/packages/cli/ladder_cli/explain.py
@@ -8,6 +8,7 @@
 
 from ladder_core.errors import SettingsError
 from ladder_core.logs import LogLine
+from ladder_core.messages import decode_json
 
 # Kinds of events that can affect any request in progress at their time.
 _CONTEXT_KINDS = frozenset(
@@ -132,7 +133,7 @@
 def _decode(raw: bytes) -> Iterator[LogLine]:
     """Yield the decoded line; lines of other programs are skipped."""
     try:
-        yield msgspec.json.decode(raw, type=LogLine)
+        yield decode_json(raw, LogLine)
     except msgspec.DecodeError:
         return
 
--- a/packages/clients/ladder_clients/configuration/store.py
+++ b/packages/clients/ladder_clients/configuration/store.py
@@ -14,6 +14,7 @@
 )
 from ladder_clients.table.errors import StoreOutcomeUnknownError
 from ladder_core.errors import ConflictError, StoreUnavailableError
+from ladder_core.messages import decode_json
 from ladder_core.values import Difference, Lists, compare_lists
 
 # Names of the table and of its rows.
@@ -129,9 +130,7 @@
 
         """
         rows = await self._table.scan(_TABLE, _CHANGES_PREFIX)
-        changes = [
-            msgspec.json.decode(row.body, type=ListsChange) for row in rows
-        ]
+        changes = [decode_json(row.body, ListsChange) for row in rows]
         return [change for change in changes if change.revision > after]
 
     async def edit(self, lists: Lists) -> None:
@@ -213,7 +212,7 @@
     """Return the lists in a row, or empty lists if the row is absent."""
     if row is None:
         return Lists()
-    return msgspec.json.decode(row.body, type=Lists)
+    return decode_json(row.body, Lists)
 
 
 def _make_transaction(
--- a/packages/clients/ladder_clients/engines/http.py
+++ b/packages/clients/ladder_clients/engines/http.py
@@ -26,6 +26,7 @@
     TargetLostError,
     TargetRefusedError,
 )
+from ladder_core.messages import decode_json
 
 _OK_STATUS = 200
 _REFUSED_STATUSES = frozenset((409, 429, 503))
@@ -97,13 +98,13 @@
     async def read_state(self, address: str) -> EngineState:
         """Read the state of an engine from the engine itself."""
         response = await self._fetch('GET', address, 'state')
-        return msgspec.json.decode(response.body, type=EngineState)
+        return decode_json(response.body, EngineState)
 
     async def order(self, address: str, order: Order) -> OrderResponse:
         """Send an order to an engine."""
         body = msgspec.json.encode(order)
         response = await self._fetch('POST', address, 'orders', body)
-        return msgspec.json.decode(response.body, type=OrderResponse)
+        return decode_json(response.body, OrderResponse)
 
     async def _is_silence_expected(
         self, address: str, has_received: bool
@@ -199,7 +200,7 @@
     request: GenerateRequest,
 ) -> Chunk:
     try:
-        chunk = msgspec.json.decode(line, type=Chunk)
+        chunk = decode_json(line, Chunk)
     except msgspec.DecodeError as error:
         raise TargetLostError(
             f'engine {address} sent a malformed line',
--- a/packages/clients/ladder_clients/exchanges/opener.py
+++ b/packages/clients/ladder_clients/exchanges/opener.py
@@ -5,6 +5,7 @@
 
 from prometheus_client import Counter
 
+from ladder_clients.addresses import split_address
 from ladder_clients.exchanges.connection import PersistentConnection
 from ladder_clients.exchanges.dead_paths import detect_dead_path
 from ladder_clients.exchanges.errors import RefusedError, UnreachableError
@@ -56,14 +57,14 @@
 
         """
         address = connection.address
-        host, _, port = address.rpartition(':')
         loop = asyncio.get_running_loop()
         try:
+            host, port = split_address(address)
             async with asyncio.timeout(timeout_seconds):
                 transport, _ = await loop.create_connection(
-                    lambda: connection, host, int(port)
+                    lambda: connection, host, port
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError) as error:
             for observer in self._observers:
                 observer.record_unreachable(address, error)
             raise _choose_error(error)(
--- a/packages/clients/ladder_clients/exchanges/tests/test_pool.py
+++ b/packages/clients/ladder_clients/exchanges/tests/test_pool.py
@@ -289,3 +289,17 @@
     assert target.connections == 4
     assert harness.pool.count_idle(target.address) <= 2
     await harness.close()
+
+
+@pytest.mark.parametrize(
+    'address', ['127.0.0.1:99999', '127.0.0.1:-1', '127.0.0.1', ':80', '']
+)
+async def test_address_that_can_not_be_used_is_unreachable(harness, address):
+    """
+    Guards against a request that fails since one of its replicas is misnamed.
+
+    The error says that nothing was sent, so the request goes on to another.
+    """
+    with pytest.raises(UnreachableError):
+        async with harness.pool.exchange(address, GET, Timeouts(1, 0.2)):
+            raise AssertionError('there is no connection to this address')
--- a/packages/clients/ladder_clients/platform/hosts.py
+++ b/packages/clients/ladder_clients/platform/hosts.py
@@ -2,10 +2,9 @@
 
 from abc import ABC, abstractmethod
 
-import msgspec
-
 from ladder_clients.platform.calls import call_platform
 from ladder_clients.transport import HttpClient
+from ladder_core.messages import decode_json
 from ladder_core.values import HostEntry
 
 
@@ -45,4 +44,4 @@
     async def read(self) -> tuple[HostEntry, ...]:
         """Return all entries."""
         response = await call_platform(self._http, 'GET', self._url)
-        return msgspec.json.decode(response.body, type=tuple[HostEntry, ...])
+        return decode_json(response.body, tuple[HostEntry, ...])
--- a/packages/clients/ladder_clients/platform/weights.py
+++ b/packages/clients/ladder_clients/platform/weights.py
@@ -6,6 +6,7 @@
 
 from ladder_clients.platform.calls import call_platform
 from ladder_clients.transport import HttpClient
+from ladder_core.messages import decode_json
 
 _NOT_FOUND_STATUS = 404
 
@@ -72,4 +73,4 @@
         response = await call_platform(self._http, 'GET', url)
         if response.status == _NOT_FOUND_STATUS:
             return Weights(model, 0)
-        return msgspec.json.decode(response.body, type=Weights)
+        return decode_json(response.body, Weights)
--- a/packages/clients/ladder_clients/services/scorer.py
+++ b/packages/clients/ladder_clients/services/scorer.py
@@ -4,6 +4,7 @@
 
 from ladder_clients.services.client import ServiceClient, ServiceRequest
 from ladder_core.errors import TargetLostError
+from ladder_core.messages import decode_json
 
 _OK_STATUS = 200
 
@@ -76,4 +77,4 @@
                 f'scorer {address} answered with status {response.status}',
                 remedy='ask another scorer',
             )
-        return msgspec.json.decode(response.body, type=_Score).score
+        return decode_json(response.body, _Score).score
--- a/packages/clients/ladder_clients/table/__init__.py
+++ b/packages/clients/ladder_clients/table/__init__.py
@@ -7,6 +7,7 @@
     HistoryLostError,
     StoreOutcomeUnknownError,
 )
+from ladder_clients.table.malformed import report_malformed
 from ladder_clients.table.resilient import ResilientTableClient
 from ladder_clients.table.wire import (
     Condition,
@@ -33,4 +34,5 @@
     'Timestamp',
     'Transaction',
     'Write',
+    'report_malformed',
 )
--- a/packages/clients/ladder_clients/table/http.py
+++ b/packages/clients/ladder_clients/table/http.py
@@ -16,6 +16,7 @@
     UnreachableError,
 )
 from ladder_core.errors import StoreUnavailableError
+from ladder_core.messages import decode_json
 
 Message = TypeVar('Message')
 
@@ -121,7 +122,7 @@
                 remedy='wait until it has recovered',
                 retry_after=_RETRY_AFTER_SECONDS,
             )
-        return msgspec.json.decode(response.body, type=kind)
+        return decode_json(response.body, kind)
 
 
 def _make_unavailable_error(error: TransportError) -> StoreUnavailableError:
--- a/packages/clients/ladder_clients/transport/probe.py
+++ b/packages/clients/ladder_clients/transport/probe.py
@@ -3,6 +3,7 @@
 import asyncio
 from abc import ABC, abstractmethod
 
+from ladder_clients.addresses import split_address
 from ladder_core.timers import TimerService
 
 _CONNECT_TIMEOUT_SECONDS = 1
@@ -49,14 +50,14 @@
 
     async def is_gone(self, address: str) -> bool:
         """Return whether one of the connections is refused."""
-        host, _, port = address.rpartition(':')
         for _ in range(_MAX_ATTEMPTS):
             try:
+                host, port = split_address(address)
                 async with asyncio.timeout(_CONNECT_TIMEOUT_SECONDS):
-                    _, writer = await asyncio.open_connection(host, int(port))
+                    _, writer = await asyncio.open_connection(host, port)
             except ConnectionRefusedError:
                 return True
-            except (OSError, TimeoutError):
+            except (OSError, TimeoutError, ValueError):
                 return False
             writer.close()
             await self._timers.sleep(_RETRY_INTERVAL_SECONDS)
--- a/packages/node/ladder_node/batches/drafts.py
+++ b/packages/node/ladder_node/batches/drafts.py
@@ -14,8 +14,10 @@
     StoreOutcomeUnknownError,
     Transaction,
     Write,
+    report_malformed,
 )
 from ladder_core.errors import StoreUnavailableError
+from ladder_core.messages import decode_json
 from ladder_node.batches.fence import Fence
 from ladder_node.batches.open_batch import Draft, OpenBatch, OpenTask, Stage
 from ladder_node.batches.records import DRAFTS_TABLE, find_shard
@@ -251,9 +253,13 @@
     """
     lineages: dict[tuple[str, str], Draft] = {}
     for row in rows:
-        _, task_id, lineage, _ = row.key.rsplit('/', 3)
+        try:
+            _, task_id, lineage, _ = row.key.rsplit('/', 3)
+            piece = decode_json(row.body, _Piece)
+        except ValueError as error:
+            report_malformed(DRAFTS_TABLE, row.key, error)
+            continue
         draft = lineages.setdefault((task_id, lineage), Draft())
-        piece = msgspec.json.decode(row.body, type=_Piece)
         if piece.first == len(draft.event_texts) + 1:
             draft.event_texts += piece.parts
             draft.versions += piece.versions
--- a/packages/node/ladder_node/batches/fence.py
+++ b/packages/node/ladder_node/batches/fence.py
@@ -26,6 +26,7 @@
     Write,
 )
 from ladder_core.errors import NotRunError, StoreUnavailableError
+from ladder_core.messages import decode_json
 from ladder_core.timers import TimerService
 from ladder_node.batches.records import OWNERS_TABLE, OwnerRow, list_shards
 from ladder_node.leases import Lease
@@ -207,7 +208,7 @@
 
 
 def _decode(row: Row) -> OwnerRow:
-    return msgspec.json.decode(row.body, type=OwnerRow)
+    return decode_json(row.body, OwnerRow)
 
 
 def _make_ownership_error(owner: OwnerRow) -> OwnershipLostError:
--- a/packages/node/ladder_node/batches/records.py
+++ b/packages/node/ladder_node/batches/records.py
@@ -21,9 +21,9 @@
 
 import msgspec
 import xxhash
-from loguru import logger
 
-from ladder_clients.table import Row, Timestamp
+from ladder_clients.table import Row, Timestamp, report_malformed
+from ladder_core.messages import decode_json
 
 BATCHES_TABLE = 'batches'
 TASKS_TABLE = 'batch_tasks'
@@ -134,9 +134,9 @@
 def decode_head(row: Row) -> BatchHead | None:
     """Return the head of a batch, or None for a malformed row."""
     try:
-        return msgspec.json.decode(row.body, type=BatchHead)
+        return decode_json(row.body, BatchHead)
     except msgspec.DecodeError as error:
-        logger.error('malformed row of batch {} ignored: {}', row.key, error)
+        report_malformed(BATCHES_TABLE, row.key, error)
         return None
 
 
--- a/packages/node/ladder_node/batches/store.py
+++ b/packages/node/ladder_node/batches/store.py
@@ -15,6 +15,7 @@
     Write,
 )
 from ladder_core.errors import StoreUnavailableError
+from ladder_core.messages import decode_json
 from ladder_core.timers import TimerService
 from ladder_core.values import Route
 from ladder_node.batches.records import (
@@ -25,6 +26,7 @@
     TASKS_TABLE,
     BatchHead,
     TaskResult,
+    decode_head,
     find_shard,
     make_end_key,
     make_result_key,
@@ -169,7 +171,7 @@
         row = await self._table.read_from_partition(
             BATCHES_TABLE, shard, batch_id
         )
-        return msgspec.json.decode(row.body, type=BatchHead) if row else None
+        return decode_head(row) if row else None
 
     async def is_ended(self, batch_id: str) -> bool:
         """
@@ -225,7 +227,7 @@
             name = f'{OBJECT_PREFIX}{batch_id}'
             body = await self._objects.get(name) or b''
         try:
-            return msgspec.json.decode(body, type=BatchSpec)
+            return decode_json(body, BatchSpec)
         except msgspec.DecodeError as error:
             raise StoreUnavailableError(
                 f'the tasks of batch {batch_id} are not there as a whole',
@@ -275,7 +277,7 @@
         )
         if row is None:
             return ResultIndex()
-        task_ids = msgspec.json.decode(row.body, type=tuple[str, ...])
+        task_ids = decode_json(row.body, tuple[str, ...])
         return ResultIndex(task_ids, row.revision)
 
     def make_result_writes(
@@ -349,7 +351,7 @@
         size += len(body)
         if results and size > _PAGE_CHARACTERS:
             break
-        results.append(msgspec.json.decode(body, type=TaskResult))
+        results.append(decode_json(body, TaskResult))
     return results
 
 
--- a/packages/node/ladder_node/dispatch/intent.py
+++ b/packages/node/ladder_node/dispatch/intent.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from ladder_clients.services import ServiceRequest, ServiceResponse
+from ladder_core.messages import decode_json
 
 INTENT_TABLE = 'intents'
 # Rows are sharded by the first hexadecimal characters of their keys.
@@ -126,7 +127,7 @@
 
 def decode_intent(body: str) -> Intent:
     """Decode the body of an intent row."""
-    return msgspec.json.decode(body, type=Intent)
+    return decode_json(body, Intent)
 
 
 def encode_intent(intent: Intent) -> str:
--- a/packages/node/ladder_node/dispatch/shared_suspect_registry.py
+++ b/packages/node/ladder_node/dispatch/shared_suspect_registry.py
@@ -8,6 +8,7 @@
 
 from ladder_clients.table import TableClient, Transaction, Write
 from ladder_core.errors import MayHaveRunError, StoreUnavailableError
+from ladder_core.messages import decode_json
 from ladder_core.supervision import Component
 from ladder_core.timers import PeriodicCall, TimerService
 from ladder_node.dispatch.suspect_registry import (
@@ -125,7 +126,7 @@
         oldest_kept_ms = self._timers.wall_milliseconds()
         oldest_kept_ms -= REFUSAL_SECONDS * _MILLISECONDS_PER_SECOND
         for row in await self._table.scan(REFUSED_TABLE):
-            refusal = msgspec.json.decode(row.body, type=_Refusal)
+            refusal = decode_json(row.body, _Refusal)
             if refusal.created_ms < oldest_kept_ms:
                 self._queue(row.key, None)
             else:
--- a/packages/node/ladder_node/duties/doubts.py
+++ b/packages/node/ladder_node/duties/doubts.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from ladder_core.messages import decode_msgpack
 from ladder_core.supervision import Component
 from ladder_core.timers import PeriodicCall, TimerService
 from ladder_core.values import HostKind
@@ -88,7 +89,7 @@
         self._gossip.publish(Fact(_KIND, target.entry.name, seconds, body))
 
     def _receive(self, fact: Fact) -> None:
-        doubt = msgspec.msgpack.decode(fact.body, type=VersionDoubt)
+        doubt = decode_msgpack(fact.body, VersionDoubt)
         self._targets.exclude(fact.key, doubt.address)
         for target in self._targets.list_all(HostKind.engine):
             if target.entry.name == fact.key:
--- a/packages/node/ladder_node/leases/rows.py
+++ b/packages/node/ladder_node/leases/rows.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from ladder_clients.table import Condition, Row, Write
+from ladder_core.messages import decode_json
 
 LEASES_TABLE = 'leases'
 HEARTBEATS_TABLE = 'heartbeats'
@@ -65,7 +66,7 @@
     """Decode a lease's row; an absent row means that the lease is free."""
     if row is None:
         return LeaseRow()
-    return msgspec.json.decode(row.body, type=LeaseRow)
+    return decode_json(row.body, LeaseRow)
 
 
 def make_lease_write(name: str, content: LeaseRow) -> Write:
--- a/packages/node/ladder_node/members/observations.py
+++ b/packages/node/ladder_node/members/observations.py
@@ -5,13 +5,15 @@
 
 from prometheus_client import Gauge
 
-from ladder_clients.table import Row
+from ladder_clients.table import Row, report_malformed
 from ladder_core.timeline import Timeline
 from ladder_core.timers import TimerService
-from ladder_node.members.rows import Member, decode_member
+from ladder_node.members.rows import MEMBERS_TABLE, Member, decode_member
 
 # Three heartbeats may be lost or late before a node counts as failed.
 _MIN_SILENCE_LIMIT_SECONDS = 3
+# Longer limits are those of rows that no node wrote.
+_MAX_SILENCE_LIMIT_SECONDS = 60
 # Number of pauses without a heartbeat after which a node counts as failed. The
 # length of a pause is the one that the node has published.
 _MISSED_PAUSES = 2
@@ -108,7 +110,9 @@
             self._exclude_outage(now)
         self._read_at = now
         self._observations = {
-            row.key: self._observe_row(row, now) for row in rows
+            row.key: observation
+            for row in rows
+            if (observation := self._observe_row(row, now)) is not None
         }
         if is_first_read:
             self._exclude_gone()
@@ -121,11 +125,17 @@
             )
         )
 
-    def _observe_row(self, row: Row, now: float) -> Observation:
+    def _observe_row(self, row: Row, now: float) -> Observation | None:
+        """Return the node of a row; None for a malformed one."""
         observation = self._observations.get(row.key)
         if observation is not None and observation.revision == row.revision:
             return observation
-        return Observation(decode_member(row), row.revision, now)
+        try:
+            member = decode_member(row)
+        except ValueError as error:
+            report_malformed(MEMBERS_TABLE, row.key, error)
+            return None
+        return Observation(member, row.revision, now)
 
     def _exclude_outage(self, now: float) -> None:
         """Restart the silence of live nodes if none of them could write."""
@@ -163,6 +173,7 @@
 
 def find_silence_limit(member: Member) -> float:
     """Return the seconds without a heartbeat after which a node has failed."""
-    return max(
-        _MIN_SILENCE_LIMIT_SECONDS, _MISSED_PAUSES * member.pause_seconds
+    limit = _MISSED_PAUSES * member.pause_seconds
+    return min(
+        max(_MIN_SILENCE_LIMIT_SECONDS, limit), _MAX_SILENCE_LIMIT_SECONDS
     )
--- a/packages/node/ladder_node/members/rows.py
+++ b/packages/node/ladder_node/members/rows.py
@@ -2,7 +2,9 @@
 
 import msgspec
 
+from ladder_clients.addresses import split_address
 from ladder_clients.table import Row, Write
+from ladder_core.messages import decode_json
 
 MEMBERS_TABLE = 'members'
 # The rows have a partition of their own, so that leases don't wait behind the
@@ -62,11 +64,15 @@
 
     Raises
     ------
-    msgspec.DecodeError
+    ValueError
         The body of the row is not a valid description of a node.
 
     """
-    return msgspec.json.decode(row.body, type=Member)
+    member = decode_json(row.body, Member)
+    for address in (member.address, member.peer_address):
+        if address:
+            split_address(address)
+    return member
 
 
 def make_member_write(member: Member) -> Write:
--- a/packages/node/ladder_node/members/tests/test_membership.py
+++ b/packages/node/ladder_node/members/tests/test_membership.py
@@ -2,11 +2,16 @@
 
 import pytest
 
-from ladder_clients.table import StoreOutcomeUnknownError
+from ladder_clients.table import (
+    StoreOutcomeUnknownError,
+    Transaction,
+    Write,
+)
 from ladder_core.errors import StoreUnavailableError
 from ladder_core.timeline import HybridClock, Timeline
 from ladder_core.timers import ManualTimerService
 from ladder_node.members import Member, Membership, choose_addresses
+from ladder_node.members.rows import MEMBERS_PART, MEMBERS_TABLE
 from ladder_standins.memory_table import MemoryTable, TableFault
 
 SILENT_CALL_SECONDS = 2
@@ -74,6 +79,26 @@
     assert fleet.seen_by('a') == ['a', 'b', 'c']
 
 
+@pytest.mark.parametrize(
+    'body',
+    [
+        'no JSON',
+        f'{"[" * 200_000}{"]" * 200_000}',
+        '{"name":"x","address":"x:99999","data_centre":"leith",'
+        '"region":"lowlands","incarnation":""}',
+    ],
+)
+async def test_row_of_another_writer_hides_no_node(fleet, body):
+    """Guards against nodes that no longer see each other."""
+    write = Write(MEMBERS_TABLE, 'x', body, MEMBERS_PART)
+    await fleet.table.commit(Transaction('t', (), (write,)))
+    await fleet.timers.advance(2)
+    fleet.nodes['d'] = fleet.make('d')
+    await fleet.nodes['d'].start()
+    await fleet.timers.advance(2)
+    assert fleet.seen_by('a') == ['a', 'b', 'c', 'd']
+
+
 async def test_killed_node_is_left_out_within_four_seconds(fleet):
     await fleet.nodes['b'].close()
     await fleet.timers.advance(4)
--- a/packages/node/ladder_node/peer_calls/app.py
+++ b/packages/node/ladder_node/peer_calls/app.py
@@ -10,6 +10,7 @@
 from starlette.responses import Response
 from starlette.types import Receive, Scope, Send
 
+from ladder_core.messages import decode_msgpack
 from ladder_node.peer_calls.bodies import read_body
 
 _OK_STATUS = 200
@@ -46,7 +47,7 @@
         """Handle one request of another node."""
         body = await read_body(Request(scope, receive))
         try:
-            message = msgspec.msgpack.decode(body, type=self._message_type)
+            message = decode_msgpack(body, self._message_type)
         except msgspec.DecodeError as error:
             logger.warning('call of a node not understood: {}', error)
             response = Response(status_code=_BAD_REQUEST_STATUS)
--- a/packages/node/ladder_node/peer_calls/caller.py
+++ b/packages/node/ladder_node/peer_calls/caller.py
@@ -12,6 +12,7 @@
     TransportError,
 )
 from ladder_core.errors import OverloadedError
+from ladder_core.messages import decode_msgpack
 from ladder_node.peer_calls.bodies import MAX_BODY_BYTES
 
 _Reply = TypeVar('_Reply')
@@ -71,7 +72,7 @@
         try:
             async with self._pool.exchange(address, request, limits) as reply:
                 body = await reply.read(MAX_BODY_BYTES)
-            return msgspec.msgpack.decode(body, type=reply_type)
+            return decode_msgpack(body, reply_type)
         except (TransportError, OverloadedError, msgspec.DecodeError) as error:
             logger.debug('no reply from {} to {}: {}', address, path, error)
             return None
--- a/packages/node/ladder_node/peers/leaving.py
+++ b/packages/node/ladder_node/peers/leaving.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from ladder_core.messages import decode_msgpack
 from ladder_core.supervision import Component
 from ladder_core.timers import PeriodicCall, TimerService
 from ladder_core.values import HostKind
@@ -76,7 +77,7 @@
             self._periodic_call = None
 
     def _handle_fact(self, fact: Fact) -> None:
-        state = msgspec.msgpack.decode(fact.body, type=LeavingTarget)
+        state = decode_msgpack(fact.body, LeavingTarget)
         self._leaving_addresses[fact.key] = state.address
         for target in self._list_targets():
             if target.entry.name == fact.key:
--- a/packages/node/ladder_node/peers/nodes.py
+++ b/packages/node/ladder_node/peers/nodes.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ladder_core.messages import decode_msgpack
 from ladder_core.supervision import Component
 from ladder_core.timeline import Timeline
 from ladder_core.timers import PeriodicCall, TimerService
@@ -181,7 +182,7 @@
         return entry.name not in self._leaving
 
     def _handle_leaving(self, fact: Fact) -> None:
-        state = msgspec.msgpack.decode(fact.body, type=LeavingState)
+        state = decode_msgpack(fact.body, LeavingState)
         if fact.key == self._local_member.name:
             # The fact may stem from the previous process of this node, which
             # had the same name; it is replaced by a newer one.
@@ -207,7 +208,7 @@
 
 
 def _read_member(fact: Fact) -> PeerMember:
-    state = msgspec.msgpack.decode(fact.body, type=NodeState)
+    state = decode_msgpack(fact.body, NodeState)
     return PeerMember(
         state.region,
         state.data_centre,
--- a/packages/node/ladder_node/quarantine/peers.py
+++ b/packages/node/ladder_node/quarantine/peers.py
@@ -18,6 +18,7 @@
     TransportError,
 )
 from ladder_core.errors import OverloadedError
+from ladder_core.messages import decode_msgpack
 from ladder_node.peer_calls import MAX_BODY_BYTES, read_body
 
 EVIDENCE_PATH = '/v1/crashes'
@@ -121,9 +122,8 @@
         """Handle one request of another node."""
         status = _OK_STATUS
         try:
-            rows = msgspec.msgpack.decode(
-                await read_body(Request(scope, receive)),
-                type=list[EvidenceRow],
+            rows = decode_msgpack(
+                await read_body(Request(scope, receive)), list[EvidenceRow]
             )
         except msgspec.DecodeError as error:
             logger.warning('notice of crashes not understood: {}', error)
--- a/packages/node/ladder_node/quarantine/rows.py
+++ b/packages/node/ladder_node/quarantine/rows.py
@@ -17,6 +17,7 @@
     Write,
 )
 from ladder_core.errors import StoreUnavailableError
+from ladder_core.messages import decode_json
 from ladder_core.supervision import Component
 from ladder_core.timers import PeriodicCall, TimerService
 from ladder_node.feeds import FeedListener
@@ -189,7 +190,7 @@
     def _apply(self, key: str, body: str) -> bool:
         """Add a row to the evidence; return whether it is well-formed."""
         try:
-            evidence = msgspec.json.decode(body, type=_Evidence)
+            evidence = decode_json(body, _Evidence)
             digest, kind, name = _split_key(key)
         except (msgspec.DecodeError, ValueError) as error:
             logger.warning('malformed row {} ignored: {}', key, error)
@@ -218,7 +219,7 @@
     def _is_old(self, row: Row) -> bool:
         """Return whether a row is old; a malformed one counts as old."""
         try:
-            evidence = msgspec.json.decode(row.body, type=_Evidence)
+            evidence = decode_json(row.body, _Evidence)
         except msgspec.DecodeError:
             return True
         return self._find_age(evidence) > _MAX_ORPHAN_SECONDS
--- a/packages/node/ladder_node/replica_relay/app.py
+++ b/packages/node/ladder_node/replica_relay/app.py
@@ -27,6 +27,7 @@
     TargetLeavingError,
     TargetUnavailableError,
 )
+from ladder_core.messages import decode_msgpack
 from ladder_node.peer_calls import read_body
 from ladder_node.replica_paths import ReplicaPaths
 from ladder_node.replica_relay.messages import (
@@ -99,7 +100,7 @@
         request = Request(scope, receive)
         body = await read_body(request, _MAX_BODY_BYTES)
         try:
-            exchange = msgspec.msgpack.decode(body, type=RelayedExchange)
+            exchange = decode_msgpack(body, RelayedExchange)
         except msgspec.DecodeError as error:
             logger.warning('relayed exchange not understood: {}', error)
             response = Response(status_code=_BAD_REQUEST_STATUS)
--- a/packages/node/ladder_node/replica_relay/client.py
+++ b/packages/node/ladder_node/replica_relay/client.py
@@ -18,6 +18,7 @@
 )
 from ladder_clients.replicas import ExchangeTerms
 from ladder_core.errors import NotRunError, OverloadedError
+from ladder_core.messages import decode_msgpack
 from ladder_core.timeline import Timeline
 from ladder_core.values import Replica
 from ladder_node.replica_paths import RelayDirectory
@@ -241,7 +242,7 @@
             raise self._make_error(f'a head of {length} bytes')
         encoded = await self._read(length)
         try:
-            return msgspec.msgpack.decode(encoded, type=RelayedHead)
+            return decode_msgpack(encoded, RelayedHead)
         except msgspec.DecodeError as error:
             raise self._make_error(str(error)) from error
 
--- a/packages/node/ladder_node/steps/store.py
+++ b/packages/node/ladder_node/steps/store.py
@@ -14,6 +14,7 @@
     Write,
 )
 from ladder_core.errors import StoreUnavailableError
+from ladder_core.messages import decode_json
 from ladder_core.values import Group
 from ladder_node.steps.records import STEPS_TABLE, OpenStep, TrainerRecord
 from ladder_node.steps.spec import StepSpec
@@ -107,7 +108,7 @@
             _make_object_name(trainer, opened.step, 'spec')
         )
         if body is not None:
-            spec = msgspec.json.decode(body, type=StepSpec)
+            spec = decode_json(body, StepSpec)
             if spec.digest == opened.digest:
                 return spec
         raise StoreUnavailableError(
@@ -160,7 +161,7 @@
                 )
                 if batch is None:
                     break
-                groups = msgspec.json.decode(batch, type=tuple[Group, ...])
+                groups = decode_json(batch, tuple[Group, ...])
                 found.update((group.index, group) for group in groups)
                 number += 1
         return found
@@ -184,7 +185,7 @@
         row = await self._table.read(STEPS_TABLE, trainer)
         if row is None:
             return 0, TrainerRecord()
-        return row.revision, msgspec.json.decode(row.body, type=TrainerRecord)
+        return row.revision, decode_json(row.body, TrainerRecord)
 
     async def _write(
         self,
--- a/packages/node/ladder_node/store_relay/app.py
+++ b/packages/node/ladder_node/store_relay/app.py
@@ -8,6 +8,7 @@
 
 from ladder_clients.table import StoreOutcomeUnknownError
 from ladder_core.errors import NotRunError
+from ladder_core.messages import decode_msgpack
 from ladder_node.store_relay.messages import RelayedCall, RelayedResponse
 
 _OK_STATUS = 200
@@ -46,7 +47,7 @@
         """Handle one request of another node."""
         body = await _read_body(receive)
         try:
-            call = msgspec.msgpack.decode(body, type=RelayedCall)
+            call = decode_msgpack(body, RelayedCall)
         except msgspec.DecodeError:
             await _send_response(send, _BAD_REQUEST_STATUS, b'')
             return
--- a/packages/node/ladder_node/store_relay/client.py
+++ b/packages/node/ladder_node/store_relay/client.py
@@ -13,6 +13,7 @@
     UnreachableError,
 )
 from ladder_core.errors import NotRunError, OverloadedError
+from ladder_core.messages import decode_msgpack
 from ladder_core.timeline import Timeline
 from ladder_core.timers import TimerService
 from ladder_node.store_relay.messages import RelayedCall, RelayedResponse
@@ -196,5 +197,5 @@
             body = await response.read()
             if response.status != _OK_STATUS:
                 return RelayedResponse(0, is_undone=True)
-            return msgspec.msgpack.decode(body, type=RelayedResponse)
+            return decode_msgpack(body, RelayedResponse)
         raise AssertionError('exchange() neither yielded a response nor raised')
--- a/packages/node/ladder_node/stream_origins/rows.py
+++ b/packages/node/ladder_node/stream_origins/rows.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from ladder_clients.table import Row, Timestamp, Write
+from ladder_core.messages import decode_json
 from ladder_node.stream_origins.memory import StreamOrigin
 
 ORIGINS_TABLE = 'stream_origins'
@@ -79,4 +80,4 @@
         The row is malformed.
 
     """
-    return msgspec.json.decode(row.body, type=OriginRow)
+    return decode_json(row.body, OriginRow)
