--- a/packages/clients/ladder_clients/exchanges/tests/test_pool.py
+++ b/packages/clients/ladder_clients/exchanges/tests/test_pool.py
@@ -303,3 +303,33 @@
     with pytest.raises(UnreachableError):
         async with harness.pool.exchange(address, GET, Timeouts(1, 0.2)):
             raise AssertionError('there is no connection to this address')
+
+
+@pytest.mark.parametrize('is_reset', [False, True])
+@pytest.mark.parametrize(
+    'sent',
+    [
+        b'HTTP/1.1 2',
+        b'HTTP/1.1 200 OK',
+        b'HTTP/1.1 200 OK\r\nContent-Le',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwho',
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nwho\r\n',
+    ],
+)
+async def test_answer_that_breaks_off_is_not_whole(harness, sent, is_reset):
+    """Guards against the head of a broken answer that becomes a short one."""
+
+    async def break_off(request, writer):
+        writer.write(sent)
+        await writer.drain()
+        if is_reset:
+            linger = struct.pack('ii', 1, 0)
+            writer.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, linger
+            )
+        writer.close()
+
+    target = await harness.serve(break_off)
+    with pytest.raises(TransportBrokenError):
+        await harness.fetch(target)
