--- a/packages/clients/ladder_clients/addresses.py
+++ b/packages/clients/ladder_clients/addresses.py
@@ -1,6 +1,9 @@
 """Addresses of processes."""
 
+import re
+
 _MAX_PORT = 65_535
+_HOST = re.compile(r'[0-9A-Za-z.:\[\]_-]{1,255}', re.ASCII)
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -23,7 +26,7 @@
 
     """
     host, _, port = address.rpartition(':')
-    if not host or not host.isascii():
+    if not _HOST.fullmatch(host):
         raise ValueError(f'no host: {address!r}')
     if not (port.isascii() and port.isdecimal()):
         raise ValueError(f'no port: {address!r}')
