Refuse for now if the configuration in force can't be decoded

What callers would see: a 500 in place of a refusal, if the operators' row is malformed when a node confirms that a route does not exist.

Cause: the confirmation expected errors of the store alone.

Measured: the new case of test_entry.py passes; it was not run on the code before.

--- a/packages/node/ladder_node/routes/confirmation.py
+++ b/packages/node/ladder_node/routes/confirmation.py
@@ -109,9 +109,9 @@
         """Return whether the configuration in force was read."""
         try:
             table = await self._source.read()
-        except LadderError as error:
+        except (LadderError, ValueError) as error:
             self._timeline.record(
-                'routes-not-confirmed', 'config', error=error.message
+                'routes-not-confirmed', 'config', error=str(error)
             )
             return False
         if table is not None:
