Bound the memory of the origins that were written

What operators would see: memory that grows by the streams that break off, whose ids were kept for good.

Cause: an id left the set of written origins only when its stream was whole.

Change: the oldest ids are forgotten beyond 10,000; the rows of their streams are removed by age, as those of lost nodes are.

--- a/packages/node/ladder_node/stream_origins/journal.py
+++ b/packages/node/ladder_node/stream_origins/journal.py
@@ -32,6 +32,8 @@
 # Writes in one transaction, below the table's limit of 100 entries.
 _MAX_WRITES = 96
 _MAX_PENDING = 4096
+# Streams that broke off stay here; their rows are removed when they are old.
+_MAX_WRITTEN = 10_000
 _WRITE_INTERVAL_SECONDS = 0.25
 # Transactions a second of all nodes together; more nodes write less often.
 _MAX_WRITES_PER_SECOND = 100
@@ -82,7 +84,7 @@
         self._timers = timers
         self._timeline = timeline
         self._pending: OrderedDict[str, Write] = OrderedDict()
-        self._written: set[str] = set()
+        self._written: OrderedDict[str, None] = OrderedDict()
         self._cleaning: PeriodicCall | None = None
 
     async def start(self) -> None:
@@ -113,7 +115,7 @@
         """Remove the origin of a stream that is whole."""
         self._pending.pop(attempt, None)
         if attempt in self._written:
-            self._written.discard(attempt)
+            self._written.pop(attempt)
             self._pending[attempt] = make_origin_removal(attempt)
 
     async def find(self, attempt: str) -> StreamOrigin | None:
@@ -171,9 +173,11 @@
             return True
         transaction = Transaction(uuid.uuid4().hex, (), tuple(batch.values()))
         # A stream may end during the write, so its row counts as written.
-        self._written.update(
-            attempt for attempt, write in batch.items() if write.body
-        )
+        for attempt, write in batch.items():
+            if write.body:
+                self._written[attempt] = None
+        while len(self._written) > _MAX_WRITTEN:
+            self._written.popitem(last=False)
         try:
             await self._table.commit(transaction)
         except _STORE_ERRORS as error:
