End the close in time though a component suppresses its cancellation

What the platform would see: a process that has to be killed, since the close of a component goes on with its next call to a silent store.

Cause: the shutdown waited for the cancelled work, and components suppress a cancellation while they wait for their own task.

Change: it waits a tenth of a second and leaves the rest to the process's end.

Measured: test_close_does_not_wait_for_a_suppressed_cancellation fails without the wait and passes with it.

--- a/packages/node/ladder_node/serving/shutdown.py
+++ b/packages/node/ladder_node/serving/shutdown.py
@@ -10,6 +10,8 @@
 from ladder_core.timers import TimerService
 from ladder_node.serving.drain import Drain
 
+_CANCEL_SECONDS = 0.1
+
 
 class Shutdown:
     """
@@ -68,6 +70,11 @@
         if not task.done():
             task.cancel()
             self._timeline.record(event, 'node', work=str(task.get_coro()))
-        await asyncio.wait((task,))
+        limit = asyncio.create_task(self._timers.sleep(_CANCEL_SECONDS))
+        await asyncio.wait((task, limit), return_when=asyncio.FIRST_COMPLETED)
+        limit.cancel()
+        if not task.done():
+            # What suppresses its cancellation ends with the process.
+            return
         if not task.cancelled() and task.exception() is not None:
             logger.opt(exception=task.exception()).error('{}', event)
--- a/packages/node/ladder_node/serving/tests/test_drain.py
+++ b/packages/node/ladder_node/serving/tests/test_drain.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 
 import pytest
 
@@ -146,3 +147,18 @@
     task = asyncio.create_task(shutdown.close(harness.timers.sleep(3600), 1))
     await harness.timers.advance(1.1)
     assert task.done()
+
+
+async def test_close_does_not_wait_for_a_suppressed_cancellation(harness):
+    """Guards against components whose close goes on with the next call."""
+
+    async def close():
+        with contextlib.suppress(asyncio.CancelledError):
+            await harness.timers.sleep(3600)
+        await harness.timers.sleep(3600)
+
+    timeline = Timeline('node', HybridClock(harness.timers))
+    shutdown = Shutdown(harness.drain, harness.timers, timeline)
+    task = asyncio.create_task(shutdown.close(close(), 1))
+    await harness.timers.advance(1.3)
+    assert task.done()
