Authenticate callers by the keys of their organisations

The replica gets the organisation's name, never the key. Batches and drafts are those of one organisation only. New fields of rows are optional and at the end.

--- a/packages/clients/ladder_clients/replicas/messages.py
+++ b/packages/clients/ladder_clients/replicas/messages.py
@@ -33,6 +33,8 @@
     first_attempt : str
         Identifies the attempt of the caller that brought the first event of
         the stream; empty if the request names none.
+    organisation : str
+        Name of the organisation that sent it; empty for none.
 
     """
 
@@ -45,6 +47,7 @@
     priority: int = 0
     last_event: int = 0
     first_attempt: str = ''
+    organisation: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +70,8 @@
         resumed; zero for none.
     priority : int
         Priority among requests for a scarce replica; zero is the highest.
+    organisation : str
+        Name of the organisation whose batch it is in; empty for none.
 
     """
 
@@ -76,6 +81,7 @@
     body: bytes
     last_event: int = 0
     priority: int = 0
+    organisation: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/ladder_core/values/__init__.py
+++ b/packages/core/ladder_core/values/__init__.py
@@ -7,6 +7,10 @@
 )
 from ladder_core.values.hosts import HostEntry, HostKind, HostState
 from ladder_core.values.lists import Allowance, HeadlineMetric, Lists, Plan
+from ladder_core.values.organisations import (
+    Organisation,
+    OrganisationDirectory,
+)
 from ladder_core.values.replicas import Replica
 from ladder_core.values.routes import (
     CallerLimits,
@@ -28,6 +32,8 @@
     'HostKind',
     'HostState',
     'Lists',
+    'Organisation',
+    'OrganisationDirectory',
     'Plan',
     'Replica',
     'Route',
--- a/packages/node/ladder_node/batches/api.py
+++ b/packages/node/ladder_node/batches/api.py
@@ -4,6 +4,7 @@
 
 from ladder_clients.table import StoreOutcomeUnknownError
 from ladder_core.errors import (
+    ConflictError,
     LadderError,
     StoreUnavailableError,
     UnknownNameError,
@@ -69,12 +70,16 @@
             The batch is not stored and none of its tasks will run.
         StoreOutcomeUnknownError
             The batch may or may not be stored.
+        ConflictError
+            Another organisation has submitted a batch with this id.
 
         """
         started_at = self._timers.now()
         outcome = 'refused'
         try:
             is_new = await self._accept(spec, route)
+            if not is_new and spec.organisation:
+                await self._require_owner(spec)
             outcome = 'accepted' if is_new else 'repeated'
         except StoreOutcomeUnknownError:
             outcome = 'unknown'
@@ -96,22 +101,24 @@
         batch_id: str,
         start: int,
         wait_seconds: float,
+        organisation: str = '',
     ) -> ResultPage:
         """
         Return the results from a position on.
 
         If there is none yet, the call polls the store until the first one is
-        there, or until `wait_seconds` have passed.
+        there, or until `wait_seconds` have passed. `organisation` is the
+        name of the one that asks; empty for none.
 
         Raises
         ------
         UnknownNameError
-            The batch does not exist.
+            The batch does not exist, or it belongs to another organisation.
         StoreUnavailableError
             The store does not answer.
 
         """
-        head = await self._require_head(batch_id)
+        head = await self._require_head(batch_id, organisation)
         deadline = self._timers.now() + wait_seconds
         while True:
             started_at = self._timers.now()
@@ -127,19 +134,22 @@
                 return page
             await self._timers.sleep(pause)
 
-    async def find_task(self, batch_id: str, task_id: str) -> TaskSpec:
+    async def find_task(
+        self, batch_id: str, task_id: str, organisation: str = ''
+    ) -> TaskSpec:
         """
         Return a task of a batch that has not been ended.
 
         Raises
         ------
         UnknownNameError
-            The batch or the task does not exist, or the batch was ended.
+            The batch or the task does not exist, the batch was ended, or it
+            belongs to another organisation.
         StoreUnavailableError
             The store does not answer.
 
         """
-        head = await self._require_head(batch_id)
+        head = await self._require_head(batch_id, organisation)
         if await self._store.is_ended(batch_id):
             raise UnknownNameError(
                 f'batch {batch_id} was ended',
@@ -154,19 +164,19 @@
             remedy='ask for one of the tasks that were submitted',
         )
 
-    async def end(self, batch_id: str) -> None:
+    async def end(self, batch_id: str, organisation: str = '') -> None:
         """
         End a batch; the call is idempotent.
 
         Raises
         ------
         UnknownNameError
-            The batch does not exist.
+            The batch does not exist, or it belongs to another organisation.
         StoreUnavailableError, StoreOutcomeUnknownError
             The store did not confirm the end of the batch.
 
         """
-        await self._require_head(batch_id)
+        await self._require_head(batch_id, organisation)
         await self._store.end(batch_id)
         self._timeline.record('batch-end-accepted', batch_id)
 
@@ -193,11 +203,29 @@
             await self._timers.sleep(_RETRY_INTERVAL_SECONDS)
         raise errors[0]
 
-    async def _require_head(self, batch_id: str) -> BatchHead:
+    async def _require_owner(self, spec: BatchSpec) -> None:
+        """Raise if a stored batch belongs to another organisation."""
+        try:
+            await self._require_head(spec.batch_id, spec.organisation)
+        except UnknownNameError as error:
+            raise ConflictError(
+                f'the id {spec.batch_id} is in use',
+                remedy='submit the batch with another id',
+            ) from error
+
+    async def _require_head(
+        self, batch_id: str, organisation: str
+    ) -> BatchHead:
+        """
+        Return the head of a batch that an organisation may use.
+
+        A batch of another organisation is reported like one that does not
+        exist, so that ids of others can't be found out.
+        """
         head = self._heads.get(batch_id)
         if head is None:
             head = await self._store.find_head(batch_id)
-        if head is None:
+        if head is None or head.organisation not in {'', organisation}:
             raise UnknownNameError(
                 f'there is no batch {batch_id}',
                 remedy='submit it first',
--- a/packages/node/ladder_node/batches/dispatcher.py
+++ b/packages/node/ladder_node/batches/dispatcher.py
@@ -262,8 +262,10 @@
         return True
 
     def _find_priority(self, batch: OpenBatch) -> int:
-        route = self.find_route(batch)
-        return route.priority if route else 0
+        table, route = self._routes.current, self.find_route(batch)
+        if table is None or route is None:
+            return 0
+        return table.find_priority(route, batch.spec.organisation)
 
     def _reserve_faster(
         self, run: ActiveRun, now: float, others_wait: bool
--- a/packages/node/ladder_node/batches/intake.py
+++ b/packages/node/ladder_node/batches/intake.py
@@ -202,7 +202,7 @@
         ):
             return
         spec, durable_task_ids = found.spec, found.durable_task_ids
-        self._registry.keep_drafts(found.drafts)
+        self._registry.keep_drafts(found.drafts, head.organisation)
         batch = self._registry.add(
             spec, head, result_writer, age_seconds, durable_task_ids
         )
@@ -236,7 +236,7 @@
                 error=error.message,
             )
             return
-        self._registry.keep_drafts(drafts)
+        self._registry.keep_drafts(drafts, head.organisation)
 
     def _make_result_writer(self, batch_id: str) -> ResultWriter:
         return ResultWriter(
--- a/packages/node/ladder_node/batches/records.py
+++ b/packages/node/ladder_node/batches/records.py
@@ -97,6 +97,8 @@
     service_accepted_at : int or None
         Milliseconds by the clock of the table service; None in rows of nodes
         that did not know it.
+    organisation : str
+        Name of the organisation that submitted it; empty for none.
 
     """
 
@@ -107,6 +109,7 @@
     step_seconds: float
     retention_seconds: float
     service_accepted_at: int | None = None
+    organisation: str = ''
 
     def find_age_seconds(self, now: Timestamp) -> float:
         """Return the seconds since the acceptance."""
--- a/packages/node/ladder_node/batches/registry.py
+++ b/packages/node/ladder_node/batches/registry.py
@@ -95,7 +95,10 @@
         for task_id in durable_task_ids:
             batch.tasks[task_id].stage = Stage.done
         for task in batch.tasks.values():
-            draft = self._draft_cache.take(task.task_id, spec.min_version)
+            draft = self._draft_cache.take(
+                _make_draft_key(task.task_id, spec.organisation),
+                spec.min_version,
+            )
             if draft is not None:
                 task.draft = draft
         self._remember_groups(batch)
@@ -121,13 +124,29 @@
         batch = self._batches.pop(batch_id, None)
         if batch is not None:
             for task in _list_unfinished(batch):
-                self._draft_cache.put(task.task_id, task.draft)
+                self._draft_cache.put(
+                    _make_draft_key(task.task_id, batch.spec.organisation),
+                    task.draft,
+                )
         return batch
 
-    def keep_drafts(self, drafts: Mapping[str, Draft]) -> None:
-        """Cache drafts, keyed by task, for batches that are opened later."""
+    def keep_drafts(
+        self, drafts: Mapping[str, Draft], organisation: str = ''
+    ) -> None:
+        """
+        Cache drafts for batches that are opened later.
+
+        Parameters
+        ----------
+        drafts : mapping of str to Draft
+            Drafts by task.
+        organisation : str, optional
+            Organisation that submitted the tasks. The drafts are used for no
+            other one, even if its tasks have the same ids.
+
+        """
         for task_id, draft in drafts.items():
-            self._draft_cache.put(task_id, draft)
+            self._draft_cache.put(_make_draft_key(task_id, organisation), draft)
 
     def close(self, batch_id: str) -> None:
         """Close a batch whose results are all durable."""
@@ -214,6 +233,10 @@
     return max(expected - made, made * _OVERRUN_SHARE)
 
 
+def _make_draft_key(task_id: str, organisation: str) -> str:
+    return f'{organisation}/{task_id}' if organisation else task_id
+
+
 def _list_unfinished(batch: OpenBatch) -> list[OpenTask]:
     return [
         task
--- a/packages/node/ladder_node/batches/runner.py
+++ b/packages/node/ladder_node/batches/runner.py
@@ -177,6 +177,7 @@
             task.spec.body,
             len(task.draft.event_texts),
             progress.priority,
+            batch.spec.organisation,
         )
         replica = progress.engine.replica
         async for event in self._client.generate(replica, request):
--- a/packages/node/ladder_node/batches/spec.py
+++ b/packages/node/ladder_node/batches/spec.py
@@ -86,6 +86,8 @@
         Number of complete groups that the trainer waits for.
     tasks : tuple of TaskSpec
         The tasks; groups that an earlier batch contained are listed first.
+    organisation : str
+        Name of the organisation that submitted it; empty for none.
 
     """
 
@@ -97,3 +99,4 @@
     min_version: int
     target_groups: int
     tasks: tuple[TaskSpec, ...]
+    organisation: str = ''
--- a/packages/node/ladder_node/batches/store.py
+++ b/packages/node/ladder_node/batches/store.py
@@ -329,6 +329,7 @@
             step_seconds=route.step_seconds,
             retention_seconds=route.retention_seconds,
             service_accepted_at=now.service,
+            organisation=spec.organisation,
         )
 
 
--- a/packages/node/ladder_node/feeds/follower.py
+++ b/packages/node/ladder_node/feeds/follower.py
@@ -55,6 +55,18 @@
     def change(self, rows: Sequence[Row], removed: Sequence[Row]) -> None:
         """Update the rows that changed, and remove those that were deleted."""
 
+    def confirm(self, read_at: float) -> None:  # noqa: B027 optional hook
+        """
+        Note that the rows were current; does nothing by default.
+
+        Parameters
+        ----------
+        read_at : float
+            Time in seconds at which the read began that confirms them. It is
+            called after the rows of the read were applied.
+
+        """
+
 
 class TableFollower(TaskComponent):
     """
@@ -118,15 +130,19 @@
                 await self._timers.sleep(RETRY_SECONDS)
 
     async def _read_and_follow(self) -> None:
+        read_at = self._timers.now()
         changes = await self._table.snapshot(self._name)
         _full_reads_counter.labels(self._name).inc()
         outage = self.age or 0
         self._confirm()
         self._listener.replace(changes.rows, outage)
+        self._listener.confirm(read_at)
         while True:
+            read_at = self._timers.now()
             changes = await self._watch(changes.revision)
             if changes.rows or changes.removed:
                 self._listener.change(changes.rows, changes.removed)
+            self._listener.confirm(read_at)
 
     async def _watch(self, revision: int) -> RowChanges:
         changes = await self._table.watch(
--- a/packages/node/ladder_node/routes/cache.py
+++ b/packages/node/ladder_node/routes/cache.py
@@ -1,5 +1,6 @@
 """The newest route configuration that this process has read."""
 
+import math
 from collections.abc import Callable
 
 from prometheus_client import Gauge
@@ -35,6 +36,7 @@
     def __init__(self, timeline: Timeline) -> None:
         self._timeline = timeline
         self._table: RouteTable | None = None
+        self._confirmed_at = -math.inf
         self._listeners: list[Callable[[RouteTable], None]] = []
 
     @property
@@ -42,6 +44,15 @@
         """The current configuration; None until the first one is read."""
         return self._table
 
+    @property
+    def confirmed_at(self) -> float:
+        """
+        Time in seconds by the timer service up to which it was confirmed.
+
+        Each configuration that was acknowledged before this time is known.
+        """
+        return self._confirmed_at
+
     def require(self) -> RouteTable:
         """
         Return the current configuration.
@@ -64,6 +75,19 @@
         """Register a listener that is called with each new configuration."""
         self._listeners.append(listener)
 
+    def confirm(self, read_at: float) -> None:
+        """
+        Record that the newest configuration was read.
+
+        Parameters
+        ----------
+        read_at : float
+            Time in seconds at which the read began, not at which its response
+            arrived: the process may have been suspended in between.
+
+        """
+        self._confirmed_at = max(self._confirmed_at, read_at)
+
     def offer(self, table: RouteTable) -> None:
         """Replace the current configuration if the offered one is newer."""
         current = self._table.revision if self._table else 0
--- a/packages/node/ladder_node/routes/confirmation.py
+++ b/packages/node/ladder_node/routes/confirmation.py
@@ -84,22 +84,27 @@
         """
         if self._is_recent():
             return
-        if self._reading is None or self._reading.done():
-            self._reading = asyncio.create_task(self._read())
+        reading = self.begin()
         limit = asyncio.create_task(self._timers.sleep(_TIMEOUT_SECONDS))
         try:
             await asyncio.wait(
-                (self._reading, limit), return_when=asyncio.FIRST_COMPLETED
+                (reading, limit), return_when=asyncio.FIRST_COMPLETED
             )
         finally:
             limit.cancel()
-        if not (self._reading.done() and self._reading.result()):
+        if not (reading.done() and reading.result()):
             raise StoreUnavailableError(
                 'the configuration in force can not be read at present',
                 remedy='ask another node, or this one a little later',
                 retry_after=_RETRY_AFTER_SECONDS,
             )
 
+    def begin(self) -> asyncio.Task[bool]:
+        """Return the task of the read in progress; begin one if needed."""
+        if self._reading is None or self._reading.done():
+            self._reading = asyncio.create_task(self._read())
+        return self._reading
+
     def _is_recent(self) -> bool:
         if self._confirmed_at is None:
             return False
@@ -107,6 +112,7 @@
 
     async def _read(self) -> bool:
         """Return whether the configuration in force was read."""
+        begun_at = self._timers.now()
         try:
             table = await self._source.read()
         except (LadderError, ValueError) as error:
@@ -116,5 +122,6 @@
             return False
         if table is not None:
             self._routes.offer(table)
+        self._routes.confirm(begun_at)
         self._confirmed_at = self._timers.now()
         return True
