--- a/packages/core/ladder_core/settings/lists.py
+++ b/packages/core/ladder_core/settings/lists.py
@@ -41,7 +41,7 @@
         Revision of the accepted lists on which the file is based; zero if
         there is none yet.
     plans : tuple of PlanEntry
-        All plans of all customers.
+        All plans of all organisations.
 
     """
 
--- a/packages/core/ladder_core/values/lists.py
+++ b/packages/core/ladder_core/values/lists.py
@@ -14,14 +14,15 @@
 @dataclass(frozen=True, slots=True)
 class Plan:
     """
-    Entitlement of a trainer or application of one customer.
+    Entitlement of a trainer or application of one organisation.
 
     Attributes
     ----------
     name : str
         Name of the plan, unique among all plans.
     customer : str
-        Customer that the plan belongs to.
+        Organisation that the plan belongs to. The name of the field is part
+        of the files of operators and of stored rows.
     secret_sha256 : str
         Hexadecimal SHA-256 hash of the secret that authenticates callers.
     trainer : str
@@ -32,7 +33,7 @@
         Staleness bound: the maximum number of weight versions between that of
         the trainer and the oldest in a sample at hand-over.
     weighs : HeadlineMetric
-        Headline metric that matters more to the customer.
+        Headline metric that matters more to the organisation.
     requests_per_second : float
         Rate of interactive requests that the plan is entitled to.
     tokens_per_second : float
@@ -89,7 +90,7 @@
     revision : int
         Number of accepted edits; zero before the first.
     plans : tuple of Plan
-        All plans of all customers.
+        All plans of all organisations.
     allowances : tuple of Allowance
         All allowances, at most one for each plan.
     author : str
