Share a service that lacks room between organisations

While replicas refuse requests as full, a node sent each request again until eight refusals or its deadline, first come first served: the burst of one organisation took the room of all, and requests that could not be served in time waited for it.

A node now limits its requests at such a service, gives places to organisations in turn, refuses at once what would be late, and spreads the return. Streams and plain requests of callers use it, tasks and scoring calls don't.

--- a/packages/node/ladder_node/forwarding/attempts.py
+++ b/packages/node/ladder_node/forwarding/attempts.py
@@ -20,7 +20,7 @@
 
 
 def _ignore() -> None:
-    """Ignore a failed run."""
+    """Ignore a failed run, or a refusal."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +85,8 @@
         Replica that has answered last.
     on_failed_run : callable
         Called for each response that reports a failed run.
+    on_full : callable
+        Called when a replica refuses the request because it is full.
 
     """
 
@@ -101,6 +103,7 @@
     failed_response: CompleteResponse | None = None
     answered_by: Replica | None = None
     on_failed_run: Callable[[], None] = _ignore
+    on_full: Callable[[], None] = _ignore
 
     @property
     def tried(self) -> set[str]:
--- a/packages/node/ladder_node/forwarding/forwarder.py
+++ b/packages/node/ladder_node/forwarding/forwarder.py
@@ -15,8 +15,6 @@
 from collections.abc import AsyncIterator, Callable
 from dataclasses import replace
 
-from prometheus_client import Histogram
-
 from ladder_clients.exchanges import StreamedResponse
 from ladder_clients.replicas import CallerRequest, ReplicaClient
 from ladder_core.errors import (
@@ -34,6 +32,7 @@
 )
 from ladder_node.forwarding.outcomes import (
     MIN_SERVER_ERROR_STATUS,
+    EndRecorder,
     record_failure,
     record_refusal,
     record_response,
@@ -48,15 +47,9 @@
     identify_request,
 )
 from ladder_node.replicas import ReplicaRecord
+from ladder_node.room import Place, ServiceRooms
 from ladder_node.stream_origins import StreamOrigins
 
-_forwarded_histogram = Histogram(
-    'ladder_forward_seconds',
-    'Time from a request to the end of its answer, by service and outcome',
-    ('service', 'outcome'),
-    buckets=(0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8),
-)
-
 
 class Forwarder:
     """
@@ -76,6 +69,9 @@
         Records one event at the end of each request.
     origins : StreamOrigins, optional
         Knows where streams began; without it no stream goes on.
+    rooms : ServiceRooms, optional
+        Shares services that lack room between organisations; without it
+        requests don't wait for room.
 
     """
 
@@ -87,7 +83,9 @@
         timers: TimerService,
         timeline: Timeline,
         origins: StreamOrigins | None = None,
+        rooms: ServiceRooms | None = None,
     ) -> None:
+        self._rooms = rooms
         self._binding = StreamBinding(origins)
         self._selector = selector
         self._client = client
@@ -95,7 +93,7 @@
         self._guard = guard
         self._planner = RunPlanner(selector, guard, timers)
         self._timers = timers
-        self._timeline = timeline
+        self._recorder = EndRecorder(timers, timeline)
 
     async def forward(
         self,
@@ -120,7 +118,7 @@
 
         Raises
         ------
-        TargetUnavailableError, QuarantinedRequestError
+        TargetUnavailableError, QuarantinedRequestError, OverloadedError
             The request has not run and will not run.
         DeadlineError
             The time is over; the request may have run.
@@ -136,9 +134,11 @@
         outcome = 'cancelled'
         try:
             async with asyncio.timeout(limit):
-                response = await self._attempt_replicas(
-                    route, request, attempts
-                )
+                async with self._enter(request, attempts) as place:
+                    response = await self._attempt_replicas(
+                        route, request, attempts
+                    )
+                    place.is_served = True
             outcome = str(response.status)
         except TimeoutError as error:
             outcome = 'deadline'
@@ -148,7 +148,7 @@
             raise
         finally:
             self._guard.release(attempts.guarded)
-            self._record_end(route, request, attempts, outcome)
+            self._recorder.record_end(route, request, attempts, outcome)
         return response
 
     @contextlib.asynccontextmanager
@@ -166,7 +166,7 @@
 
         Raises
         ------
-        TargetUnavailableError, QuarantinedRequestError
+        TargetUnavailableError, QuarantinedRequestError, OverloadedError
             The request has not run and will not run.
         TargetLostError, TargetTimeoutError, AnswerCorruptError
             The request may have run.
@@ -177,9 +177,13 @@
         outcome = 'cancelled'
         try:
             await self._binding.bind(route, request, attempts)
-            async with self._open_any(request, attempts) as response:
+            async with (
+                self._enter(request, attempts) as place,
+                self._open_any(request, attempts) as response,
+            ):
                 self._binding.tell(request, attempts)
                 yield response
+                place.is_served = True
         except LadderError as error:
             outcome = error.kind
             raise
@@ -188,7 +192,25 @@
             outcome = str(response.status)
         finally:
             self._guard.release(attempts.guarded)
-            self._record_stream_end(route, request, attempts, outcome)
+            self._recorder.record_stream_end(route, request, attempts, outcome)
+
+    @contextlib.asynccontextmanager
+    async def _enter(
+        self, request: CallerRequest, attempts: RequestAttempts
+    ) -> AsyncIterator[Place]:
+        """Hold a place at the service of a request."""
+        if self._rooms is None:
+            yield Place(attempts.on_full)
+            return
+        async with self._rooms.enter(
+            attempts.service,
+            request.organisation,
+            request.priority,
+            attempts.deadline,
+            request.request_id,
+        ) as place:
+            attempts.on_full = place.record_full
+            yield place
 
     @contextlib.asynccontextmanager
     async def _open_any(
@@ -221,53 +243,6 @@
             priority=request.priority,
         )
 
-    def _record_end(
-        self,
-        route: Route,
-        request: CallerRequest,
-        attempts: RequestAttempts,
-        outcome: str,
-    ) -> None:
-        elapsed_seconds = self._timers.now() - attempts.started_at
-        _forwarded_histogram.labels(attempts.service, outcome).observe(
-            elapsed_seconds
-        )
-        self._timeline.record(
-            'request-ended',
-            request.request_id,
-            content=attempts.guarded.digest,
-            route=route.name,
-            service=attempts.service,
-            outcome=outcome,
-            seconds=round(elapsed_seconds, 4),
-            limit=round(attempts.deadline - attempts.started_at, 3),
-            sent_to=','.join(sorted(attempts.sent_to)),
-            refused_by=','.join(sorted(attempts.refused_by)),
-        )
-
-    def _record_stream_end(
-        self,
-        route: Route,
-        request: CallerRequest,
-        attempts: RequestAttempts,
-        outcome: str,
-    ) -> None:
-        replica = attempts.answered_by
-        self._timeline.record(
-            'stream-ended',
-            request.request_id,
-            content=attempts.guarded.digest,
-            route=route.name,
-            service=attempts.service,
-            outcome=outcome,
-            seconds=round(self._timers.now() - attempts.started_at, 4),
-            replica=replica.name if replica else '',
-            software=replica.software_id if replica else '',
-            first_attempt=request.first_attempt,
-            last_event=request.last_event,
-            refused_by=','.join(sorted(attempts.refused_by)),
-        )
-
     async def _attempt_replicas(
         self,
         route: Route,
--- a/packages/node/ladder_node/forwarding/outcomes.py
+++ b/packages/node/ladder_node/forwarding/outcomes.py
@@ -1,7 +1,8 @@
 """Record the outcome of an attempt at the replica that it was sent to."""
 
-from prometheus_client import Counter
+from prometheus_client import Counter, Histogram
 
+from ladder_clients.replicas import CallerRequest
 from ladder_core.errors import (
     AnswerEndlessError,
     LadderError,
@@ -9,6 +10,9 @@
     TargetFullError,
     TargetLimitedError,
 )
+from ladder_core.timeline import Timeline
+from ladder_core.timers import TimerService
+from ladder_core.values import Route
 from ladder_node.forwarding.attempts import RequestAttempts
 from ladder_node.replicas import ReplicaRecord
 
@@ -22,6 +26,79 @@
     'Requests sent to replicas of plain services, by what came of them',
     ('service', 'outcome'),
 )
+_forwarded_histogram = Histogram(
+    'ladder_forward_seconds',
+    'Time from a request to the end of its answer, by service and outcome',
+    ('service', 'outcome'),
+    buckets=(0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8),
+)
+
+
+class EndRecorder:
+    """
+    Record the ends of requests.
+
+    Parameters
+    ----------
+    timers : TimerService
+        Clock of the durations.
+    timeline : Timeline
+        Receives one event for each request.
+
+    """
+
+    def __init__(self, timers: TimerService, timeline: Timeline) -> None:
+        self._timers = timers
+        self._timeline = timeline
+
+    def record_end(
+        self,
+        route: Route,
+        request: CallerRequest,
+        attempts: RequestAttempts,
+        outcome: str,
+    ) -> None:
+        """Record the end of a request with a whole response, or without."""
+        elapsed_seconds = self._timers.now() - attempts.started_at
+        _forwarded_histogram.labels(attempts.service, outcome).observe(
+            elapsed_seconds
+        )
+        self._timeline.record(
+            'request-ended',
+            request.request_id,
+            content=attempts.guarded.digest,
+            route=route.name,
+            service=attempts.service,
+            outcome=outcome,
+            seconds=round(elapsed_seconds, 4),
+            limit=round(attempts.deadline - attempts.started_at, 3),
+            sent_to=','.join(sorted(attempts.sent_to)),
+            refused_by=','.join(sorted(attempts.refused_by)),
+        )
+
+    def record_stream_end(
+        self,
+        route: Route,
+        request: CallerRequest,
+        attempts: RequestAttempts,
+        outcome: str,
+    ) -> None:
+        """Record the end of a streamed response."""
+        replica = attempts.answered_by
+        self._timeline.record(
+            'stream-ended',
+            request.request_id,
+            content=attempts.guarded.digest,
+            route=route.name,
+            service=attempts.service,
+            outcome=outcome,
+            seconds=round(self._timers.now() - attempts.started_at, 4),
+            replica=replica.name if replica else '',
+            software=replica.software_id if replica else '',
+            first_attempt=request.first_attempt,
+            last_event=request.last_event,
+            refused_by=','.join(sorted(attempts.refused_by)),
+        )
 
 
 def record_response(
@@ -54,6 +131,7 @@
     _attempts_counter.labels(attempts.service, error.kind).inc()
     if isinstance(error, TargetFullError):
         record.pause(now + _FULL_PAUSE_SECONDS)
+        attempts.on_full()
     elif not isinstance(error, TargetLimitedError):
         record.record_failure(now, is_unreachable=True)
 
