--- a/standins/ladder_standins/tcp_proxy.py
+++ b/standins/ladder_standins/tcp_proxy.py
@@ -1,7 +1,6 @@
 """TCP proxy in the process of the test that cuts or silences connections."""
 
 import asyncio
-import contextlib
 import socket
 import struct
 from enum import StrEnum, auto
@@ -126,6 +125,7 @@
         self._target_address = target_address
         self._port = find_free_ports(1)[0]
         self._connections: set[_ProxiedConnection] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
         self._is_refusing = False
         self._server: asyncio.Server | None = None
         self._silent_listener: SilentListener | None = None
@@ -149,6 +149,10 @@
     async def close(self) -> None:
         """Cut all connections, stop listening and release the port."""
         self.stop_listening()
+        # The cut does not reach connections that are being made.
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         self._release_port()
 
     def stop_listening(self) -> None:
@@ -212,28 +216,39 @@
         caller_reader: asyncio.StreamReader,
         caller: asyncio.StreamWriter,
     ) -> None:
-        if self._is_refusing:
-            caller.transport.abort()
-            return
-        host, _, port = self._target_address.rpartition(':')
+        task = asyncio.current_task()
+        if task is not None:
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
         try:
-            target_reader, target = await asyncio.open_connection(host, port)
-        except OSError:
-            caller.transport.abort()
+            await self._forward(caller_reader, caller)
+        except (OSError, asyncio.CancelledError):
+            # The asyncio server would log a cancelled handler as a failure.
             return
-        connection = _ProxiedConnection(caller, target)
+        finally:
+            caller.transport.abort()
+
+    async def _forward(
+        self,
+        caller_reader: asyncio.StreamReader,
+        caller: asyncio.StreamWriter,
+    ) -> None:
         if self._is_refusing:
-            # The cut came while the connection was being made.
-            connection.cut()
             return
+        host, _, port = self._target_address.rpartition(':')
+        target_reader, target = await asyncio.open_connection(host, port)
+        connection = _ProxiedConnection(caller, target)
         self._connections.add(connection)
-        with contextlib.suppress(OSError):
-            await asyncio.gather(
-                connection.copy(caller_reader, target),
-                connection.copy(target_reader, caller),
-            )
-        self._connections.discard(connection)
-        connection.cut()
+        try:
+            # A cut may have come while the connection was being made.
+            if not self._is_refusing:
+                await asyncio.gather(
+                    connection.copy(caller_reader, target),
+                    connection.copy(target_reader, caller),
+                )
+        finally:
+            self._connections.discard(connection)
+            connection.cut()
 
 
 def _bind(port: int) -> socket.socket:
