--- a/packages/node/ladder_node/singleton_duties/calls.py
+++ b/packages/node/ladder_node/singleton_duties/calls.py
@@ -10,6 +10,8 @@
 # A lease that expires sooner allows no call. The time covers the connection
 # that a call may have to make first.
 _MIN_REMAINING_SECONDS = 0.7
+_LAPSE_INTERVAL_SECONDS = 0.05
+_MAX_WAIT_SECONDS = 0.5
 
 DutyCall = Callable[[DutyHolder], Awaitable[CallOutcome]]
 
@@ -82,6 +84,11 @@
         """
         Make a call, after the waiting time and only under a valid lease.
 
+        Explanation
+        -----------
+        A lease that has lapsed because the store is slow is valid again after
+        its next renewal, so the call waits for that.
+
         Parameters
         ----------
         call : callable
@@ -90,13 +97,17 @@
         Raises
         ------
         DutyLostError
-            The lease has expired or has ended; no call was made.
+            The lease has ended; no call was made.
 
         """
         while self.first_call_wait() > 0:
-            self._require_lease(0)
-            await self._timers.sleep(self.first_call_wait())
-        self._require_lease(_MIN_REMAINING_SECONDS)
+            self._require_lease()
+            await self._timers.sleep(
+                min(self.first_call_wait(), _MAX_WAIT_SECONDS)
+            )
+        while self._lease.remaining() <= _MIN_REMAINING_SECONDS:
+            self._require_lease()
+            await self._timers.sleep(_LAPSE_INTERVAL_SECONDS)
         unanswered_at = self._unanswered_at
         # A call that is cancelled counts as unanswered, too.
         self._unanswered_at = self._timers.now()
@@ -108,9 +119,9 @@
         )
         return outcome
 
-    def _require_lease(self, min_seconds: float) -> None:
-        if self._lease.remaining() <= min_seconds:
+    def _require_lease(self) -> None:
+        if self._lease.is_ended:
             raise DutyLostError(
-                f'the lease of {self._lease.name} has expired or ends soon',
+                f'the lease of {self._lease.name} has ended',
                 remedy='wait until this node acquires it again',
             )
--- a/packages/node/ladder_node/singleton_duties/duty.py
+++ b/packages/node/ladder_node/singleton_duties/duty.py
@@ -21,6 +21,9 @@
 # Longest time after which a lease that was lost or is no longer needed is
 # noticed while the duty waits for something else.
 _CHECK_INTERVAL_SECONDS = 0.5
+# A lease lapses for a moment if the store is slow. No calls are made then, but
+# the duty goes on if its lease is renewed within this time.
+_MAX_LAPSE_SECONDS = 2
 
 _LEASE_LOST = 'lease-lost'
 
@@ -95,14 +98,14 @@
     @abstractmethod
     async def _hold(self, calls: DutyCalls) -> None:
         """
-        Perform the duty; cancelled when the lease is no longer valid.
+        Perform the duty; cancelled when the lease is lost.
 
         Raises
         ------
         DutyRefusedError
             The lease has to be released and its token not to be used again.
         DutyLostError
-            The lease is no longer valid.
+            The lease has ended.
 
         """
 
@@ -155,25 +158,34 @@
         )
 
     async def _watch(self, calls: DutyCalls) -> str:
-        """Run the duty while its lease is valid; return why it ended."""
+        """Run the duty until its lease is lost; return why it ended."""
         work = asyncio.ensure_future(self._hold_logged(calls))
+        lapsed_seconds: float = 0
         try:
             while not work.done():
-                if not calls.lease.is_valid():
-                    return _LEASE_LOST
-                if not self._is_active():
-                    return 'inactive'
-                await self._wait(work, calls.lease)
+                reason = self._find_end_reason(calls.lease, lapsed_seconds)
+                if reason:
+                    return reason
+                await self._wait(work)
+                lapsed_seconds += _CHECK_INTERVAL_SECONDS
+                if calls.lease.is_valid():
+                    lapsed_seconds = 0
             return work.result()
         finally:
             work.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await work
 
-    async def _wait(self, work: asyncio.Future[str], lease: Lease) -> None:
-        """Wait until the work ends, the lease expires or a check is due."""
+    def _find_end_reason(self, lease: Lease, lapsed_seconds: float) -> str:
+        """Return why the duty ends; empty if it goes on."""
+        if lease.is_ended or lapsed_seconds > _MAX_LAPSE_SECONDS:
+            return _LEASE_LOST
+        return '' if self._is_active() else 'inactive'
+
+    async def _wait(self, work: asyncio.Future[str]) -> None:
+        """Wait until the work ends or a check is due."""
         timer = asyncio.ensure_future(
-            self._timers.sleep(min(lease.remaining(), _CHECK_INTERVAL_SECONDS))
+            self._timers.sleep(_CHECK_INTERVAL_SECONDS)
         )
         try:
             await asyncio.wait(
