--- a/packages/node/ladder_node/forwarding/forwarder.py
+++ b/packages/node/ladder_node/forwarding/forwarder.py
@@ -37,6 +37,7 @@
     record_refusal,
     record_response,
 )
+from ladder_node.forwarding.parts import ForwarderParts
 from ladder_node.forwarding.planner import RunPlanner
 from ladder_node.forwarding.run_sender import RunSender
 from ladder_node.forwarding.selector import ReplicaSelector
@@ -47,8 +48,6 @@
     identify_request,
 )
 from ladder_node.replicas import ReplicaRecord
-from ladder_node.room import Place, ServiceRooms
-from ladder_node.stream_origins import StreamOrigins
 
 
 class Forwarder:
@@ -67,11 +66,8 @@
         Clock of the deadlines, and sleep between attempts.
     timeline : Timeline
         Records one event at the end of each request.
-    origins : StreamOrigins, optional
-        Knows where streams began; without it no stream goes on.
-    rooms : ServiceRooms, optional
-        Shares services that lack room between organisations; without it
-        requests don't wait for room.
+    parts : ForwarderParts, optional
+        What it shares with other parts of the node.
 
     """
 
@@ -82,14 +78,13 @@
         guard: RunGuard,
         timers: TimerService,
         timeline: Timeline,
-        origins: StreamOrigins | None = None,
-        rooms: ServiceRooms | None = None,
+        parts: ForwarderParts | None = None,
     ) -> None:
-        self._rooms = rooms
-        self._binding = StreamBinding(origins)
+        self._parts = parts or ForwarderParts()
+        self._binding = StreamBinding(self._parts.origins)
         self._selector = selector
         self._client = client
-        self._sender = RunSender(client, guard, timers)
+        self._sender = RunSender(client, guard, timers, self._parts.usage)
         self._guard = guard
         self._planner = RunPlanner(selector, guard, timers)
         self._timers = timers
@@ -134,7 +129,7 @@
         outcome = 'cancelled'
         try:
             async with asyncio.timeout(limit):
-                async with self._enter(request, attempts) as place:
+                async with self._parts.enter(request, attempts) as place:
                     response = await self._attempt_replicas(
                         route, request, attempts
                     )
@@ -178,7 +173,7 @@
         try:
             await self._binding.bind(route, request, attempts)
             async with (
-                self._enter(request, attempts) as place,
+                self._parts.enter(request, attempts) as place,
                 self._open_any(request, attempts) as response,
             ):
                 self._binding.tell(request, attempts)
@@ -194,24 +189,6 @@
             self._guard.release(attempts.guarded)
             self._recorder.record_stream_end(route, request, attempts, outcome)
 
-    @contextlib.asynccontextmanager
-    async def _enter(
-        self, request: CallerRequest, attempts: RequestAttempts
-    ) -> AsyncIterator[Place]:
-        """Hold a place at the service of a request."""
-        if self._rooms is None:
-            yield Place(attempts.on_full)
-            return
-        async with self._rooms.enter(
-            attempts.service,
-            request.organisation,
-            request.priority,
-            attempts.deadline,
-            request.request_id,
-        ) as place:
-            attempts.on_full = place.record_full
-            yield place
-
     @contextlib.asynccontextmanager
     async def _open_any(
         self, request: CallerRequest, attempts: RequestAttempts
--- a/packages/node/ladder_node/forwarding/outcomes.py
+++ b/packages/node/ladder_node/forwarding/outcomes.py
@@ -1,4 +1,4 @@
-"""Record the outcome of an attempt at the replica that it was sent to."""
+"""Record the outcomes of attempts and of requests."""
 
 from prometheus_client import Counter, Histogram
 
--- a/packages/node/ladder_node/forwarding/tests/test_forwarder.py
+++ b/packages/node/ladder_node/forwarding/tests/test_forwarder.py
@@ -24,7 +24,11 @@
 from ladder_core.timeline import HybridClock, HybridTime, Timeline
 from ladder_core.timers import SystemTimerService
 from ladder_core.values import Replica, Route, RouteKind, ServiceShare
-from ladder_node.forwarding import Forwarder, ReplicaSelector
+from ladder_node.forwarding import (
+    Forwarder,
+    ForwarderParts,
+    ReplicaSelector,
+)
 from ladder_node.forwarding.stream_binding import StreamBinding
 from ladder_node.quarantine import CrashDetector, UnlimitedRuns
 from ladder_node.replicas import ReplicaRegistry
@@ -100,7 +104,8 @@
 
 
 class ForwarderHarness:
-    def __init__(self):
+    def __init__(self, usage=None, request=REQUEST):
+        self.request = request
         self.timers = SystemTimerService()
         self.timeline = Timeline('node', HybridClock(self.timers))
         self.registry = ReplicaRegistry(self.timers, self.timeline)
@@ -122,6 +127,7 @@
             UnlimitedRuns(detector),
             self.timers,
             self.timeline,
+            ForwarderParts(usage=usage),
         )
         self.registry.replace(
             [
@@ -145,7 +151,7 @@
         )
         return await self.forwarder.forward(
             route,
-            REQUEST,
+            self.request,
             seconds,
             self.count_failure,
         )
