Learn speed and useful concurrency of servers

The average of recent times takes each short disturbance for a change of speed, knows nothing of the concurrency, and forgets after 6 s which engines are slower for good.

ladder_policy.capacity estimates one server: its usual time per unit of work, a slow-down in progress with the rest of it that earlier slow-downs of the fleet predict, and the concurrency up to which throughput rises, from comparisons just before and after a request ends. FixedFleet keeps the present averages.

--- /dev/null
+++ b/packages/policy/ladder_policy/capacity/__init__.py
@@ -0,0 +1,18 @@
+"""Learned speed and capacity of servers."""
+
+from ladder_policy.capacity.base import (
+    CapacityFleet,
+    CapacityMode,
+    ServerCapacity,
+)
+from ladder_policy.capacity.fixed import FixedFleet
+from ladder_policy.capacity.learned import LearnedCapacity, LearnedFleet
+
+__all__ = (
+    'CapacityFleet',
+    'CapacityMode',
+    'FixedFleet',
+    'LearnedCapacity',
+    'LearnedFleet',
+    'ServerCapacity',
+)
--- /dev/null
+++ b/packages/policy/ladder_policy/capacity/base.py
@@ -0,0 +1,72 @@
+"""Interface of the estimates of one server's speed and capacity."""
+
+from abc import ABC, abstractmethod
+from enum import StrEnum
+
+
+class CapacityMode(StrEnum):
+    """Which estimates the decisions of a node rest on."""
+
+    learned = 'learned'
+    fixed = 'fixed'
+
+
+class ServerCapacity(ABC):
+    """
+    Estimated speed of one server, and how many requests it handles well.
+
+    Explanation
+    -----------
+    The time of a unit of work is what the caller measures: the time per token
+    of an engine, or the duration of a response of a plain replica.
+
+    """
+
+    @property
+    @abstractmethod
+    def has_converged(self) -> bool:
+        """Whether there are enough measurements to compare servers by."""
+
+    @abstractmethod
+    def observe(self, seconds: float, concurrency: int, now: float) -> None:
+        """
+        Add a measured time of a unit of work.
+
+        Parameters
+        ----------
+        seconds : float
+            Measured time of the unit.
+        concurrency : int
+            Number of requests that ran at the server meanwhile, as far as
+            this node knows.
+        now : float
+            Time in seconds of the measurement.
+
+        """
+
+    @abstractmethod
+    def estimate(self, now: float, units: float | None = None) -> float:
+        """
+        Return the expected time of a unit of work.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds at which the work would start.
+        units : float, optional
+            Amount of work. A slow-down that ends soon matters less to a long
+            piece of work than to a short one.
+
+        """
+
+    @abstractmethod
+    def find_limit(self, slots: int, now: float) -> int:
+        """Return the number of requests up to which throughput still rises."""
+
+
+class CapacityFleet(ABC):
+    """Servers of one kind, which are compared with each other."""
+
+    @abstractmethod
+    def make_server(self) -> ServerCapacity:
+        """Return the estimates of a server without measurements."""
--- /dev/null
+++ b/packages/policy/ladder_policy/capacity/slow_downs.py
@@ -0,0 +1,76 @@
+"""Durations of temporary slow-downs, learned from those that have ended."""
+
+import math
+
+_SHORTEST_SECONDS = 0.1
+# Durations are counted in classes that double: 0.1 to 0.2 s up to 25.6 s.
+_CLASSES = 9
+# Weight that older slow-downs keep with each new one; about 50 count.
+_DECAY = 0.98
+# Before any slow-down has ended, half of those that have lasted for some time
+# are expected to last for twice that time.
+_PRIOR_DECAY = 0.5
+# Typical duration within a class, as a multiple of its lower bound.
+_PRIOR_POSITION = 1.4
+
+
+class SlowDownDurations:
+    """
+    Predict how long a slow-down lasts that has lasted for some time.
+
+    Explanation
+    -----------
+    Servers have short slow-downs, which are over before a text has moved, and
+    long ones. Which of both a slow-down is shows only with time. The
+    prediction is the mean remaining time of the earlier slow-downs of all
+    servers that lasted at least as long.
+
+    Examples
+    --------
+    >>> durations = SlowDownDurations()
+    >>> for _ in range(40):
+    ...     durations.add(0.6)
+    >>> durations.predict_remaining(0.3) < 0.6
+    True
+    >>> durations.predict_remaining(1) > 2
+    True
+
+    """
+
+    def __init__(self) -> None:
+        lower = [_SHORTEST_SECONDS * 2**index for index in range(_CLASSES)]
+        self._bounds = [2 * bound for bound in lower]
+        self._prior: list[tuple[float, float, float]] = [
+            (_PRIOR_DECAY**index, _PRIOR_POSITION * bound, 2 * bound)
+            for index, bound in enumerate(lower)
+        ]
+        self._weights: list[float] = [0 for _ in lower]
+        self._means: list[float] = [0 for _ in lower]
+
+    def add(self, seconds: float) -> None:
+        """Add the duration of a slow-down that has ended."""
+        doublings = math.log2(max(seconds / _SHORTEST_SECONDS, 1))
+        index = min(int(doublings), _CLASSES - 1)
+        self._weights = [weight * _DECAY for weight in self._weights]
+        self._weights[index] += 1
+        self._means[index] += (seconds - self._means[index]) / self._weights[
+            index
+        ]
+
+    def predict_remaining(self, elapsed: float) -> float:
+        """Return the expected rest of a slow-down that has lasted so long."""
+        learned = zip(self._weights, self._means, self._bounds, strict=True)
+        # The durations within a class differ: one that has passed its mean may
+        # still be over within the class.
+        longer = [
+            (weight, max(seconds, (elapsed + bound) / 2))
+            for weight, seconds, bound in (*learned, *self._prior)
+            if weight and bound > elapsed
+        ]
+        total: float = sum(weight for weight, _ in longer)
+        if not total:
+            return elapsed
+        mean: float = (
+            sum(weight * seconds for weight, seconds in longer) / total
+        )
+        return mean - elapsed
