Hand out tasks to engines by their learned capacity

Engines got tasks up to all of their slots, and their speed was the average of recent events: each disturbance of 0.6 s moved texts and used up their two moves, and 6 s without events made an engine that is slower for good look average.

The dispatcher takes the expected time of a text of its length, with the rest of a slow-down in progress, and fills an engine only as far as its throughput rises. Engines of each service are compared among themselves. CapacityMode.fixed keeps the former estimates.

Result: the tests of the batches pass. On the fake deployment four disturbances of 2.5 times for 0.3 s move no text (fixed: they do), and a slow-down of 3.5 times moves one of two texts within 1.2 s.

--- a/packages/node/ladder_node/batches/dependencies.py
+++ b/packages/node/ladder_node/batches/dependencies.py
@@ -14,6 +14,7 @@
 from ladder_node.quarantine import CrashDetector
 from ladder_node.replicas import ReplicaRegistry
 from ladder_node.routes import ModelVersions, RouteCache, RouteConfirmation
+from ladder_policy.capacity import CapacityMode
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +57,8 @@
         Clock for pauses and time limits.
     timeline : Timeline
         Records each decision.
+    capacity_mode : CapacityMode, optional
+        Whether the capacities of engines are learned.
 
     """
 
@@ -75,3 +78,4 @@
     fitness: DutyFitness
     timers: TimerService
     timeline: Timeline
+    capacity_mode: CapacityMode = CapacityMode.learned
--- a/packages/node/ladder_node/batches/dispatcher.py
+++ b/packages/node/ladder_node/batches/dispatcher.py
@@ -194,6 +194,7 @@
     ) -> TrackedEngine | None:
         """Return the engine for a task with its draft, or with another."""
         now = self._timers.now()
+        tokens = estimate_tokens(task)
         fitting = {
             engine.record.name: engine
             for engine in usable
@@ -201,10 +202,10 @@
         }
         chosen = choose_engine(
             (
-                engine.make_view(task.spec.group, now)
+                engine.make_view(task.spec.group, tokens, now)
                 for engine in fitting.values()
             ),
-            estimate_tokens(task),
+            tokens,
             batch.due - now,
             shortest_token_time,
         )
@@ -287,18 +288,19 @@
         ]
         converged = [engine for engine in others if engine.has_converged]
         is_certain = bool(converged) and progress.engine.has_converged
+        tokens = estimate_tokens(task)
         fastest = min(
             converged if is_certain else others,
-            key=lambda engine: engine.estimate_token_time(now),
+            key=lambda engine: engine.estimate_token_time(now, tokens),
             default=None,
         )
         if fastest is None or not should_move(
             RunView(
-                estimate_tokens(task),
-                progress.engine.estimate_token_time(now),
+                tokens,
+                progress.engine.estimate_token_time(now, tokens),
                 batch.due - now,
             ),
-            fastest.estimate_token_time(now),
+            fastest.estimate_token_time(now, tokens),
             is_certain,
             others_wait,
         ):
--- a/packages/node/ladder_node/batches/engines.py
+++ b/packages/node/ladder_node/batches/engines.py
@@ -5,15 +5,21 @@
 from ladder_clients.replicas import ReplicaClient
 from ladder_core.values import Replica
 from ladder_node.replicas import ReplicaRecord, ReplicaRegistry
-from ladder_policy.scheduling import (
-    EngineStatus,
-    EngineTokenTime,
-    EngineView,
-    FleetTokenTime,
+from ladder_policy.capacity import (
+    CapacityFleet,
+    CapacityMode,
+    FixedFleet,
+    LearnedFleet,
+    ServerCapacity,
 )
+from ladder_policy.scheduling import EngineStatus, EngineView, FleetTokenTime
 
 # Number of the latest groups whose prompts an engine is assumed to have cached.
 _MAX_TRACKED_PREFIXES = 64
+# An engine makes an event of each running text every 50 ms, and processes the
+# prompts of a batch, which delay all texts, in some hundred milliseconds.
+_WINDOW_SECONDS = 0.1
+_SETTLE_SECONDS = 0.5
 
 
 class TrackedEngine:
@@ -24,9 +30,8 @@
     ----------
     record : ReplicaRecord
         State and health of the replica as this node knows it.
-    fleet : FleetTokenTime
-        Average token time of all engines, used as the estimate for an engine
-        without events of its own.
+    capacity : ServerCapacity
+        Estimates of its time per token and of the slots that it handles well.
     client : ReplicaClient
         Knows whether the engine limits the rate of requests.
 
@@ -45,7 +50,7 @@
     def __init__(
         self,
         record: ReplicaRecord,
-        fleet: FleetTokenTime,
+        capacity: ServerCapacity,
         client: ReplicaClient,
     ) -> None:
         self.record = record
@@ -54,7 +59,8 @@
         self.orders: int | None = None
         self._begun: set[str] = set()
         self._client = client
-        self._token_time = EngineTokenTime(fleet)
+        self._capacity = capacity
+        self._slot_limit: int | None = None
         self._prefixes: dict[str, None] = {}
 
     @property
@@ -67,10 +73,14 @@
         """
         Number of further tasks that can be started now.
 
-        At an engine that limits its requests no more tasks wait for permits
-        than it allows a second.
+        An engine gets no more tasks than its throughput gains from. At one
+        that limits its requests no more tasks wait for permits than it allows
+        a second.
         """
-        free = self.replica.slots - len(self.running)
+        slots = self.replica.slots
+        if self._slot_limit is not None:
+            slots = min(slots, self._slot_limit)
+        free = slots - len(self.running)
         rate = self._client.find_rate(self.replica)
         if rate is not None:
             waiting = len(self.running) - len(self._begun)
@@ -80,7 +90,7 @@
     @property
     def has_converged(self) -> bool:
         """Whether enough events are known to compare it with other engines."""
-        return self._token_time.has_converged
+        return self._capacity.has_converged
 
     def add_task(self, task_id: str, model: str, group: str) -> None:
         """Occupy a slot with a task, and count its prompt as cached."""
@@ -111,17 +121,35 @@
         Measurements during a load are ignored, since a load halts all texts.
         """
         if not self.loading:
-            self._token_time.observe(token_seconds, now)
+            self._capacity.observe(token_seconds, len(self._begun), now)
 
-    def estimate_token_time(self, now: float) -> float:
-        """Return the estimated seconds per token."""
-        return self._token_time.estimate(now)
+    def estimate_token_time(
+        self, now: float, tokens: float | None = None
+    ) -> float:
+        """Return the estimated seconds per token, for a number of tokens."""
+        return self._capacity.estimate(now, tokens)
 
-    def make_view(self, group: str, now: float) -> EngineView:
-        """Return the properties that the choice of an engine depends on."""
+    def update_limit(self, now: float) -> None:
+        """Update the number of tasks that the engine handles well."""
+        self._slot_limit = self._capacity.find_limit(self.replica.slots, now)
+
+    def make_view(self, group: str, tokens: float, now: float) -> EngineView:
+        """
+        Return the properties that the choice of an engine depends on.
+
+        Parameters
+        ----------
+        group : str
+            Group of the task, whose prompt may be cached.
+        tokens : float
+            Expected number of tokens still to be generated.
+        now : float
+            Present time in seconds.
+
+        """
         return EngineView(
             self.record.name,
-            self.estimate_token_time(now),
+            self.estimate_token_time(now, tokens),
             self.free_slots,
             group in self._prefixes,
         )
@@ -150,16 +178,22 @@
         Lists the replicas of each service with their health.
     client : ReplicaClient
         Knows which engines limit the rate of requests.
+    mode : CapacityMode, optional
+        Whether the capacities of engines are learned.
 
     """
 
     def __init__(
-        self, replica_registry: ReplicaRegistry, client: ReplicaClient
+        self,
+        replica_registry: ReplicaRegistry,
+        client: ReplicaClient,
+        mode: CapacityMode = CapacityMode.learned,
     ) -> None:
         self._replica_registry = replica_registry
         self._client = client
         self._tracked: dict[str, TrackedEngine] = {}
-        self._fleet = FleetTokenTime()
+        self._mode = mode
+        self._fleets: dict[str, CapacityFleet] = {}
 
     def find(self, name: str) -> TrackedEngine | None:
         """Return an engine that is listed, or None."""
@@ -168,11 +202,14 @@
 
     def list_usable(self, service: str, now: float) -> list[TrackedEngine]:
         """Return the engines of a service that may receive a task now."""
-        return [
+        usable = [
             self._track(record)
             for record in self._replica_registry.list_service(service)
             if record.allows(now)
         ]
+        for engine in usable:
+            engine.update_limit(now)
+        return usable
 
     def list_active(self, service: str, now: float) -> list[TrackedEngine]:
         """Return the engines of a service that are neither lost nor leaving."""
@@ -197,10 +234,26 @@
     def _track(self, record: ReplicaRecord) -> TrackedEngine:
         engine = self._tracked.get(record.name)
         if engine is None or engine.record is not record:
-            engine = TrackedEngine(record, self._fleet, self._client)
+            engine = TrackedEngine(
+                record,
+                self._find_fleet(record.replica.service).make_server(),
+                self._client,
+            )
             self._tracked[record.name] = engine
         return engine
 
+    def _find_fleet(self, service: str) -> CapacityFleet:
+        """Return the fleet whose engines are compared with each other."""
+        if self._mode is CapacityMode.fixed:
+            return self._fleets.setdefault('', FixedFleet())
+        fleet = self._fleets.get(service)
+        if fleet is None:
+            fleet = LearnedFleet(
+                FleetTokenTime().seconds, _WINDOW_SECONDS, _SETTLE_SECONDS
+            )
+            self._fleets[service] = fleet
+        return fleet
+
 
 def find_shortest_token_time(
     engines: Iterable[TrackedEngine], now: float
--- a/packages/node/ladder_node/batches/session.py
+++ b/packages/node/ladder_node/batches/session.py
@@ -83,7 +83,9 @@
         )
         self._registry = BatchRegistry(dependencies.timers)
         self._engines = EngineTracker(
-            dependencies.replica_registry, dependencies.client
+            dependencies.replica_registry,
+            dependencies.client,
+            dependencies.capacity_mode,
         )
         self._dispatcher = TaskDispatcher(
             self._registry,
