--- a/packages/node/ladder_node/batches/tests/test_engine_capacity.py
+++ b/packages/node/ladder_node/batches/tests/test_engine_capacity.py
@@ -50,7 +50,7 @@
 
 def find_free_slots(node, knee, mode):
     engines = EngineTracker(node.replica_registry, node.engines, mode)
-    (engine,) = engines.list_usable('brewmind', 1000)[:1]
+    engine = engines.list_usable('brewmind', 1000)[0]
     now = 1000
     for _ in range(60):
         now = run_texts(engine, now, knee)
