Route plain requests by learned durations

A replica was avoided only if its mean was 2.5 times that of the fastest one, so one that is slower for good by 1.7 / 0.7 kept getting requests; a mean of a few durations of 25 to 120 ms also varies by half. An attempt lasted for twice the objective even if another replica would have answered long before.

Each replica's durations are learned by route. A replica counts as slow if it is slower than one as near by 1.3 times, two standard errors and 15 ms; one further away still has to be 2.5 times faster. A replica counts as full at half of the concurrency that its throughput gains from. An attempt ends when another replica would almost certainly have answered; abandoned attempts count as durations.

The tests of forwarding, replicas and batches pass.

--- a/packages/node/ladder_node/forwarding/attempts.py
+++ b/packages/node/ladder_node/forwarding/attempts.py
@@ -85,6 +85,8 @@
         Replica that has answered last.
     on_failed_run : callable
         Called for each response that reports a failed run.
+    kind : str
+        Kind of the request, by which durations are learned.
 
     """
 
@@ -101,6 +103,7 @@
     failed_response: CompleteResponse | None = None
     answered_by: Replica | None = None
     on_failed_run: Callable[[], None] = _ignore
+    kind: str = ''
 
     @property
     def tried(self) -> set[str]:
--- a/packages/node/ladder_node/forwarding/forwarder.py
+++ b/packages/node/ladder_node/forwarding/forwarder.py
@@ -219,6 +219,7 @@
             started_at,
             started_at + seconds,
             priority=request.priority,
+            kind=route.name,
         )
 
     def _record_end(
@@ -322,6 +323,8 @@
                 ) as response:
                     body = await response.read()
         except TimeoutError as error:
+            now = self._timers.now()
+            record.record_abandoned(now - started_at, now, attempts.kind)
             raise TargetTimeoutError(
                 f'{record.name} did not answer within {limit:.2f} s',
                 remedy='send the request to another replica',
--- a/packages/node/ladder_node/forwarding/outcomes.py
+++ b/packages/node/ladder_node/forwarding/outcomes.py
@@ -33,7 +33,7 @@
 ) -> None:
     """Record a complete response."""
     if status < MIN_SERVER_ERROR_STATUS:
-        record.record_success(now - started_at, now)
+        record.record_success(now - started_at, now, attempts.kind)
         _attempts_counter.labels(attempts.service, 'answered').inc()
         return
     record.record_failed_response(now)
--- a/packages/node/ladder_node/forwarding/planner.py
+++ b/packages/node/ladder_node/forwarding/planner.py
@@ -20,7 +20,8 @@
 from ladder_policy.quarantine import RequestState
 
 # An attempt that takes longer than this many times the latency objective of the
-# route is abandoned if another replica is left to try.
+# route is abandoned if another replica is left to try. It is abandoned sooner
+# if that replica is known to respond in less time.
 _ATTEMPT_OBJECTIVE_MULTIPLE = 2
 _MIN_ATTEMPT_SECONDS = 0.4
 _RETRY_DELAY_SECONDS = 0.05
@@ -90,6 +91,11 @@
         limit_seconds = (
             _ATTEMPT_OBJECTIVE_MULTIPLE * route.latency_objective_seconds
         )
+        learned_seconds = self._selector.find_response_limit(
+            attempts.service, others, attempts.kind
+        )
+        if learned_seconds is not None:
+            limit_seconds = min(limit_seconds, learned_seconds)
         return max(limit_seconds, _MIN_ATTEMPT_SECONDS)
 
     def may_repeat(self, route: Route, attempts: RequestAttempts) -> bool:
@@ -129,6 +135,7 @@
             attempts.tried | occupied,
             attempts.priority,
             attempts.software_id,
+            attempts.kind,
         )
         is_apart = record is None or record.name not in occupied
         if state is RequestState.quarantined and not is_apart:
--- a/packages/node/ladder_node/forwarding/selector.py
+++ b/packages/node/ladder_node/forwarding/selector.py
@@ -11,6 +11,8 @@
 
 _SAME_REGION_DISTANCE = 1
 _OTHER_REGION_DISTANCE = 2
+# Number of durations from which a time limit is derived.
+_MIN_LIMIT_SAMPLES = 20
 
 
 class ReplicaSelector:
@@ -60,6 +62,7 @@
         tried: set[str],
         priority: int,
         software_id: str = '',
+        kind: str = '',
     ) -> ReplicaRecord | None:
         """
         Return the replica to send to, or None if no replica accepts requests.
@@ -75,6 +78,8 @@
             Priority of the request, for replicas that limit their requests.
         software_id : str, optional
             Software that the replica has to run; empty for any.
+        kind : str, optional
+            Kind of the request, by which durations are learned.
 
         """
         allowed = {
@@ -85,7 +90,7 @@
         }
         names = set(allowed) - tried or set(allowed)
         chosen = choose_forward_target(
-            self._describe(allowed[name]) for name in names
+            self._describe(allowed[name], kind) for name in names
         )
         return allowed[chosen.name] if chosen else None
 
@@ -97,6 +102,34 @@
             for record in self._list_allowed(service)
         )
 
+    def find_response_limit(
+        self, service: str, tried: set[str], kind: str
+    ) -> float | None:
+        """
+        Return the time within which a replica that was not tried responds.
+
+        Returns
+        -------
+        float or None
+            The shortest time in seconds that nearly no response of one of
+            these replicas exceeds; None if it has not been learned.
+
+        """
+        now = self._timers.now()
+        estimates = [
+            record.capacity.estimate(kind, now)
+            for record in self._list_allowed(service)
+            if record.capacity and record.name not in tried
+        ]
+        return min(
+            (
+                estimate.upper_seconds
+                for estimate in estimates
+                if estimate and estimate.samples >= _MIN_LIMIT_SAMPLES
+            ),
+            default=None,
+        )
+
     def find_denial(self, service: str, priority: int) -> PermitDenial | None:
         """
         Return the denial of the replica that permits a request first.
@@ -125,17 +158,24 @@
             if record.allows(now)
         ]
 
-    def _describe(self, record: ReplicaRecord) -> ForwardCandidate:
+    def _describe(self, record: ReplicaRecord, kind: str) -> ForwardCandidate:
         replica = record.replica
+        now = self._timers.now()
+        slots = replica.slots
+        learned = None
+        if record.capacity is not None:
+            slots = record.capacity.find_limit(kind, slots, now)
+            learned = record.capacity.estimate(kind, now)
         return ForwardCandidate(
             name=record.name,
             in_flight=record.in_flight,
-            slots=replica.slots,
+            slots=slots,
             distance=self._find_distance(replica.data_centre),
             idle_connections=self._client.count_idle(replica),
             mean_seconds=record.mean_seconds,
             is_limited=self._client.find_rate(replica) is not None,
-            is_healthy=record.is_healthy(self._timers.now()),
+            is_healthy=record.is_healthy(now),
+            learned=learned,
         )
 
     def _find_distance(self, data_centre: str) -> int:
--- a/packages/node/ladder_node/forwarding/tests/test_forwarder.py
+++ b/packages/node/ladder_node/forwarding/tests/test_forwarder.py
@@ -254,6 +254,48 @@
     assert response.replica == 'govan'
 
 
+def find_limit(harness, objective):
+    route = Route(
+        'kegs',
+        'pub',
+        '/kegs/',
+        RouteKind.idempotent,
+        (ServiceShare('taproom'),),
+        latency_objective_seconds=objective,
+        max_attempts=3,
+    )
+    attempts = harness.forwarder._begin(route, REQUEST, 10)
+    record = harness.registry.find('leith')
+    return harness.forwarder._planner.find_limit(route, attempts, record)
+
+
+def learn_durations(harness, seconds):
+    for name in REGIONS:
+        record = harness.registry.find(name)
+        for number in range(30):
+            sample = seconds * (0.9 + 0.2 * (number % 2))
+            record.record_success(sample, harness.timers.now(), 'kegs')
+
+
+async def test_attempt_ends_when_another_replica_would_have_answered(harness):
+    """Guards against requests that wait for a replica that turned slow."""
+    assert find_limit(harness, 1) == 2
+    learn_durations(harness, 0.2)
+    assert 0.4 <= find_limit(harness, 1) < 0.6
+    # The objective stays the upper limit, for slow services.
+    assert find_limit(harness, 0.15) == 0.4
+
+
+async def test_attempts_are_not_cut_while_all_replicas_are_slow(harness):
+    """Guards against repeated requests that make slow replicas slower."""
+    learn_durations(harness, 0.2)
+    for name in REGIONS:
+        for _ in range(3):
+            record = harness.registry.find(name)
+            record.record_success(0.9, harness.timers.now(), 'kegs')
+    assert find_limit(harness, 1) > 0.9
+
+
 async def test_last_replica_gets_all_the_time_that_is_left(harness):
     harness.replicas.scripts['leith'] = [0.6]
     response = await harness.forward(attempts=1)
--- a/packages/node/ladder_node/replicas/record.py
+++ b/packages/node/ladder_node/replicas/record.py
@@ -1,6 +1,7 @@
 """Record of one replica: its listed state and this node's experience."""
 
 from ladder_core.values import Replica
+from ladder_policy.capacity import ReplicaCapacity
 from ladder_policy.routing import FailureBackoff, SuccessRate
 
 # Weight of the newest duration in the running mean.
@@ -17,11 +18,15 @@
     ----------
     replica : Replica
         Latest state that the replica has published.
+    capacity : ReplicaCapacity, optional
+        Learns the durations of its responses; None if they are not learned.
 
     Attributes
     ----------
     replica : Replica
         Latest state, corrected by what this node knows better.
+    capacity : ReplicaCapacity or None
+        What is learned of the durations of its responses.
     in_flight : int
         Number of requests of this node that are in flight at the replica.
     listed_at : float
@@ -29,8 +34,11 @@
 
     """
 
-    def __init__(self, replica: Replica) -> None:
+    def __init__(
+        self, replica: Replica, capacity: ReplicaCapacity | None = None
+    ) -> None:
         self.replica = replica
+        self.capacity = capacity
         self.in_flight = 0
         self.listed_at: float = 0
         self._has_ended = False
@@ -93,8 +101,25 @@
         self._backoff.record_success()
         self._rate.record_outcome(is_success=False, now=now)
 
-    def record_success(self, seconds: float, now: float) -> None:
-        """Record a successful response and its duration in seconds."""
+    def record_success(
+        self, seconds: float, now: float, kind: str | None = None
+    ) -> None:
+        """
+        Record a successful response and its duration in seconds.
+
+        Parameters
+        ----------
+        seconds : float
+            Duration of the request.
+        now : float
+            Time in seconds at which it ended.
+        kind : str, optional
+            Kind of the request, whose durations are learned; None for a text,
+            whose duration depends on its length.
+
+        """
+        if kind is not None:
+            self._learn(kind, seconds, now)
         self._backoff.record_success()
         self._rate.record_outcome(is_success=True, now=now)
         self._failing_since = None
@@ -105,6 +130,10 @@
                 seconds - self._mean_seconds
             )
 
+    def record_abandoned(self, seconds: float, now: float, kind: str) -> None:
+        """Record a request that had no response after some seconds."""
+        self._learn(kind, seconds, now)
+
     def record_failure(self, now: float, is_unreachable: bool = False) -> None:
         """
         Record a request that failed.
@@ -116,3 +145,7 @@
         self._rate.record_outcome(is_success=False, now=now)
         if self._failing_since is None:
             self._failing_since = now
+
+    def _learn(self, kind: str, seconds: float, now: float) -> None:
+        if self.capacity is not None:
+            self.capacity.observe(kind, seconds, self.in_flight + 1, now)
--- a/packages/node/ladder_node/replicas/registry.py
+++ b/packages/node/ladder_node/replicas/registry.py
@@ -10,6 +10,7 @@
 from ladder_node.replicas.addresses import AddressIndex
 from ladder_node.replicas.departed import DepartedProcesses
 from ladder_node.replicas.record import ReplicaRecord
+from ladder_policy.capacity import CapacityMode, ServiceCapacity
 
 # Entries that expired while the table service was unavailable are written again
 # within two seconds of its recovery; the rest covers the time of the read.
@@ -28,6 +29,8 @@
         Clock by which missing replicas are removed.
     timeline : Timeline
         Records replicas that are listed, leave or are removed.
+    mode : CapacityMode, optional
+        Whether the durations of responses are learned.
 
     Attributes
     ----------
@@ -36,7 +39,12 @@
 
     """
 
-    def __init__(self, timers: TimerService, timeline: Timeline) -> None:
+    def __init__(
+        self,
+        timers: TimerService,
+        timeline: Timeline,
+        mode: CapacityMode = CapacityMode.learned,
+    ) -> None:
         self.departed = DepartedProcesses()
         self._timers = timers
         self._timeline = timeline
@@ -45,6 +53,8 @@
         self._missing_until: dict[str, float] = {}
         self._listeners: list[Callable[[], None]] = []
         self._has_read = False
+        self._mode = mode
+        self._services: dict[str, ServiceCapacity] = {}
 
     @property
     def has_read(self) -> bool:
@@ -149,7 +159,13 @@
         if known is not None:
             self._addresses.discard(known)
             known.record_end()
-        record = ReplicaRecord(replica)
+        capacity = None
+        if self._mode is CapacityMode.learned:
+            service = self._services.setdefault(
+                replica.service, ServiceCapacity()
+            )
+            capacity = service.make_replica()
+        record = ReplicaRecord(replica, capacity)
         self._records[replica.name] = record
         self._addresses.add(record)
         _record_event(
--- a/packages/policy/ladder_policy/capacity/__init__.py
+++ b/packages/policy/ladder_policy/capacity/__init__.py
@@ -6,6 +6,11 @@
     ServerCapacity,
 )
 from ladder_policy.capacity.fixed import FixedFleet
+from ladder_policy.capacity.kinds import (
+    ReplicaCapacity,
+    ServiceCapacity,
+    TimeEstimate,
+)
 from ladder_policy.capacity.learned import LearnedCapacity, LearnedFleet
 
 __all__ = (
@@ -14,5 +19,8 @@
     'FixedFleet',
     'LearnedCapacity',
     'LearnedFleet',
+    'ReplicaCapacity',
     'ServerCapacity',
+    'ServiceCapacity',
+    'TimeEstimate',
 )
--- a/packages/policy/ladder_policy/capacity/learned.py
+++ b/packages/policy/ladder_policy/capacity/learned.py
@@ -6,9 +6,13 @@
 from ladder_policy.capacity.concurrency import ConcurrencyCurve
 from ladder_policy.capacity.slow_downs import SlowDownDurations
 
+# Shorter times are rounding errors of the clock.
+_MIN_SECONDS = 1e-9
 # Weight of a window of measurements in the usual time of its server.
 _USUAL_SMOOTHING = 0.02
 _FLEET_SMOOTHING = 0.005
+# Number of windows that a mean with that weight represents.
+_MAX_SAMPLES = 99
 _CONVERGED_COUNT = 10
 # A time above this multiple of the usual one is a slow-down, unless the times
 # of the server differ by more: then it is this many mean deviations.
@@ -25,7 +29,9 @@
 _PERMANENT_SECONDS = 20
 _MIN_PERMANENT_WINDOWS = 8
 # Windows in succession that show that a server has become faster.
-_MIN_FAST_WINDOWS = 3
+_MIN_FAST_WINDOWS = 5
+# Windows before which no time is taken for a slow-down.
+_MIN_USUAL_WINDOWS = 5
 # Pause after which the end of a slow-down is not known.
 _MAX_END_PAUSE_SECONDS = 1
 # A server without measurements for so long is taken for no slower than this
@@ -117,26 +123,29 @@
         Mean of the times that are not part of a slow-down.
     count : int
         Number of times in the mean.
+    deviation : float
+        Mean deviation of the logarithms of the times.
 
     """
 
     def __init__(self, seconds: float) -> None:
         self.seconds = seconds
         self.count = 1
-        self._deviation = _INITIAL_DEVIATION
+        self.deviation = _INITIAL_DEVIATION
         self._fast_times: list[float] = []
 
     @property
     def slow_ratio(self) -> float:
         """Ratio to the mean above which a time belongs to a slow-down."""
-        return max(
-            _MIN_SLOW_RATIO, math.exp(_SLOW_DEVIATIONS * self._deviation)
-        )
+        if self.count < _MIN_USUAL_WINDOWS:
+            return math.inf
+        return self._usual_ratio
 
     def add(self, seconds: float) -> None:
         """Update the mean by a time that is not part of a slow-down."""
+        seconds = min(seconds, _MAX_FIRST_RATIO * self.seconds)
         ratio = seconds / self.seconds
-        if ratio * self.slow_ratio < 1:
+        if ratio * self._usual_ratio < 1:
             self._add_fast(seconds)
             return
         self._fast_times.clear()
@@ -144,12 +153,16 @@
         weight = max(1 / self.count, _USUAL_SMOOTHING)
         self.seconds += weight * (seconds - self.seconds)
         weight = max(1 / (self.count + _PRIOR_DEVIATIONS), _DEVIATION_SMOOTHING)
-        self._deviation += weight * (abs(math.log(ratio)) - self._deviation)
+        self.deviation += weight * (abs(math.log(ratio)) - self.deviation)
+
+    @property
+    def _usual_ratio(self) -> float:
+        return max(_MIN_SLOW_RATIO, math.exp(_SLOW_DEVIATIONS * self.deviation))
 
     def _add_fast(self, seconds: float) -> None:
         """Start the mean anew once a server has become faster."""
         self._fast_times.append(seconds)
-        if len(self._fast_times) >= _MIN_FAST_WINDOWS:
+        if len(self._fast_times) >= min(_MIN_FAST_WINDOWS, 1 + self.count):
             self.seconds = sum(self._fast_times) / len(self._fast_times)
             self.count = len(self._fast_times)
             self._fast_times.clear()
@@ -215,6 +228,11 @@
     fleet : LearnedFleet
         The servers that it is compared with.
 
+    Attributes
+    ----------
+    measured_at : float
+        Time in seconds of the latest measurement.
+
     """
 
     def __init__(self, fleet: LearnedFleet) -> None:
@@ -223,7 +241,7 @@
         self._slow_down: SlowDown | None = None
         self._curve = ConcurrencyCurve(fleet.settle_seconds)
         self._growth: float = 1
-        self._measured_at: float = 0
+        self.measured_at: float = 0
         self._window_at: float = 0
         self._window_sum: float = 0
         self._window_count = 0
@@ -234,6 +252,16 @@
         """Whether there are enough measurements to compare servers by."""
         return self._usual is not None and self._usual.count >= _CONVERGED_COUNT
 
+    @property
+    def samples(self) -> int:
+        """Number of windows that the usual time rests on."""
+        return min(self._usual.count, _MAX_SAMPLES) if self._usual else 0
+
+    @property
+    def deviation(self) -> float:
+        """Mean deviation of the logarithms of the usual times."""
+        return self._usual.deviation if self._usual else _INITIAL_DEVIATION
+
     @property
     def usual_seconds(self) -> float:
         """Time of a unit of work without a slow-down."""
@@ -248,6 +276,7 @@
 
     def observe(self, seconds: float, concurrency: int, now: float) -> None:
         """Add a measured time of a unit of work."""
+        seconds = max(seconds, _MIN_SECONDS)
         if not self._window_count:
             self._window_at = now
         self._window_sum += seconds
@@ -262,7 +291,7 @@
         usual_seconds = self.usual_seconds
         if self._usual is None:
             return usual_seconds
-        if now - self._measured_at > _MEASUREMENT_TTL_SECONDS:
+        if now - self.measured_at > _MEASUREMENT_TTL_SECONDS:
             longest = _MAX_UNMEASURED_RATIO * self._fleet.seconds
             return min(usual_seconds, longest)
         if self._slow_down is None or now >= self._slow_down.until:
@@ -283,7 +312,7 @@
         self._window_sum = 0
         self._window_count = 0
         self._window_requests = 0
-        self._measured_at = now
+        self.measured_at = now
         self._curve.observe(concurrency, seconds, now)
         self._growth = self._curve.find_growth(concurrency)
         seconds /= self._growth
@@ -316,5 +345,9 @@
         if slow_down is None:
             return
         self._slow_down = None
+        if slow_down.windows == 1 and self._usual is not None:
+            # Without single long times the mean would be too low.
+            self._usual.add(slow_down.ratio * self._usual.seconds)
+            return
         if now - slow_down.seen_at <= _MAX_END_PAUSE_SECONDS:
             self._fleet.slow_downs.add(slow_down.elapsed)
--- a/packages/policy/ladder_policy/capacity/tests/test_load_patterns.py
+++ b/packages/policy/ladder_policy/capacity/tests/test_load_patterns.py
@@ -250,3 +250,11 @@
             for slowest in times
             for fastest in times
         )
+
+
+def test_pattern_responses_faster_than_the_clock():
+    """Guards against a division by a time of zero."""
+    server = LearnedFleet(0.07).make_server()
+    for moment in range(30):
+        server.observe(0 if moment % 7 else 0.05, 1, moment)
+    assert server.estimate(30) < 0.06
--- a/packages/policy/ladder_policy/routing/forward.py
+++ b/packages/policy/ladder_policy/routing/forward.py
@@ -1,13 +1,23 @@
 """Choose the target of a caller's request to a service."""
 
-from collections.abc import Iterable
+import math
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
+from ladder_policy.capacity import TimeEstimate
+
 # A target whose mean duration is more than this many times that of the fastest
 # one is used only when the others are full.
 _SLOW_RATIO = 2.5
 # Durations below this differ by chance and count as equally fast.
 _MIN_COMPARED_SECONDS = 0.05
+# The same for learned durations: the ratio to a target that is as near, the
+# standard errors by which they must differ, and the time that is worth it.
+_LEARNED_SLOW_RATIO = 1.3
+_SIGNIFICANT_ERRORS = 2
+_MIN_SAVED_SECONDS = 0.015
+# Durations from fewer samples are not compared more closely than fixed ones.
+_MIN_SAMPLES = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +43,9 @@
         Whether it limits the rate of requests from all nodes.
     is_healthy : bool
         Whether its last request was answered and few of its requests fail.
+    learned : TimeEstimate or None
+        Learned duration of its responses, which replaces the mean; None if
+        durations are not learned, or before the first.
 
     """
 
@@ -44,6 +57,7 @@
     mean_seconds: float | None = None
     is_limited: bool = False
     is_healthy: bool = True
+    learned: TimeEstimate | None = None
 
 
 def choose_forward_target(
@@ -77,17 +91,11 @@
 
     """
     found = list(candidates)
-    known = [
-        candidate.mean_seconds
-        for candidate in found
-        if candidate.mean_seconds is not None
-    ]
-    fastest_seconds = max(
-        min(known, default=_MIN_COMPARED_SECONDS), _MIN_COMPARED_SECONDS
-    )
+    is_learned = any(candidate.learned for candidate in found)
+    slow = _list_learned_slow(found) if is_learned else _list_slow(found)
 
     def rank(candidate: ForwardCandidate) -> tuple[object, ...]:
-        is_slow = (candidate.mean_seconds or 0) > _SLOW_RATIO * fastest_seconds
+        is_slow = candidate.name in slow
         # A target counts as full when this node uses half of its slots; the
         # other half is left to other nodes.
         used_halves = 2 * candidate.in_flight // max(candidate.slots, 1)
@@ -103,3 +111,67 @@
         )
 
     return min(found, key=rank, default=None)
+
+
+def _list_slow(candidates: Iterable[ForwardCandidate]) -> set[str]:
+    """Return the names of the targets whose mean is far above the shortest."""
+    known = {
+        candidate.name: candidate.mean_seconds
+        for candidate in candidates
+        if candidate.mean_seconds is not None
+    }
+    fastest_seconds = max(
+        min(known.values(), default=_MIN_COMPARED_SECONDS),
+        _MIN_COMPARED_SECONDS,
+    )
+    return {
+        name
+        for name, seconds in known.items()
+        if seconds > _SLOW_RATIO * fastest_seconds
+    }
+
+
+def _list_learned_slow(candidates: Sequence[ForwardCandidate]) -> set[str]:
+    """
+    Return the names of the targets that are slower than another one.
+
+    A target further away has to be faster by the fixed ratio, since the bytes
+    that it is sent cost more.
+    """
+    slow: set[str] = set()
+    known = sorted(
+        (candidate.learned.seconds, candidate.distance, candidate.name)
+        for candidate in candidates
+        if candidate.learned
+    )
+    estimates = {
+        candidate.name: candidate.learned
+        for candidate in candidates
+        if candidate.learned
+    }
+    reference: tuple[int, TimeEstimate] | None = None
+    for _, distance, name in known:
+        if reference and _is_slower(
+            estimates[name], reference[1], distance < reference[0]
+        ):
+            slow.add(name)
+        elif reference is None or distance < reference[0]:
+            # Targets as near as this one are compared with it.
+            reference = (distance, estimates[name])
+    return slow
+
+
+def _is_slower(
+    estimate: TimeEstimate, other: TimeEstimate, is_nearer: bool
+) -> bool:
+    saved_seconds = estimate.seconds - other.seconds
+    samples = min(estimate.samples, other.samples)
+    if is_nearer or samples < _MIN_SAMPLES:
+        fastest_seconds = max(other.seconds, _MIN_COMPARED_SECONDS)
+        return estimate.seconds > _SLOW_RATIO * fastest_seconds
+    error = math.hypot(estimate.standard_error, other.standard_error)
+    ratio = _LEARNED_SLOW_RATIO * math.exp(_SIGNIFICANT_ERRORS * error)
+    return (
+        estimate.seconds > ratio * other.seconds
+        and saved_seconds > _MIN_SAVED_SECONDS
+    )
