Share learned durations between nodes of a data centre

A node sends about one request a second or less to a plain service, so it notices only after seconds that a replica has turned slow for some seconds.

Own samples outweigh received ones until they are old; nothing is passed on or stored.

--- a/packages/policy/ladder_policy/capacity/kinds.py
+++ b/packages/policy/ladder_policy/capacity/kinds.py
@@ -16,6 +16,13 @@
 _HALF_LIFE_SECONDS = 5
 # Received estimates older than this are dropped.
 _RECEIVED_TTL_SECONDS = 15
+# An estimate with fewer own samples than this, by age, is worth a question.
+_ENOUGH_SAMPLES = 4
+# Time for which the durations of a replica are of interest after a request.
+_INTEREST_SECONDS = 10
+# Estimates that are passed on have been measured this lately, and so often.
+_RECENT_SECONDS = 5
+_MIN_SHARED_SAMPLES = 3
 # Standard deviations of the logarithm of a time within which nearly all times
 # lie, and the ratio of that deviation to the mean deviation.
 _QUANTILE_DEVIATIONS = 3
@@ -120,6 +127,7 @@
         self._service = service
         self._servers: dict[str, LearnedCapacity] = {}
         self._received: dict[str, _Received] = {}
+        self._asked_at = -math.inf
 
     @property
     def kinds(self) -> dict[str, LearnedCapacity]:
@@ -140,10 +148,30 @@
     def receive(self, kind: str, seconds: float, measured_at: float) -> None:
         """Take the expected duration that another node has measured."""
         kind = self._service.bound_kind(kind)
-        self._received[kind] = _Received(seconds, measured_at)
+        if kind in self._received or len(self._received) < _MAX_KINDS:
+            self._received[kind] = _Received(seconds, measured_at)
+
+    def needs_samples(self, now: float) -> bool:
+        """Return whether few own samples are left of what is asked for."""
+        if now - self._asked_at > _INTEREST_SECONDS:
+            return False
+        return not any(
+            _weigh(server, now) >= _ENOUGH_SAMPLES
+            for server in self._servers.values()
+        )
+
+    def list_recent(self, now: float) -> list[tuple[str, float, float]]:
+        """Return kinds with own expected durations and ages in seconds."""
+        return [
+            (kind, server.estimate(now, 1), now - server.measured_at)
+            for kind, server in self._servers.items()
+            if now - server.measured_at <= _RECENT_SECONDS
+            and server.samples >= _MIN_SHARED_SAMPLES
+        ]
 
     def estimate(self, kind: str, now: float) -> TimeEstimate | None:
         """Return the expected duration, or None before any measurement."""
+        self._asked_at = now
         kind = self._service.bound_kind(kind)
         server = self._servers.get(kind)
         received = self._received.get(kind)
@@ -171,9 +199,7 @@
     """Return the mean of own and received estimates, weighted by samples."""
     if received is None or received.measured_at <= server.measured_at:
         return own
-    own_weight = min(own.samples, _MAX_OWN_SAMPLES) * _age(
-        now - server.measured_at
-    )
+    own_weight = _weigh(server, now)
     received_weight = _RECEIVED_SAMPLES * _age(now - received.measured_at)
     share = received_weight / (own_weight + received_weight)
     difference = math.log(received.seconds / own.seconds)
@@ -184,5 +210,11 @@
     )
 
 
+def _weigh(server: LearnedCapacity, now: float) -> float:
+    """Return the number of own samples, less by their age."""
+    age = _age(now - server.measured_at)
+    return min(server.samples, _MAX_OWN_SAMPLES) * age
+
+
 def _age(seconds: float) -> float:
     return math.pow(2, -max(seconds, 0) / _HALF_LIFE_SECONDS)
