Record changes of learned capacities, and describe them

Operators could not see what is learned of a replica and why.

Result: the tests of replicas, sharing, batches and forwarding pass, and those of the soak package that use the peer routes.

--- a/packages/node/ladder_node/batches/engines.py
+++ b/packages/node/ladder_node/batches/engines.py
@@ -8,6 +8,7 @@
 from ladder_policy.capacity import (
     CapacityFleet,
     CapacityMode,
+    CapacityView,
     FixedFleet,
     LearnedFleet,
     ServerCapacity,
@@ -20,6 +21,8 @@
 # prompts of a batch, which delay all texts, in some hundred milliseconds.
 _WINDOW_SECONDS = 0.1
 _SETTLE_SECONDS = 0.5
+# Kind of request that stands for texts in events.
+_TOKENS = 'tokens'
 
 
 class TrackedEngine:
@@ -129,6 +132,10 @@
         """Return the estimated seconds per token, for a number of tokens."""
         return self._capacity.estimate(now, tokens)
 
+    def describe(self) -> CapacityView:
+        """Return what has been learned of the engine."""
+        return self._capacity.describe(self.replica.slots)
+
     def update_limit(self, now: float) -> None:
         """Update the number of tasks that the engine handles well."""
         self._slot_limit = self._capacity.find_limit(self.replica.slots, now)
@@ -214,13 +221,18 @@
     def list_active(self, service: str, now: float) -> list[TrackedEngine]:
         """Return the engines of a service that are neither lost nor leaving."""
         self._drop_removed()
-        return [
+        active = [
             self._track(record)
             for record in self._replica_registry.list_service(service)
             if not record.replica.is_leaving
             and not record.has_ended
             and not record.is_failing(now)
         ]
+        for engine in active:
+            self._replica_registry.capacity_log.check(
+                engine.record.name, _TOKENS, engine.describe()
+            )
+        return active
 
     def list_running(self) -> list[TrackedEngine]:
         """Return the engines that run tasks, even if no longer listed."""
--- a/packages/node/ladder_node/capacity_sharing/sharing.py
+++ b/packages/node/ladder_node/capacity_sharing/sharing.py
@@ -92,6 +92,7 @@
     async def ask(self) -> None:
         """Ask one node for replicas that this one has few samples of."""
         now = self._timers.now()
+        self._log_changes()
         records = [
             record
             for record in self._registry.list_all()
@@ -128,6 +129,14 @@
             )
         return CapacityReply(tuple(estimates[:MAX_ESTIMATES]))
 
+    def _log_changes(self) -> None:
+        for record in self._registry.list_all():
+            if record.capacity is None:
+                continue
+            for kind, server in record.capacity.kinds.items():
+                view = server.describe(record.replica.slots)
+                self._registry.capacity_log.check(record.name, kind, view)
+
     def _choose_peer(self, now: float) -> Member | None:
         own = self._own()
         members = {
--- a/packages/node/ladder_node/replicas/registry.py
+++ b/packages/node/ladder_node/replicas/registry.py
@@ -8,6 +8,7 @@
 from ladder_core.timers import TimerService
 from ladder_core.values import Replica
 from ladder_node.replicas.addresses import AddressIndex
+from ladder_node.replicas.capacity_log import CapacityLog
 from ladder_node.replicas.departed import DepartedProcesses
 from ladder_node.replicas.record import ReplicaRecord
 from ladder_policy.capacity import CapacityMode, ServiceCapacity
@@ -36,6 +37,8 @@
     ----------
     departed : DepartedProcesses
         Processes that said that they leave, whatever is listed of them.
+    capacity_log : CapacityLog
+        Records material changes of what is learned of replicas.
 
     """
 
@@ -46,6 +49,7 @@
         mode: CapacityMode = CapacityMode.learned,
     ) -> None:
         self.departed = DepartedProcesses()
+        self.capacity_log = CapacityLog(timeline)
         self._timers = timers
         self._timeline = timeline
         self._records: dict[str, ReplicaRecord] = {}
@@ -188,6 +192,7 @@
     def _remove(self, name: str) -> None:
         self._missing_until.pop(name, None)
         record = self._records.pop(name, None)
+        self.capacity_log.drop(name)
         if record is not None:
             self._addresses.discard(record)
             _record_event(self._timeline, 'replica-gone', record.replica)
--- a/packages/policy/ladder_policy/capacity/__init__.py
+++ b/packages/policy/ladder_policy/capacity/__init__.py
@@ -3,6 +3,7 @@
 from ladder_policy.capacity.base import (
     CapacityFleet,
     CapacityMode,
+    CapacityView,
     ServerCapacity,
 )
 from ladder_policy.capacity.fixed import FixedFleet
@@ -16,6 +17,7 @@
 __all__ = (
     'CapacityFleet',
     'CapacityMode',
+    'CapacityView',
     'FixedFleet',
     'LearnedCapacity',
     'LearnedFleet',
--- a/packages/policy/ladder_policy/capacity/base.py
+++ b/packages/policy/ladder_policy/capacity/base.py
@@ -1,6 +1,7 @@
 """Interface of the estimates of one server's speed and capacity."""
 
 from abc import ABC, abstractmethod
+from dataclasses import dataclass
 from enum import StrEnum
 
 
@@ -11,6 +12,39 @@
     fixed = 'fixed'
 
 
+@dataclass(frozen=True, slots=True)
+class CapacityView:
+    """
+    What is known of a server, for operators.
+
+    Attributes
+    ----------
+    usual_seconds : float
+        Time of a unit of work without a slow-down.
+    fleet_seconds : float
+        Mean of the usual times of all servers.
+    samples : int
+        Number of measurements that the usual time rests on.
+    deviation : float
+        Mean deviation of the logarithms of the times.
+    slow_ratio : float
+        Ratio of the slow-down in progress; 1 without one.
+    slow_for : float
+        Time in seconds that it has lasted.
+    limit : int
+        Number of requests up to which throughput rises.
+
+    """
+
+    usual_seconds: float
+    fleet_seconds: float
+    samples: int
+    deviation: float
+    slow_ratio: float
+    slow_for: float
+    limit: int
+
+
 class ServerCapacity(ABC):
     """
     Estimated speed of one server, and how many requests it handles well.
@@ -63,6 +97,10 @@
     def find_limit(self, slots: int, now: float) -> int:
         """Return the number of requests up to which throughput still rises."""
 
+    @abstractmethod
+    def describe(self, slots: int) -> CapacityView:
+        """Return what has been learned, with no samples if nothing was."""
+
 
 class CapacityFleet(ABC):
     """Servers of one kind, which are compared with each other."""
--- a/packages/policy/ladder_policy/capacity/concurrency.py
+++ b/packages/policy/ladder_policy/capacity/concurrency.py
@@ -92,12 +92,17 @@
 
     def find_limit(self, slots: int, now: float) -> int:
         """Return the limit, or one more while a higher one is probed."""
+        limit = self.compute_limit(slots)
+        is_probing = now % _PROBE_PERIOD_SECONDS < _PROBE_SECONDS
+        return min(limit + is_probing, slots)
+
+    def compute_limit(self, slots: int) -> int:
+        """Return the limit without a probe."""
         limit = self._limits.get(slots)
         if limit is None:
-            limit = self._compute_limit(slots)
+            limit = self._find_best(slots)
             self._limits[slots] = limit
-        is_probing = now % _PROBE_PERIOD_SECONDS < _PROBE_SECONDS
-        return min(limit + is_probing, slots)
+        return limit
 
     def _learn(self, low: int, high: int, difference: float) -> None:
         for _ in range(len(self._steps), high + 1):
@@ -118,7 +123,7 @@
             )
         self._limits.clear()
 
-    def _compute_limit(self, slots: int) -> int:
+    def _find_best(self, slots: int) -> int:
         best, limit = -math.inf, slots
         growth: float = 0
         for number in range(1, slots + 1):
--- a/packages/policy/ladder_policy/capacity/fixed.py
+++ b/packages/policy/ladder_policy/capacity/fixed.py
@@ -1,6 +1,10 @@
 """Estimates as they were before capacities were learned."""
 
-from ladder_policy.capacity.base import CapacityFleet, ServerCapacity
+from ladder_policy.capacity.base import (
+    CapacityFleet,
+    CapacityView,
+    ServerCapacity,
+)
 from ladder_policy.scheduling.token_time import EngineTokenTime, FleetTokenTime
 
 
@@ -35,6 +39,18 @@
         """Return all slots."""
         return slots
 
+    def describe(self, slots: int) -> CapacityView:
+        """Return a view without samples."""
+        return CapacityView(
+            usual_seconds=0,
+            fleet_seconds=0,
+            samples=0,
+            deviation=0,
+            slow_ratio=1,
+            slow_for=0,
+            limit=slots,
+        )
+
 
 class FixedFleet(CapacityFleet):
     """
--- a/packages/policy/ladder_policy/capacity/learned.py
+++ b/packages/policy/ladder_policy/capacity/learned.py
@@ -2,7 +2,11 @@
 
 import math
 
-from ladder_policy.capacity.base import CapacityFleet, ServerCapacity
+from ladder_policy.capacity.base import (
+    CapacityFleet,
+    CapacityView,
+    ServerCapacity,
+)
 from ladder_policy.capacity.concurrency import ConcurrencyCurve
 from ladder_policy.capacity.slow_downs import SlowDownDurations
 
@@ -306,6 +310,19 @@
             return max(slots // 2, 1)
         return self._curve.find_limit(slots, now)
 
+    def describe(self, slots: int) -> CapacityView:
+        """Return what is known of the server."""
+        slow_down = self._slow_down
+        return CapacityView(
+            self.usual_seconds,
+            self._fleet.seconds,
+            self.samples,
+            self.deviation,
+            self.slow_ratio,
+            slow_down.elapsed if slow_down else 0,
+            self._curve.compute_limit(slots),
+        )
+
     def _close_window(self, now: float) -> None:
         seconds = self._window_sum / self._window_count
         concurrency = round(self._window_requests / self._window_count)
