--- a/packages/node/ladder_node/forwarding/attempts.py
+++ b/packages/node/ladder_node/forwarding/attempts.py
@@ -90,6 +90,8 @@
         Called when a replica refuses the request because it is full.
     usage_mark : UsageMark or None
         Tells in which window the request was counted; None if it was not.
+    kind : str
+        Kind of the request, by which durations are learned.
 
     """
 
@@ -108,6 +110,7 @@
     on_failed_run: Callable[[], None] = _ignore
     on_full: Callable[[], None] = _ignore
     usage_mark: UsageMark | None = None
+    kind: str = ''
 
     @property
     def tried(self) -> set[str]:
--- a/packages/node/ladder_node/replicas/registry.py
+++ b/packages/node/ladder_node/replicas/registry.py
@@ -8,8 +8,10 @@
 from ladder_core.timers import TimerService
 from ladder_core.values import Replica
 from ladder_node.replicas.addresses import AddressIndex
+from ladder_node.replicas.capacity_log import CapacityLog
 from ladder_node.replicas.departed import DepartedProcesses
 from ladder_node.replicas.record import ReplicaRecord
+from ladder_policy.capacity import CapacityMode, ServiceCapacity
 
 # Entries that expired while the table service was unavailable are written again
 # within two seconds of its recovery; the rest covers the time of the read.
@@ -28,16 +30,26 @@
         Clock by which missing replicas are removed.
     timeline : Timeline
         Records replicas that are listed, leave or are removed.
+    mode : CapacityMode, optional
+        Whether the durations of responses are learned.
 
     Attributes
     ----------
     departed : DepartedProcesses
         Processes that said that they leave, whatever is listed of them.
+    capacity_log : CapacityLog
+        Records material changes of what is learned of replicas.
 
     """
 
-    def __init__(self, timers: TimerService, timeline: Timeline) -> None:
+    def __init__(
+        self,
+        timers: TimerService,
+        timeline: Timeline,
+        mode: CapacityMode = CapacityMode.learned,
+    ) -> None:
         self.departed = DepartedProcesses()
+        self.capacity_log = CapacityLog(timeline)
         self._timers = timers
         self._timeline = timeline
         self._records: dict[str, ReplicaRecord] = {}
@@ -45,6 +57,8 @@
         self._missing_until: dict[str, float] = {}
         self._listeners: list[Callable[[], None]] = []
         self._has_read = False
+        self._mode = mode
+        self._services: dict[str, ServiceCapacity] = {}
 
     @property
     def has_read(self) -> bool:
@@ -149,7 +163,13 @@
         if known is not None:
             self._addresses.discard(known)
             known.record_end()
-        record = ReplicaRecord(replica)
+        capacity = None
+        if self._mode is CapacityMode.learned:
+            service = self._services.setdefault(
+                replica.service, ServiceCapacity()
+            )
+            capacity = service.make_replica()
+        record = ReplicaRecord(replica, capacity)
         self._records[replica.name] = record
         self._addresses.add(record)
         _record_event(
@@ -172,6 +192,7 @@
     def _remove(self, name: str) -> None:
         self._missing_until.pop(name, None)
         record = self._records.pop(name, None)
+        self.capacity_log.drop(name)
         if record is not None:
             self._addresses.discard(record)
             _record_event(self._timeline, 'replica-gone', record.replica)
