--- a/packages/core/ladder_core/values/__init__.py
+++ b/packages/core/ladder_core/values/__init__.py
@@ -21,6 +21,7 @@
     ServiceShare,
 )
 from ladder_core.values.samples import Group, Sample, SampleId, VersionSpan
+from ladder_core.values.scaling import ScalingLimits
 
 __all__ = (
     'Allowance',
@@ -41,6 +42,7 @@
     'RouteTable',
     'Sample',
     'SampleId',
+    'ScalingLimits',
     'ServiceEntry',
     'ServiceShare',
     'VersionSpan',
--- a/packages/core/ladder_core/values/routes.py
+++ b/packages/core/ladder_core/values/routes.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 
 from ladder_core.values.organisations import OrganisationDirectory
+from ladder_core.values.scaling import ScalingLimits
 
 _PATH_SEPARATOR = '/'
 
@@ -111,6 +112,8 @@
         Number of tokens in one event of a stream.
     models : tuple of str
         Models that the engines of the service can run.
+    scaling : ScalingLimits or None
+        Limits on the numbers of its replicas; None if they are not changed.
 
     """
 
@@ -120,6 +123,7 @@
     kv_cache_tokens: int = 0
     tokens_per_event: int = 1
     models: tuple[str, ...] = ()
+    scaling: ScalingLimits | None = None
 
 
 @dataclass(frozen=True, slots=True)
