--- a/packages/core/ladder_core/values/replicas.py
+++ b/packages/core/ladder_core/values/replicas.py
@@ -36,6 +36,11 @@
         successive processes with the same name.
     software_version : str
         Version of the software of the process; empty if it is not known.
+    is_spot : bool
+        Whether the platform may take the replica back at short notice.
+    leaves_in_seconds : float or None
+        Time until the platform takes the replica back, when its state was
+        written; None unless it is taken back.
 
     """
 
@@ -52,6 +57,8 @@
     is_busy: bool = False
     started_at: int = 0
     software_version: str = ''
+    is_spot: bool = False
+    leaves_in_seconds: float | None = None
 
     @property
     def software_id(self) -> str:
--- a/packages/node/ladder_node/replicas/record.py
+++ b/packages/node/ladder_node/replicas/record.py
@@ -26,6 +26,9 @@
         Number of requests of this node that are in flight at the replica.
     listed_at : float
         Time in seconds at which its entry was read last.
+    leaves_at : float or None
+        Time in seconds at which the platform takes the replica back; None
+        unless it has announced that. The delay of the entry comes on top.
 
     """
 
@@ -33,6 +36,7 @@
         self.replica = replica
         self.in_flight = 0
         self.listed_at: float = 0
+        self.leaves_at: float | None = None
         self._has_ended = False
         self._backoff = FailureBackoff()
         self._rate = SuccessRate()
@@ -55,6 +59,22 @@
         """Running mean of the durations of responses; None before the first."""
         return self._mean_seconds
 
+    def update(self, listed: Replica, now: float) -> None:
+        """
+        Update the state by the entry of the same process.
+
+        An entry that is read again says the same remaining time as before, so
+        the earliest time counts.
+        """
+        self.replica = listed
+        self.listed_at = now
+        if listed.leaves_in_seconds is None:
+            self.leaves_at = None
+            return
+        leaves_at = now + listed.leaves_in_seconds
+        known = leaves_at if self.leaves_at is None else self.leaves_at
+        self.leaves_at = min(known, leaves_at)
+
     def is_healthy(self, now: float) -> bool:
         """Return whether the replica answers and few of its requests fail."""
         return self._backoff.is_healthy and not self._rate.is_outlier(now)
--- a/packages/node/ladder_node/replicas/registry.py
+++ b/packages/node/ladder_node/replicas/registry.py
@@ -136,11 +136,9 @@
         record = self._records.get(replica.name)
         if record is None or _is_another_process(record.replica, replica):
             self._add(replica)
-        else:
-            if replica.is_leaving and not record.replica.is_leaving:
-                _record_event(self._timeline, 'replica-leaving', replica)
-            record.replica = replica
-        self._records[replica.name].listed_at = self._timers.now()
+        elif replica.is_leaving and not record.replica.is_leaving:
+            _record_event(self._timeline, 'replica-leaving', replica)
+        self._records[replica.name].update(replica, self._timers.now())
         _replicas_gauge.set(len(self._records))
 
     def _add(self, replica: Replica) -> None:
