Move texts away from replicas that the platform takes back

Cause: the texts on a reclaimed spot replica ran until its connections broke, which costs the time to notice and counts as a failure of the replica.

The slot is reserved, as for moves to faster engines. Draining replicas without an announced departure keep their texts, and no leaving replica gets new tasks, as before.

--- a/packages/node/ladder_node/batches/dispatcher.py
+++ b/packages/node/ladder_node/batches/dispatcher.py
@@ -23,6 +23,7 @@
     RunView,
     choose_engine,
     order_tasks,
+    should_leave,
     should_move,
     should_start_anew,
 )
@@ -151,7 +152,8 @@
         Explanation
         -----------
         A run that moves away from a slow engine has a slot reserved at another
-        one. At most one run of a service moves at a time.
+        one. At most one run of a service moves at a time. The runs of an engine
+        that the platform takes back move together.
 
         Parameters
         ----------
@@ -161,7 +163,7 @@
         Returns
         -------
         list of (run, str)
-            Each run to move, with the reason `silent` or `slow`.
+            Each run to move, with the reason `silent`, `leaving` or `slow`.
 
         """
         now = self._timers.now()
@@ -177,6 +179,8 @@
             if now - progress.last_at > _find_event_timeout(progress):
                 progress.engine.record.record_failure(now)
                 to_move.append((run, 'silent'))
+            elif self._has_to_leave(run, now):
+                to_move.append((run, 'leaving'))
             elif service not in moved and self._reserve_faster(
                 run, now, service in busy
             ):
@@ -267,6 +271,41 @@
             return 0
         return table.find_priority(route, batch.spec.organisation)
 
+    def _has_to_leave(self, run: ActiveRun, now: float) -> bool:
+        """Return whether a run has to leave an engine that is taken back."""
+        _, task, progress = run
+        leaves_at = progress.engine.record.leaves_at
+        if leaves_at is None:
+            return False
+        token_seconds = progress.engine.estimate_token_time(now)
+        run_seconds = estimate_tokens(task) * token_seconds
+        left = leaves_at - now
+        if not should_leave(run_seconds, left, has_slot=True):
+            return False
+        has_slot = self._reserve_any(run, now)
+        return should_leave(run_seconds, left, has_slot=has_slot)
+
+    def _reserve_any(self, run: ActiveRun, now: float) -> bool:
+        """Reserve a slot at another engine; return False if there is none."""
+        batch, task, progress = run
+        key = batch.make_key(task)
+        if key in self._reservations:
+            return True
+        service = progress.engine.replica.service
+        shortest_token_time = find_shortest_token_time(
+            self._engines.list_active(service, now), now
+        )
+        engine = self._choose(
+            batch,
+            task,
+            self._engines.list_usable(service, now),
+            shortest_token_time,
+        )
+        if engine is None:
+            return False
+        self._reservations.add(key, engine, batch.spec.model, task.spec.group)
+        return True
+
     def _reserve_faster(
         self, run: ActiveRun, now: float, others_wait: bool
     ) -> bool:
--- a/packages/policy/ladder_policy/scheduling/__init__.py
+++ b/packages/policy/ladder_policy/scheduling/__init__.py
@@ -2,6 +2,7 @@
 
 from ladder_policy.scheduling.engines import EngineView, choose_engine
 from ladder_policy.scheduling.homes import assign_homes
+from ladder_policy.scheduling.leaving import should_leave
 from ladder_policy.scheduling.loads import (
     EngineStatus,
     LoadDecision,
@@ -28,6 +29,7 @@
     'choose_engine',
     'order_tasks',
     'plan_loads',
+    'should_leave',
     'should_move',
     'should_start_anew',
 )
