Order replicas by the demand of batches

Cause: the decision on the number of replicas had no component that measures the demand, sends the orders and copes with calls that are refused or get no answer.

--- a/packages/node/ladder_node/batches/__init__.py
+++ b/packages/node/ladder_node/batches/__init__.py
@@ -7,6 +7,7 @@
 """
 
 from ladder_node.batches.api import BatchApi
+from ladder_node.batches.demand import BatchAutoscaler
 from ladder_node.batches.dependencies import OwnerDependencies
 from ladder_node.batches.fitness import DutyFitness, PathFitness
 from ladder_node.batches.offers import (
@@ -23,6 +24,7 @@
 __all__ = (
     'OFFER_PATH',
     'BatchApi',
+    'BatchAutoscaler',
     'BatchOwner',
     'BatchSpec',
     'BatchStore',
--- a/packages/node/ladder_node/batches/dependencies.py
+++ b/packages/node/ladder_node/batches/dependencies.py
@@ -8,6 +8,7 @@
 from ladder_clients.table import PartitionedTableClient
 from ladder_core.timeline import Timeline
 from ladder_core.timers import TimerService
+from ladder_node.batches.demand import BatchAutoscaler
 from ladder_node.batches.fitness import DutyFitness
 from ladder_node.batches.store import BatchStore
 from ladder_node.forwarding import Forwarder
@@ -56,6 +57,8 @@
         Clock for pauses and time limits.
     timeline : Timeline
         Records each decision.
+    autoscaler : BatchAutoscaler or None
+        Orders replicas while this node holds the duty; None if it should not.
 
     """
 
@@ -75,3 +78,4 @@
     fitness: DutyFitness
     timers: TimerService
     timeline: Timeline
+    autoscaler: BatchAutoscaler | None = None
--- a/packages/node/ladder_node/batches/session.py
+++ b/packages/node/ladder_node/batches/session.py
@@ -73,6 +73,7 @@
     def __init__(self, dependencies: OwnerDependencies, lease: Lease) -> None:
         self.handover = HandoverCheck(dependencies.fitness, dependencies.timers)
         self._dependencies = dependencies
+        self._lease = lease
         self._timers = dependencies.timers
         self._fence = Fence(
             dependencies.table,
@@ -162,6 +163,16 @@
             task_group.spawn_essential(self._save_drafts())
             task_group.spawn_essential(self._clean())
             task_group.spawn_essential(self._plan(runs, task_group))
+            if self._dependencies.autoscaler is not None:
+                # Its end must not end the batches.
+                task_group.spawn(
+                    self._dependencies.autoscaler.run(
+                        self._lease,
+                        self._registry,
+                        self._engines,
+                        self._dispatcher,
+                    )
+                )
 
     async def _plan(self, runs: TaskRuns, task_group: LeaseTaskGroup) -> None:
         while True:
