--- a/packages/node/ladder_node/scaling/tests/test_autoscaler.py
+++ b/packages/node/ladder_node/scaling/tests/test_autoscaler.py
@@ -1,6 +1,7 @@
 """Orders of replicas while holders, calls, replicas and the store fail."""
 
 import asyncio
+import itertools
 
 import pytest
 
@@ -253,6 +254,22 @@
     assert deployment.platform.count() >= 9
 
 
+async def test_accepted_orders_without_replicas_are_made_ever_less_often(
+    deployment,
+):
+    """Guards against a call each few seconds where nothing ever comes."""
+    deployment.platform.add_faults(CallOutcome.done, count=1000)
+    await start(deployment, seconds=100)
+    calls = [
+        call.at
+        for call in deployment.calls
+        if call.order.data_centre == 'south' and not call.order.is_spot
+    ]
+    pauses = [later - at for at, later in itertools.pairwise(calls)]
+    assert 2 <= len(pauses) <= 6
+    assert pauses[-1] > 1.5 * pauses[0]
+
+
 async def test_store_away_keeps_all_numbers(deployment):
     """Guards against orders of a node whose lease has expired."""
     anna = await start(deployment, seconds=15)
