--- a/packages/node/ladder_node/batches/dependencies.py
+++ b/packages/node/ladder_node/batches/dependencies.py
@@ -8,6 +8,7 @@
 from ladder_clients.table import PartitionedTableClient
 from ladder_core.timeline import Timeline
 from ladder_core.timers import TimerService
+from ladder_node.batches.demand import BatchAutoscaler
 from ladder_node.batches.fitness import DutyFitness
 from ladder_node.batches.store import BatchStore
 from ladder_node.forwarding import Forwarder
@@ -59,6 +60,8 @@
         Records each decision.
     capacity_mode : CapacityMode, optional
         Whether the capacities of engines are learned.
+    autoscaler : BatchAutoscaler or None
+        Orders replicas while this node holds the duty; None if it should not.
 
     """
 
@@ -79,3 +82,4 @@
     timers: TimerService
     timeline: Timeline
     capacity_mode: CapacityMode = CapacityMode.learned
+    autoscaler: BatchAutoscaler | None = None
