Measure replicas again that were slow and had no requests

The estimate of a plain replica changes only by a request, and a replica that is known to be slow gets none; a near one that was 8 times slower was avoided for ever after it had recovered.

Own estimates of more than 30 s ago are not used, and the first time after a pause moves the mean half of the way. With learned durations the selector leaves out the former mean, which never expires.

The tests of capacity, routing, sharing, forwarding and batches pass.

--- a/packages/node/ladder_node/forwarding/selector.py
+++ b/packages/node/ladder_node/forwarding/selector.py
@@ -172,7 +172,7 @@
             slots=slots,
             distance=self._find_distance(replica.data_centre),
             idle_connections=self._client.count_idle(replica),
-            mean_seconds=record.mean_seconds,
+            mean_seconds=None if record.capacity else record.mean_seconds,
             is_limited=self._client.find_rate(replica) is not None,
             is_healthy=record.is_healthy(now),
             learned=learned,
--- a/packages/policy/ladder_policy/capacity/kinds.py
+++ b/packages/policy/ladder_policy/capacity/kinds.py
@@ -23,6 +23,9 @@
 # Estimates that are passed on have been measured this lately, and so often.
 _RECENT_SECONDS = 5
 _MIN_SHARED_SAMPLES = 3
+# Own estimates without a measurement for so long are not used, so a replica
+# that was slow gets a request that measures it again.
+_STALE_SECONDS = 30
 # Standard deviations of the logarithm of a time within which nearly all times
 # lie, and the ratio of that deviation to the mean deviation.
 _QUANTILE_DEVIATIONS = 3
@@ -170,7 +173,7 @@
         ]
 
     def estimate(self, kind: str, now: float) -> TimeEstimate | None:
-        """Return the expected duration, or None before any measurement."""
+        """Return the expected duration; None without a recent measurement."""
         self._asked_at = now
         kind = self._service.bound_kind(kind)
         server = self._servers.get(kind)
@@ -178,7 +181,7 @@
         if received and now - received.measured_at > _RECEIVED_TTL_SECONDS:
             self._received.pop(kind)
             received = None
-        if server is None:
+        if server is None or now - server.measured_at > _STALE_SECONDS:
             return TimeEstimate(received.seconds) if received else None
         own_seconds = server.estimate(now, 1)
         estimate = TimeEstimate(own_seconds, server.samples, server.deviation)
--- a/packages/policy/ladder_policy/capacity/learned.py
+++ b/packages/policy/ladder_policy/capacity/learned.py
@@ -43,6 +43,8 @@
 # multiple of the others, so that it gets short work that measures it again.
 _MEASUREMENT_TTL_SECONDS = 30
 _MAX_UNMEASURED_RATIO = 1.5
+# Number of windows that an older mean counts for.
+_MAX_AGED_COUNT = 10
 # Standard deviation of the logarithms of the servers' usual times above which
 # a server without measurements gets only half of its slots.
 _UNEVEN_SPREAD = 0.2
@@ -160,6 +162,12 @@
         weight = max(1 / (self.count + _PRIOR_DEVIATIONS), _DEVIATION_SMOOTHING)
         self.deviation += weight * (abs(math.log(ratio)) - self.deviation)
 
+    def renew(self, seconds: float) -> None:
+        """Update the mean by the first time after a long pause."""
+        seconds = min(seconds, _MAX_FIRST_RATIO * self.seconds)
+        self.seconds = math.sqrt(self.seconds * seconds)
+        self.count = min(self.count, _MAX_AGED_COUNT)
+
     @property
     def _usual_ratio(self) -> float:
         return max(_MIN_SLOW_RATIO, math.exp(_SLOW_DEVIATIONS * self.deviation))
@@ -355,12 +363,16 @@
         self._window_sum = 0
         self._window_count = 0
         self._window_requests = 0
+        is_aged = now - self.measured_at > _MEASUREMENT_TTL_SECONDS
         self.measured_at = now
         self._curve.observe(concurrency, seconds, now)
         self._growth = self._curve.find_growth(concurrency)
         seconds /= self._growth
         if self._usual is None:
             self._usual = UsualTime(seconds)
+        elif is_aged:
+            self._slow_down = None
+            self._usual.renew(seconds)
         elif seconds > self._usual.slow_ratio * self._usual.seconds:
             self._add_slow(seconds / self._usual.seconds, now)
         else:
--- a/packages/policy/ladder_policy/routing/tests/test_forward_patterns.py
+++ b/packages/policy/ladder_policy/routing/tests/test_forward_patterns.py
@@ -43,7 +43,7 @@
                 in_flight,
                 self.capacities[name].find_limit(KIND, SLOTS, self.now),
                 self.distances[name],
-                mean_seconds=self.means[name],
+                mean_seconds=None if self.is_learned else self.means[name],
                 learned=self.capacities[name].estimate(KIND, self.now)
                 if self.is_learned
                 else None,
@@ -103,6 +103,35 @@
     assert node.choose() == 'a'
 
 
+def test_pattern_slow_near_replica_has_recovered_without_traffic():
+    """
+    Guards against a near replica that is avoided for ever.
+
+    Its estimate changes only by a request, and it gets none while it is slow.
+    """
+    node = Node((8, 1, 1), 1, distances=(0, 2, 2))
+    node.learn(40)
+    node.factors['a'] = 1
+    chosen = []
+    for _ in range(60):
+        chosen.append(node.choose())
+        node.send(chosen[-1])
+    # Some requests measure it; then it is used again.
+    assert 'a' not in chosen[:15]
+    assert set(chosen[-10:]) == {'a'}
+
+
+def test_pattern_slow_near_replica_is_probed_rarely():
+    """Guards against probes that make many requests slow."""
+    node = Node((8, 1, 1), 1, distances=(0, 2, 2))
+    node.learn(40)
+    chosen = []
+    for _ in range(200):
+        chosen.append(node.choose())
+        node.send(chosen[-1])
+    assert 0 < chosen.count('a') < 200 / 15
+
+
 def test_pattern_distant_replica_is_only_a_little_faster():
     """Guards against expensive bytes between data centres."""
     node = Node((1, 0.6, 0.6), 1, distances=(0, 2, 2))
