Run the tests in parallel, and serial ones after them

Tests in several processes could find the same port, as each left its ports unbound until the server listened, and test_zmq_transport.py used a port of outgoing connections.

Serial are the two tests with the default deadline of Hypothesis (200 ms), one of which failed by it in a first run of three processes. In another run test_pool_of_a_paused_holder_goes_over_and_stays failed, as its paused node got SIGHUP (status -1). The shell that had started that run in the background ended meanwhile; that this orphaned the process group is likely and was not proved. It passed in the other two runs.

The time on eight idle cores was not measured.

--- a/conftest.py
+++ b/conftest.py
@@ -63,6 +63,32 @@
         return self._event_loop.is_closed() and not self.transport.is_closing()
 
 
+def pytest_addoption(parser: pytest.Parser) -> None:
+    """Let `bin/test` run the serial tests apart."""
+    parser.addoption(
+        '--serial-tests',
+        choices=('include', 'only', 'exclude'),
+        default='include',
+        help='whether to run the tests with the marker serial',
+    )
+
+
+@pytest.hookimpl(trylast=True)
+def pytest_collection_modifyitems(
+    config: pytest.Config, items: list[pytest.Item]
+) -> None:
+    """Deselect the tests that the other call of `bin/test` runs."""
+    choice = config.getoption('--serial-tests')
+    groups: dict[bool, list[pytest.Item]] = {True: [], False: []}
+    for item in items:
+        is_serial = item.get_closest_marker('serial') is not None
+        groups[is_serial].append(item)
+    if choice != 'include':
+        config.hook.pytest_deselected(items=groups[choice == 'exclude'])
+        items.clear()
+        items.extend(groups[choice == 'only'])
+
+
 def pytest_configure() -> None:
     """Check the streams of all tests."""
     asyncio.StreamWriter = CheckedStreamWriter  # type: ignore[misc]
--- a/packages/node/ladder_node/peers/tests/test_members.py
+++ b/packages/node/ladder_node/peers/tests/test_members.py
@@ -1,3 +1,4 @@
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -23,6 +24,8 @@
     return len(reached)
 
 
+# Hypothesis fails an example that takes longer than 200 ms.
+@pytest.mark.serial
 @settings(derandomize=True, max_examples=60)
 @given(
     st.integers(1, 11),
--- a/packages/node/ladder_node/peers/tests/test_zmq_transport.py
+++ b/packages/node/ladder_node/peers/tests/test_zmq_transport.py
@@ -2,18 +2,14 @@
 
 from ladder_node.peers import ZmqTransport
 from ladder_node.peers.transport import Channel
+from ladder_standins.fleet.ports import find_free_ports
 
 WAIT_SECONDS = 20
 
 
 async def test_frames_go_both_ways_and_a_new_connection_replaces_one():
-    # The peer must know the port, so port zero can't be used; a free port is
-    # determined first.
-    server = await asyncio.start_server(lambda *_: None, '127.0.0.1', 0)
-    port = server.sockets[0].getsockname()[1]
-    server.close()
-    await server.wait_closed()
-    address = f'127.0.0.1:{port}'
+    # The peer must know the port, so port zero can't be used.
+    address = f'127.0.0.1:{find_free_ports(1)[0]}'
     accepted: list[Channel] = []
     first, second = ZmqTransport(address), ZmqTransport('127.0.0.1:1')
     try:
--- a/packages/policy/ladder_policy/versions/tests/test_waves.py
+++ b/packages/policy/ladder_policy/versions/tests/test_waves.py
@@ -1,3 +1,4 @@
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -21,6 +22,8 @@
 )
 
 
+# Hypothesis fails an example that takes longer than 200 ms.
+@pytest.mark.serial
 @settings(derandomize=True)
 @given(replicas=REPLICAS, size=st.integers(1, 10**9), share=st.floats(0, 1))
 def test_wave_keeps_its_bounds_and_a_rollout_goes_on(replicas, size, share):
--- a/standins/ladder_standins/fleet/ports.py
+++ b/standins/ladder_standins/fleet/ports.py
@@ -3,6 +3,7 @@
 import itertools
 import os
 import socket
+from collections import deque
 
 # These ports are below the range that Linux uses for outgoing connections. An
 # outgoing connection could otherwise take a port after it was chosen here and
@@ -10,9 +11,14 @@
 _FIRST_PORT = 10_000
 _LAST_PORT = 32_000
 _PORTS_PER_PROCESS = 64
+_LOOPBACK = '127.0.0.1'
+# More ports than the servers of one test use.
+_MAX_RESERVATIONS = 256
 
 # Counts the ports that this process has examined.
 _turn = itertools.count()
+# Keeps ports from other processes until their servers listen on them.
+_reservations: deque[socket.socket] = deque()
 
 
 def find_free_ports(count: int) -> list[int]:
@@ -27,15 +33,18 @@
     Returns
     -------
     list of int
-        Distinct ports that were not bound. Processes with adjacent process
-        ids begin their search at different ports.
+        Distinct ports that were not bound. They stay reserved for servers of
+        this process and of its children, which set SO_REUSEADDR, until many
+        more ports were found.
 
     """
     ports: list[int] = []
-    while len(ports) < count:
-        port = _find_next()
-        if _is_free(port):
-            ports.append(port)
+    for _ in range(count):
+        reservation = reserve_port()
+        _reservations.append(reservation)
+        ports.append(reservation.getsockname()[1])
+    while len(_reservations) > max(_MAX_RESERVATIONS, count):
+        _reservations.popleft().close()
     return ports
 
 
@@ -51,21 +60,19 @@
         The caller closes the socket.
 
     """
-    reservation = socket.socket()
-    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    reservation.bind(('127.0.0.1', find_free_ports(1)[0]))
-    return reservation
+    while True:
+        reservation = socket.socket()
+        try:
+            reservation.bind((_LOOPBACK, _find_next()))
+        except OSError:
+            reservation.close()
+            continue
+        # Set after the bind, which otherwise shares the port of another
+        # reservation.
+        reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        return reservation
 
 
 def _find_next() -> int:
     offset = os.getpid() * _PORTS_PER_PROCESS + next(_turn)
     return _FIRST_PORT + offset % (_LAST_PORT - _FIRST_PORT)
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        try:
-            probe.bind(('127.0.0.1', port))
-        except OSError:
-            return False
-        return True
--- a/standins/ladder_standins/fleet/tests/test_ports.py
+++ b/standins/ladder_standins/fleet/tests/test_ports.py
@@ -19,9 +19,8 @@
 
 def test_port_in_use_is_passed_over(monkeypatch):
     monkeypatch.setattr('os.getpid', lambda: 7)
-    with socket.socket() as taken:
-        taken.bind(('127.0.0.1', find_free_ports(1)[0]))
-        taken.listen()
+    port = find_free_ports(1)[0]
+    with socket.create_server(('127.0.0.1', port)) as taken:
         used = taken.getsockname()[1]
         monkeypatch.setattr(
             'ladder_standins.fleet.ports._turn',
@@ -44,6 +43,27 @@
             assert server.getsockname()[1] == port
 
 
+def test_port_that_was_found_is_left_to_its_server():
+    # Regression: two processes that ran tests in parallel found the same port
+    # before the server of either listened on it.
+    port = find_free_ports(1)[0]
+    with socket.socket() as other, pytest.raises(OSError):
+        other.bind(('127.0.0.1', port))
+    with socket.create_server(('127.0.0.1', port)) as server:
+        assert server.getsockname()[1] == port
+
+
+def test_processes_that_search_the_same_ports_find_different_ones(monkeypatch):
+    monkeypatch.setattr('os.getpid', lambda: 7)
+    found = []
+    for _ in range(2):
+        monkeypatch.setattr(
+            'ladder_standins.fleet.ports._turn', iter(range(100))
+        )
+        found += find_free_ports(10)
+    assert len(set(found)) == 20
+
+
 async def test_process_that_ended_is_not_waited_for(tmp_path):
     group = ProcessGroup(tmp_path)
     group.reserve_address('broken')
