Test that a closed proxy leaves no stream open

Cause: that TcpProxy cancels its handlers had no test of its own.

Change: a test closes a proxy while it connects to its target.

Result: it passes, and fails without the cancellation.

--- a/standins/ladder_standins/tests/test_tcp_proxy.py
+++ b/standins/ladder_standins/tests/test_tcp_proxy.py
@@ -68,6 +68,21 @@
     assert not await send_line(caller)
 
 
+async def test_close_ends_a_connection_that_is_being_made(
+    proxy, connect, monkeypatch
+):
+    """Guards against a proxy that leaves the stream of its caller open."""
+
+    async def open_never(*address):
+        await asyncio.sleep(60)
+
+    monkeypatch.setattr(asyncio, 'open_connection', open_never)
+    reader, _ = await connect(proxy.address)
+    await asyncio.sleep(0.05)
+    await proxy.close()
+    assert not await asyncio.wait_for(reader.read(), 0.5)
+
+
 async def test_hanging_path_answers_neither_open_nor_new_connections(
     proxy, connect
 ):
