--- a/tests/compatibility/forms.py
+++ b/tests/compatibility/forms.py
@@ -106,6 +106,9 @@
     Form('row-request-crash', 'ladder_node.quarantine.rows:_Evidence'),
     Form('row-stream-origin', 'ladder_node.stream_origins.rows:OriginRow'),
     Form('row-steps', 'ladder_node.steps.records:TrainerRecord'),
+    Form('row-usage-counts', 'ladder_node.usage.rows:CountsRow'),
+    Form('row-usage-report', 'ladder_node.usage.rows:ReportRow'),
+    Form('row-usage-progress', 'ladder_node.usage.rows:ProgressRow'),
     Form('row-lists', 'ladder_core.values:Lists'),
     Form('row-lists-change', 'ladder_clients.configuration.store:ListsChange'),
     # Objects of the object store; large batches have the form of their rows.
@@ -189,6 +192,20 @@
         'ladder_node.replica_relay.messages:RelayedHead',
         Encoding.msgpack,
     ),
+    Form('call-room', 'ladder_node.room.peers:RoomQuestion', Encoding.msgpack),
+    Form(
+        'call-room-reply', 'ladder_node.room.peers:RoomReply', Encoding.msgpack
+    ),
+    Form(
+        'call-capacities',
+        'ladder_node.capacity_sharing.messages:CapacityQuestion',
+        Encoding.msgpack,
+    ),
+    Form(
+        'call-capacities-reply',
+        'ladder_node.capacity_sharing.messages:CapacityReply',
+        Encoding.msgpack,
+    ),
     Form(
         'call-store-relay',
         'ladder_node.store_relay.messages:RelayedCall',
@@ -234,6 +251,9 @@
     Name('ladder_node.quarantine.rows:_TRIAL'),
     Name('ladder_node.stream_origins.rows:ORIGINS_TABLE'),
     Name('ladder_node.stream_origins.rows:ORIGINS_PART'),
+    Name('ladder_node.usage.rows:COUNTS_TABLE'),
+    Name('ladder_node.usage.rows:REPORTS_TABLE'),
+    Name('ladder_node.usage.rows:PROGRESS_KEY'),
     Name('ladder_node.steps.records:STEPS_TABLE'),
     Name('ladder_clients.configuration.store:_TABLE'),
     Name('ladder_clients.configuration.store:_LISTS_KEY'),
@@ -247,11 +267,14 @@
     Name('ladder_node.steps.store:make_batch_name', ('r', 4)),
     # Leases.
     Name('ladder_node.batches.owner:DUTY'),
+    Name('ladder_node.usage.reporter:DUTY'),
     # Calls between nodes, and kinds of facts.
     Name('ladder_node.batches.offers:OFFER_PATH'),
     Name('ladder_node.quarantine.peers:EVIDENCE_PATH'),
     Name('ladder_node.rate_limits.peers:PERMIT_PATH'),
     Name('ladder_node.replica_paths.messages:PATH_PATH'),
+    Name('ladder_node.room.peers:ROOM_PATH'),
+    Name('ladder_node.capacity_sharing.messages:CAPACITY_PATH'),
     Name('ladder_node.replica_relay.messages:REPLICA_RELAY_PATH'),
     Name('ladder_node.replica_relay.messages:HEAD_LENGTH_BYTES'),
     Name('ladder_node.store_relay.client:RELAY_PATH'),
