Count the requests of organisations and report each window once

The platform wants the requests that began to run, per organisation and window of 5 s, and no window may ever be reported with two different counts.

Each node counts a request when it is sent to the first replica that may run it, and takes it back if the replica says that it did not run.

--- a/packages/node/ladder_node/forwarding/attempts.py
+++ b/packages/node/ladder_node/forwarding/attempts.py
@@ -13,6 +13,7 @@
 from ladder_core.values import Replica
 from ladder_node.quarantine import GuardedRequest
 from ladder_node.replicas import ReplicaRecord
+from ladder_node.usage import UsageMark
 
 # Time after which a caller may send a refused request again; by then a replica
 # may be free.
@@ -85,6 +86,8 @@
         Replica that has answered last.
     on_failed_run : callable
         Called for each response that reports a failed run.
+    usage_mark : UsageMark or None
+        Tells in which window the request was counted; None if it was not.
 
     """
 
@@ -101,6 +104,7 @@
     failed_response: CompleteResponse | None = None
     answered_by: Replica | None = None
     on_failed_run: Callable[[], None] = _ignore
+    usage_mark: UsageMark | None = None
 
     @property
     def tried(self) -> set[str]:
--- a/packages/node/ladder_node/forwarding/forwarder.py
+++ b/packages/node/ladder_node/forwarding/forwarder.py
@@ -15,8 +15,6 @@
 from collections.abc import AsyncIterator, Callable
 from dataclasses import replace
 
-from prometheus_client import Histogram
-
 from ladder_clients.exchanges import StreamedResponse
 from ladder_clients.replicas import CallerRequest, ReplicaClient
 from ladder_core.errors import (
@@ -34,6 +32,7 @@
 )
 from ladder_node.forwarding.outcomes import (
     MIN_SERVER_ERROR_STATUS,
+    observe_end,
     record_failure,
     record_refusal,
     record_response,
@@ -49,13 +48,7 @@
 )
 from ladder_node.replicas import ReplicaRecord
 from ladder_node.stream_origins import StreamOrigins
-
-_forwarded_histogram = Histogram(
-    'ladder_forward_seconds',
-    'Time from a request to the end of its answer, by service and outcome',
-    ('service', 'outcome'),
-    buckets=(0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8),
-)
+from ladder_node.usage import UsageCounter
 
 
 class Forwarder:
@@ -76,6 +69,8 @@
         Records one event at the end of each request.
     origins : StreamOrigins, optional
         Knows where streams began; without it no stream goes on.
+    usage : UsageCounter, optional
+        Counts the requests that began to run; without it none are counted.
 
     """
 
@@ -87,11 +82,12 @@
         timers: TimerService,
         timeline: Timeline,
         origins: StreamOrigins | None = None,
+        usage: UsageCounter | None = None,
     ) -> None:
         self._binding = StreamBinding(origins)
         self._selector = selector
         self._client = client
-        self._sender = RunSender(client, guard, timers)
+        self._sender = RunSender(client, guard, timers, usage)
         self._guard = guard
         self._planner = RunPlanner(selector, guard, timers)
         self._timers = timers
@@ -229,9 +225,7 @@
         outcome: str,
     ) -> None:
         elapsed_seconds = self._timers.now() - attempts.started_at
-        _forwarded_histogram.labels(attempts.service, outcome).observe(
-            elapsed_seconds
-        )
+        observe_end(attempts.service, outcome, elapsed_seconds)
         self._timeline.record(
             'request-ended',
             request.request_id,
