--- a/packages/node/ladder_node/usage/reporter.py
+++ b/packages/node/ladder_node/usage/reporter.py
@@ -131,7 +131,7 @@
             except StoreUnavailableError as error:
                 # Nothing was written, so the state is still known.
                 logger.warning('usage: the store is not available: {}', error)
-            await self._timers.sleep(self._find_pause(state))
+            await self._timers.sleep(self._find_pause(calls, state))
 
     async def _step(
         self, calls: DutyCalls, state: LedgerState | None
@@ -140,7 +140,9 @@
         if state is None:
             state = await self._load()
         window = self._choose_pending(state)
-        if window is not None:
+        # A window that is chosen before the first call is allowed may be too
+        # late by then.
+        if window is not None and not calls.first_call_wait():
             await self._report(calls, state.reports[window])
         if not await self._freeze_due(calls.lease, state):
             return None
@@ -296,16 +298,17 @@
         WINDOWS.labels('reported').inc()
         REPORT_DELAY.observe(delay_seconds)
 
-    def _find_pause(self, state: LedgerState | None) -> float:
+    def _find_pause(self, calls: DutyCalls, state: LedgerState | None) -> float:
         """Return the seconds until the next step."""
         if state is None:
             return _MAX_PAUSE_SECONDS
         due_seconds = self._clock.find_end(self._find_last_due() + 1)
         due_seconds += self._terms.freeze_seconds - self._clock.now()
         pending = set(state.reports) - self._answered
+        retry_seconds = _RETRY_SECONDS * self._failures
         if pending - set(self._attempts):
-            return _MIN_PAUSE_SECONDS
+            retry_seconds = 0
         if pending:
-            retry_seconds = _RETRY_SECONDS * self._failures
+            retry_seconds = max(retry_seconds, calls.first_call_wait())
             due_seconds = min(due_seconds, retry_seconds)
         return min(max(due_seconds, _MIN_PAUSE_SECONDS), _MAX_PAUSE_SECONDS)
--- a/packages/node/ladder_node/usage/tests/test_reports.py
+++ b/packages/node/ladder_node/usage/tests/test_reports.py
@@ -225,6 +225,21 @@
     assert deployment.platform.find_delay(order[0]) < LATE_SECONDS
 
 
+async def test_new_holder_first_sends_what_can_still_be_in_time(deployment):
+    anna = await deployment.add('anna')
+    deployment.platform.default_outcome = CallOutcome.unavailable
+    for _ in range(8):
+        anna.send()
+        await deployment.timers.advance(WINDOW_SECONDS)
+    await anna.kill()
+    deployment.platform.default_outcome = CallOutcome.done
+    await deployment.add('bert')
+    await deployment.timers.advance(15)
+    first = deployment.platform.reports[0].window
+    assert deployment.platform.find_delay(first) < LATE_SECONDS
+    assert len(deployment.platform.counts) >= 8
+
+
 async def test_report_that_always_fails_does_not_delay_the_others(deployment):
     anna = await deployment.add('anna')
     first = deployment.window
