--- a/packages/node/ladder_node/forwarding/outcomes.py
+++ b/packages/node/ladder_node/forwarding/outcomes.py
@@ -101,19 +101,6 @@
         )
 
 
-_forwarded_histogram = Histogram(
-    'ladder_forward_seconds',
-    'Time from a request to the end of its answer, by service and outcome',
-    ('service', 'outcome'),
-    buckets=(0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8),
-)
-
-
-def observe_end(service: str, outcome: str, seconds: float) -> None:
-    """Observe the time from a request to the end of its answer."""
-    _forwarded_histogram.labels(service, outcome).observe(seconds)
-
-
 def record_response(
     record: ReplicaRecord,
     attempts: RequestAttempts,
