Write and read large bodies without copies

Cause: a request was joined with its body, and what the peer did not take at once was copied into the buffer of the transport; an answer and a body of another node were copied as a whole at their end.

Answers and bodies are collected in a BytesIO, which hands them out without a copy. 64 KiB are read at once and buffered, in place of 256 KiB. A whole answer can announce its growth before it is read.

--- a/packages/clients/ladder_clients/exchanges/__init__.py
+++ b/packages/clients/ladder_clients/exchanges/__init__.py
@@ -22,7 +22,11 @@
 )
 from ladder_clients.exchanges.pending import PendingExchanges
 from ladder_clients.exchanges.pool import ConnectionPool, PoolLimits
-from ladder_clients.exchanges.responses import BodySource, StreamedResponse
+from ladder_clients.exchanges.responses import (
+    BodySource,
+    HoldResponse,
+    StreamedResponse,
+)
 
 __all__ = (
     'AbandonedError',
@@ -31,6 +35,7 @@
     'ConnectionObserver',
     'ConnectionPool',
     'Header',
+    'HoldResponse',
     'StreamedResponse',
     'OutgoingRequest',
     'PendingExchanges',
--- a/packages/clients/ladder_clients/exchanges/connection.py
+++ b/packages/clients/ladder_clients/exchanges/connection.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import cast
+from typing import Any, cast
 
 import h11
 
@@ -19,17 +19,20 @@
     TransportError,
 )
 from ladder_clients.exchanges.messages import OutgoingRequest
+from ladder_clients.exchanges.parts import PART_BYTES, PartWriter
 from ladder_clients.exchanges.responses import BodySource
 
 _REMEDY = 'read back whether the request took effect'
 # Reading pauses while more received bytes than this wait for the parser, so
 # that TCP flow control slows the peer down.
-_MAX_BUFFERED_BYTES = 262_144
+_MAX_BUFFERED_BYTES = 65_536
+# Bytes that are read at once; asyncio reads 256 KiB.
+_READ_BYTES = 65_536
 # Interim responses (1xx) before the response; more are no protocol.
 _MAX_INTERIM_RESPONSES = 16
 
 
-class PersistentConnection(asyncio.Protocol, BodySource):
+class PersistentConnection(PartWriter, BodySource):
     """
     HTTP/1.1 connection that carries one exchange at a time.
 
@@ -65,6 +68,7 @@
         read_clock: Callable[[], float],
         on_broken: Callable[[str], None],
     ) -> None:
+        super().__init__(h11.Connection(h11.CLIENT))
         self.address = address
         self.requested_at = read_clock()
         self.received_at = self.requested_at
@@ -74,8 +78,6 @@
         self._read_clock = read_clock
         self._on_broken = on_broken
         self._failure: TransportError | None = None
-        self._transport: asyncio.Transport | None = None
-        self._http = h11.Connection(h11.CLIENT)
         self._wakeup = asyncio.Event()
         self._received = bytearray()
         self._error: Exception | None = None
@@ -102,6 +104,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the new connection."""
         self._transport = cast('asyncio.Transport', transport)
+        cast('Any', transport).max_size = _READ_BYTES
         self.received_at = self._read_clock()
 
     def data_received(self, data: bytes) -> None:
@@ -118,6 +121,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the error, and wake the exchange that waits for bytes."""
         self._is_closed = True
+        self.drop_body()
         self._error = exc
         self._wakeup.set()
         if exc is not None:
@@ -127,6 +131,9 @@
         """
         Write a request to the connection.
 
+        A large body is written as fast as the peer takes it, also after the
+        return.
+
         Parameters
         ----------
         request : OutgoingRequest
@@ -156,11 +163,14 @@
                 headers=headers,
             ),
         ]
+        if len(request.body) > PART_BYTES:
+            self.write(events)
+            self.begin_body(request.body)
+            return
         if request.body:
             events.append(h11.Data(data=request.body))
         events.append(h11.EndOfMessage())
-        parts = [self._http.send(event) for event in events]
-        self._transport.write(b''.join(part for part in parts if part))
+        self.write(events)
 
     async def read_head(self, read_seconds: float) -> h11.Response:
         """
@@ -249,6 +259,7 @@
                 self.address, 'this host closed it'
             )
         self._is_closed = True
+        self.drop_body()
         if self._transport is not None:
             self._transport.abort()
         self._wakeup.set()
--- a/packages/clients/ladder_clients/exchanges/responses.py
+++ b/packages/clients/ladder_clients/exchanges/responses.py
@@ -1,7 +1,9 @@
 """HTTP response whose body is read as it arrives."""
 
 import asyncio
+import io
 from abc import ABC, abstractmethod
+from collections.abc import Awaitable, Callable
 
 from loguru import logger
 from prometheus_client import Counter
@@ -12,6 +14,8 @@
 )
 from ladder_clients.exchanges.messages import Header, Timeouts, find_header
 
+HoldResponse = Callable[[int], Awaitable[None]]
+
 # Largest body that `StreamedResponse.read` accepts by default: twice the
 # largest object of the store.
 _MAX_BODY_BYTES = 16_777_216
@@ -73,6 +77,12 @@
         Longest time without a received byte while the body is read, and for a
         whole body.
 
+    Attributes
+    ----------
+    before_growth : callable or None
+        Awaited with the declared size before a whole body is read, and with
+        the present size as it grows. Nothing is read meanwhile.
+
     """
 
     def __init__(
@@ -82,6 +92,7 @@
         headers: tuple[Header, ...],
         timeouts: Timeouts,
     ) -> None:
+        self.before_growth: HoldResponse | None = None
         self.status = status
         self.headers = headers
         self._source = source
@@ -139,7 +150,8 @@
             The body was truncated, or did not end in time.
 
         """
-        body = bytearray()
+        # Unlike a bytearray, it is not copied as a whole at the end.
+        body = io.BytesIO()
         try:
             async with asyncio.timeout(self._timeouts.body_seconds):
                 await self._read_into(body, max_bytes)
@@ -150,12 +162,18 @@
                 f' {self._timeouts.body_seconds} s',
                 remedy='read back whether the request took effect',
             ) from error
-        return bytes(body)
+        return body.getvalue()
 
-    async def _read_into(self, body: bytearray, max_bytes: int) -> None:
+    async def _read_into(self, body: io.BytesIO, max_bytes: int) -> None:
+        before_growth = self.before_growth
+        if before_growth is not None:
+            declared = self.find_header(b'content-length') or '0'
+            await before_growth(min(int(declared), max_bytes))
         while chunk := await self.read_chunk():
-            body += chunk
-            if len(body) > max_bytes:
+            body.write(chunk)
+            if before_growth is not None:
+                await before_growth(body.tell())
+            if body.tell() > max_bytes:
                 self._record_cut('size', body)
                 raise ResponseTooLargeError(
                     f'{self._source.address}: an answer is over'
@@ -163,7 +181,7 @@
                     remedy='read it in parts',
                 )
 
-    def _record_cut(self, limit: str, body: bytes | bytearray) -> None:
+    def _record_cut(self, limit: str, body: io.BytesIO) -> None:
         """Count and log a response that is cut, with its first bytes."""
         _cut_counter.labels(limit).inc()
         logger.warning(
@@ -171,7 +189,7 @@
             ' it begins with {}',
             self._source.address,
             self.status,
-            len(body),
+            body.tell(),
             limit,
-            bytes(body[:_LOGGED_BYTES]),
+            bytes(body.getbuffer()[:_LOGGED_BYTES]),
         )
--- a/packages/clients/ladder_clients/replicas/messages.py
+++ b/packages/clients/ladder_clients/replicas/messages.py
@@ -1,9 +1,9 @@
 """Requests to replicas and parts of their responses."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 
-from ladder_clients.exchanges import Header
+from ladder_clients.exchanges import Header, HoldResponse
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +35,8 @@
         the stream; empty if the request names none.
     organisation : str
         Name of the organisation that sent it; empty for none.
+    hold_response : callable or None
+        Awaited with the size of a whole response before it is read.
 
     """
 
@@ -48,6 +50,9 @@
     last_event: int = 0
     first_attempt: str = ''
     organisation: str = ''
+    hold_response: HoldResponse | None = field(
+        default=None, compare=False, repr=False
+    )
 
 
 @dataclass(frozen=True, slots=True)
