Bound what clients make a node hold

Cause: a node kept each body until its end, parsed heads of any size that came in one piece, read on pipelined requests without end, read whole answers for callers that did not take them, and kept connections that never went on. Nothing counted bytes or connections.

Change: one ByteBudget for each process, derived from limits.memoryMb; one ClientGuard for the connections of all its servers, derived from limits.maxFds; an extended uvicorn protocol and an admission in front of each application. Bodies are admitted when the application begins to read them, so that a refusal (413, 429) is always true. Heads over the limit get 431. Connections without progress are closed. Whole answers are read from a replica only as far as the budget allows. Bodies are no longer copied as a whole on the way to a replica, of which a node has at most 64 MiB in flight at one replica. asyncio accepted the whole backlog before any connection was counted; now it is four in one turn of the loop.

Ruled out: h11_max_incomplete_event_size does not bound a head that comes in one piece; limit_concurrency refuses readiness checks as well.

The cost of processor time was not measured.

--- a/packages/core/ladder_core/values/routes.py
+++ b/packages/core/ladder_core/values/routes.py
@@ -133,11 +133,17 @@
         Maximum size of the body of a request.
     idle_timeout_seconds : float
         Maximum time that a connection stays open without a request.
+    max_header_bytes : int
+        Maximum size of the header fields of a request.
+    header_timeout_seconds : float
+        Maximum time in which the header fields arrive.
 
     """
 
     max_body_bytes: int = 33_554_432
     idle_timeout_seconds: float = 60
+    max_header_bytes: int = 16_384
+    header_timeout_seconds: float = 3
 
 
 class RouteTable:
--- a/packages/node/ladder_node/forwarding/attempts.py
+++ b/packages/node/ladder_node/forwarding/attempts.py
@@ -8,6 +8,7 @@
 from ladder_core.errors import (
     DeadlineError,
     LadderError,
+    TargetFullError,
     TargetUnavailableError,
 )
 from ladder_core.values import Replica
@@ -17,6 +18,9 @@
 # Time after which a caller may send a refused request again; by then a replica
 # may be free.
 RETRY_AFTER_SECONDS = 0.3
+# Bytes of bodies that this node has in flight at one replica, which crashes if
+# the requests that it holds exceed its memory: two of the largest bodies.
+_MAX_BYTES_IN_FLIGHT = 67_108_864
 
 
 def _ignore() -> None:
@@ -109,13 +113,29 @@
 
 
 @contextlib.contextmanager
-def track_request(record: ReplicaRecord) -> Iterator[None]:
-    """Count a request as in flight at a replica."""
+def track_request(record: ReplicaRecord, body_bytes: int) -> Iterator[None]:
+    """
+    Count a request as in flight at a replica.
+
+    Raises
+    ------
+    TargetFullError
+        The replica has as many bytes of this node as it may; nothing was sent.
+
+    """
+    others_bytes = record.bytes_in_flight
+    if others_bytes and others_bytes + body_bytes > _MAX_BYTES_IN_FLIGHT:
+        raise TargetFullError(
+            f'{record.name} has {others_bytes} bytes of requests in flight',
+            remedy='send the request to another replica',
+        )
     record.in_flight += 1
+    record.bytes_in_flight += body_bytes
     try:
         yield
     finally:
         record.in_flight -= 1
+        record.bytes_in_flight -= body_bytes
 
 
 def make_deadline_error(
--- a/packages/node/ladder_node/forwarding/forwarder.py
+++ b/packages/node/ladder_node/forwarding/forwarder.py
@@ -320,7 +320,7 @@
                 async with self._sender.open(
                     record, request, attempts
                 ) as response:
-                    body = await response.read()
+                    body = await _read_whole(response, request)
         except TimeoutError as error:
             raise TargetTimeoutError(
                 f'{record.name} did not answer within {limit:.2f} s',
@@ -341,3 +341,12 @@
             attempts.failed_response = complete
             return None
         return complete
+
+
+async def _read_whole(
+    response: StreamedResponse, request: CallerRequest
+) -> bytes:
+    """Read a response as far as its memory may be held."""
+    if request.hold_response is not None:
+        response.before_growth = request.hold_response
+    return await response.read()
--- a/packages/node/ladder_node/forwarding/run_sender.py
+++ b/packages/node/ladder_node/forwarding/run_sender.py
@@ -45,7 +45,7 @@
         replica = record.replica
         left = attempts.deadline - self._timers.now()
         may_have_run = record.name in attempts.sent_to
-        with track_request(record):
+        with track_request(record, len(request.body)):
             attempts.sent_to.add(record.name)
             try:
                 async with (
--- a/packages/node/ladder_node/replicas/record.py
+++ b/packages/node/ladder_node/replicas/record.py
@@ -24,6 +24,8 @@
         Latest state, corrected by what this node knows better.
     in_flight : int
         Number of requests of this node that are in flight at the replica.
+    bytes_in_flight : int
+        Bytes of the bodies of these requests.
     listed_at : float
         Time in seconds at which its entry was read last.
 
@@ -32,6 +34,7 @@
     def __init__(self, replica: Replica) -> None:
         self.replica = replica
         self.in_flight = 0
+        self.bytes_in_flight = 0
         self.listed_at: float = 0
         self._has_ended = False
         self._backoff = FailureBackoff()
--- a/packages/node/ladder_node/serving/server.py
+++ b/packages/node/ladder_node/serving/server.py
@@ -3,16 +3,27 @@
 import asyncio
 import contextlib
 import math
+import socket
 from collections.abc import Iterator
+from dataclasses import dataclass
+from functools import partial
+from typing import cast
 
 import uvicorn
 from starlette.types import ASGIApp
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
 from ladder_core.supervision import Component
+from ladder_node.serving.admission import Admission
+from ladder_node.serving.guard import ClientGuard
+from ladder_node.serving.protocol import BoundedProtocol
 
 _START_POLL_INTERVAL_SECONDS = 0.02
 _LISTEN_BACKLOG = 2048
+# Connections that asyncio accepts in one turn of the event loop, before any of
+# them is counted. It accepts the whole backlog otherwise, which may be more
+# than the descriptors of the host.
+_ACCEPTED_AT_ONCE = 4
 
 
 class _Server(uvicorn.Server):
@@ -23,6 +34,38 @@
         yield
 
 
+@dataclass(frozen=True, slots=True)
+class ClientBounds:
+    """
+    Bounds on what a server holds for its clients.
+
+    Attributes
+    ----------
+    guard : ClientGuard
+        Counts what all servers of the process hold.
+    is_reserved : bool
+        Whether the server may use the reserve of connections that is kept for
+        the platform.
+    max_body_bytes : int or None
+        Largest body that a client may declare; the limit of the configuration
+        if None.
+
+    """
+
+    guard: ClientGuard
+    is_reserved: bool = False
+    max_body_bytes: int | None = None
+
+    def wrap(self, app: ASGIApp) -> ASGIApp:
+        """Return an application that admits the requests to another."""
+        return Admission(app, self.guard, self.max_body_bytes)
+
+    def make_protocol_type(self) -> type[asyncio.Protocol]:
+        """Return what makes the protocols of new connections."""
+        make = partial(BoundedProtocol, self.guard, self.is_reserved)
+        return cast('type[asyncio.Protocol]', make)
+
+
 class EntryServer(Component):
     """
     Serve an HTTP application at an address.
@@ -36,6 +79,8 @@
     close_seconds : int or None, optional
         Time limit of a close, after which requests in progress are aborted.
         Without it, a close waits for them.
+    bounds : ClientBounds, optional
+        Bounds what the process holds for clients; without them nothing does.
 
     """
 
@@ -44,18 +89,19 @@
         app: ASGIApp,
         address: str,
         close_seconds: int | None = None,
+        bounds: ClientBounds | None = None,
     ) -> None:
         host, _, port = address.rpartition(':')
         config = uvicorn.Config(
-            app,
+            bounds.wrap(app) if bounds else app,
             host=host,
             port=int(port),
-            backlog=_LISTEN_BACKLOG,
+            backlog=_ACCEPTED_AT_ONCE if bounds else _LISTEN_BACKLOG,
             log_config=None,
             access_log=False,
             lifespan='off',
             loop='asyncio',
-            http='h11',
+            http=bounds.make_protocol_type() if bounds else 'h11',
             timeout_graceful_shutdown=close_seconds,
             server_header=False,
             date_header=False,
@@ -72,6 +118,7 @@
                 await self._task
                 raise RuntimeError('the entry server stopped during its start')
             await asyncio.sleep(_START_POLL_INTERVAL_SECONDS)
+        self._extend_backlog()
 
     def set_keep_alive(self, seconds: float) -> None:
         """
@@ -97,3 +144,12 @@
         self._server.should_exit = True
         await self._task
         self._task = None
+
+    def _extend_backlog(self) -> None:
+        """Let the kernel queue more connections than are accepted at once."""
+        for server in self._server.servers:
+            for listening in server.sockets:
+                with socket.fromfd(
+                    listening.fileno(), listening.family, listening.type
+                ) as duplicate:
+                    duplicate.listen(_LISTEN_BACKLOG)
