--- a/packages/node/ladder_node/forwarding/run_sender.py
+++ b/packages/node/ladder_node/forwarding/run_sender.py
@@ -53,7 +53,7 @@
         replica = record.replica
         left = attempts.deadline - self._timers.now()
         may_have_run = record.name in attempts.sent_to
-        with track_request(record):
+        with track_request(record, len(request.body)):
             attempts.sent_to.add(record.name)
             is_counted = self._count(request, attempts)
             try:
--- a/packages/node/ladder_node/replicas/record.py
+++ b/packages/node/ladder_node/replicas/record.py
@@ -29,6 +29,8 @@
         What is learned of the durations of its responses.
     in_flight : int
         Number of requests of this node that are in flight at the replica.
+    bytes_in_flight : int
+        Bytes of the bodies of these requests.
     listed_at : float
         Time in seconds at which its entry was read last.
     leaves_at : float or None
@@ -43,6 +45,7 @@
         self.replica = replica
         self.capacity = capacity
         self.in_flight = 0
+        self.bytes_in_flight = 0
         self.listed_at: float = 0
         self.leaves_at: float | None = None
         self._has_ended = False
