Hold the memory that a submission takes once it is decoded

Cause: a body of legal size that consists of very many short fields takes many times its size once it is decoded, which the byte budget did not count.

--- a/packages/node/ladder_node/serving/admission.py
+++ b/packages/node/ladder_node/serving/admission.py
@@ -69,6 +69,22 @@
         self._fields = size
         self._budget.hold(HeldKind.head, size)
 
+    def hold_decoded(self, size: int) -> None:
+        """
+        Hold the memory that a body takes once it is decoded.
+
+        Raises
+        ------
+        OverloadedError
+            It does not fit; the request has not run.
+
+        """
+        if size <= _SMALL_BYTES:
+            return
+        self._require(lambda: self._budget.admits(size))
+        self._fields += size
+        self._budget.hold(HeldKind.head, size)
+
     def hold_body(self, size: int) -> None:
         """
         Hold a body of some size altogether.
--- a/packages/node/ladder_node/serving/budget.py
+++ b/packages/node/ladder_node/serving/budget.py
@@ -32,7 +32,7 @@
     Attributes
     ----------
     head
-        Header fields of requests in progress.
+        Header fields of requests in progress, and decoded bodies.
     body
         Bodies of requests, from their admission until the response is sent.
     response
