--- a/tests/test_environment.py
+++ b/tests/test_environment.py
@@ -78,7 +78,10 @@
 
 @pytest.fixture
 def tree(tmp_path):
-    return Tree(tmp_path)
+    made = Tree(tmp_path)
+    yield made
+    # Processes of a test that failed would wait for permission for ever.
+    made.permit()
 
 
 def count_creations(tree):
