Go on with usage reports beside rows that can't be read

Cause: one odd row stopped the reports of all organisations, or changed them. A report or progress that can't be decoded stopped the duty; a count beyond 64 bits can't be encoded, a negative one was added; a short or non-ASCII key became a window; a row at a window that is still to be frozen made its freeze conflict for ever.

Change: rows are checked when they are decoded, and odd ones are reported and left out; a freeze replaces a row that no freeze has written; with a lost progress reports go on two windows later, so that no window is reported twice.

--- a/packages/node/ladder_node/usage/ledger.py
+++ b/packages/node/ladder_node/usage/ledger.py
@@ -16,8 +16,8 @@
     Row,
     Transaction,
     Write,
+    report_malformed,
 )
-from ladder_core.errors import StoreUnavailableError
 from ladder_core.messages import decode_json
 from ladder_node.leases import Lease, make_fencing_condition
 from ladder_node.usage.rows import (
@@ -53,12 +53,29 @@
         Revision of the row with the progress; zero for no row.
     reports : dict of int to ReportRow
         Frozen reports by window.
+    odd_revisions : dict of str to int
+        Revisions of rows, by key, that no freeze has written. The freeze of
+        their window replaces them.
+    is_progress_lost : bool
+        Whether the row with the progress can't be read.
 
     """
 
     next_window: int | None = None
     revision: int = 0
     reports: dict[int, ReportRow] = field(default_factory=dict)
+    odd_revisions: dict[str, int] = field(default_factory=dict)
+    is_progress_lost: bool = False
+
+    def drop_unfrozen(self) -> None:
+        """
+        Drop the reports that no freeze has written.
+
+        A freeze moves the progress beyond its windows in one transaction.
+        """
+        for window in tuple(self.reports):
+            if self.next_window is None or window >= self.next_window:
+                self.reports.pop(window)
 
 
 class ReportLedger:
@@ -85,21 +102,28 @@
         """
         Return the progress and all reports that were frozen.
 
+        Rows that can't be read are reported and left out.
+
         Raises
         ------
         StoreUnavailableError
-            The store does not answer, or a row is malformed.
+            The store does not answer.
 
         """
         state = LedgerState()
         for row in await self._table.scan(REPORTS_TABLE):
             if row.key == PROGRESS_KEY:
                 progress = _decode(row, ProgressRow)
-                state.next_window = progress.next_window
                 state.revision = row.revision
-            else:
-                report = _decode(row, ReportRow)
+                state.is_progress_lost = progress is None
+                state.next_window = progress and progress.next_window
+                continue
+            state.odd_revisions[row.key] = row.revision
+            report = _decode(row, ReportRow)
+            if report is not None and row.key == format_window(report.window):
                 state.reports[report.window] = report
+        if not state.is_progress_lost:
+            state.drop_unfrozen()
         return state
 
     async def freeze(
@@ -146,8 +170,10 @@
                 make_fencing_condition(lease),
                 Condition(REPORTS_TABLE, PROGRESS_KEY, state.revision),
                 *(
-                    Condition(REPORTS_TABLE, format_window(window), 0)
-                    for window in frozen
+                    Condition(
+                        REPORTS_TABLE, key, state.odd_revisions.get(key, 0)
+                    )
+                    for key in map(format_window, frozen)
                 ),
             ),
             (
@@ -275,11 +301,9 @@
         )
 
 
-def _decode(row: Row, content_type: type[_Content]) -> _Content:
+def _decode(row: Row, content_type: type[_Content]) -> _Content | None:
     try:
         return decode_json(row.body, content_type)
     except msgspec.DecodeError as error:
-        raise StoreUnavailableError(
-            f'row {row.key} of {row.table} is malformed: {error}',
-            remedy='remove the row',
-        ) from error
+        report_malformed(REPORTS_TABLE, row.key, error)
+        return None
--- a/packages/node/ladder_node/usage/reporter.py
+++ b/packages/node/ladder_node/usage/reporter.py
@@ -156,7 +156,12 @@
         # The clock of this host may differ from those of the nodes that count.
         rows = await self._ledger.read_oldest_counts()
         self._clock.observe(rows)
-        if state.next_window is None:
+        if state.is_progress_lost:
+            # Windows up to the present one may have been reported, also by a
+            # holder whose clock was ahead by one.
+            state.next_window = self._find_last_due() + 2
+            state.drop_unfrozen()
+        elif state.next_window is None:
             windows = [find_row_window(row) for row in rows]
             state.next_window = min(
                 (window for window in windows if window is not None),
--- a/packages/node/ladder_node/usage/rows.py
+++ b/packages/node/ladder_node/usage/rows.py
@@ -1,12 +1,14 @@
 """Rows in which counts and reports of usage are stored."""
 
+import re
 from collections import Counter
 from collections.abc import Iterable
+from typing import Annotated
 
 import msgspec
 import xxhash
 
-from ladder_clients.table import Row
+from ladder_clients.table import Row, report_malformed
 from ladder_core.messages import decode_json
 
 COUNTS_TABLE = 'usage_counts'
@@ -17,6 +19,13 @@
 # second.
 _PARTITIONS = 4
 _WINDOW_DIGITS = 12
+_COUNTS_KEY = re.compile(r'(\d{12})/.+/.+', re.ASCII)
+# Larger numbers are not exact in all decoders of JSON, and sums of them can't be
+# encoded.
+_MAX_NUMBER = 2**53
+
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
+_Milliseconds = Annotated[int, msgspec.Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
 
 
 class CountsRow(msgspec.Struct, frozen=True):
@@ -33,8 +42,8 @@
 
     """
 
-    counts: dict[str, int]
-    clock_offset: int | None = None
+    counts: dict[str, _Count]
+    clock_offset: _Milliseconds | None = None
 
 
 class ReportRow(msgspec.Struct, frozen=True):
@@ -56,8 +65,8 @@
 
     """
 
-    window: int
-    counts: dict[str, int]
+    window: _Count
+    counts: dict[str, _Count]
     holder: str = ''
     epoch: int = 0
     rows: int = 0
@@ -75,7 +84,7 @@
 
     """
 
-    next_window: int
+    next_window: _Count
 
 
 def list_parts() -> list[str]:
@@ -104,8 +113,8 @@
 
 def find_row_window(row: Row) -> int | None:
     """Return the window of a row; None if its key names none."""
-    digits = row.key[:_WINDOW_DIGITS]
-    return int(digits) if digits.isdecimal() else None
+    match = _COUNTS_KEY.fullmatch(row.key)
+    return int(match.group(1)) if match else None
 
 
 def find_row_node(row: Row) -> str:
@@ -122,10 +131,17 @@
 
 
 def sum_counts(rows: Iterable[Row]) -> dict[str, int]:
-    """Return the sum of the counts of rows, without organisations at zero."""
+    """
+    Return the sum of the counts of rows, without organisations at zero.
+
+    A row that can't be read is reported and left out.
+    """
     total: Counter[str] = Counter()
     for row in rows:
-        total.update(decode_counts(row).counts)
+        try:
+            total.update(decode_json(row.body, CountsRow).counts)
+        except msgspec.DecodeError as error:
+            report_malformed(COUNTS_TABLE, row.key, error)
     return {name: count for name, count in sorted(total.items()) if count > 0}
 
 
--- a/packages/node/ladder_node/usage/tests/test_reports.py
+++ b/packages/node/ladder_node/usage/tests/test_reports.py
@@ -5,11 +5,13 @@
 import pytest
 
 from ladder_clients.cloud import CallOutcome
+from ladder_clients.table import Transaction, Write
 from ladder_node.usage import ReportTerms
 from ladder_node.usage.ledger import ReportLedger
 from ladder_node.usage.metrics import LATE_REQUESTS, LATE_ROWS
 from ladder_node.usage.rows import (
     COUNTS_TABLE,
+    PROGRESS_KEY,
     REPORTS_TABLE,
     ReportRow,
     list_parts,
@@ -468,3 +470,77 @@
     takeover_seconds = TERM.duration_seconds + 0.5 * 1.25**2
     seconds = terms.freeze_seconds + takeover_seconds + HANDOVER_SECONDS
     assert seconds < LATE_SECONDS - 0.5
+
+
+async def write_row(node, table, key, body, part=''):
+    """Write a row as another writer than this build leaves it."""
+    write = Write(table, key, body, part)
+    await node.table.commit(Transaction(key, (), (write,)))
+
+
+ODD_ROWS = {
+    'counts that are no number': '{"counts":{"acme":"3"}}',
+    'a count beyond 64 bits': '{"counts":{"acme":' + '9' * 40 + '}}',
+    'a negative count': '{"counts":{"acme":-5}}',
+    'an offset beyond 64 bits': '{"counts":{},"clock_offset":'
+    + '9' * 400
+    + '}',
+    'no JSON': '\ufffd{',
+    'deep nesting': '{"counts":' + '[' * 5000,
+}
+
+
+@pytest.mark.parametrize('body', ODD_ROWS.values(), ids=ODD_ROWS)
+async def test_odd_counts_of_a_stranger_cost_only_themselves(deployment, body):
+    """One bad row must not stop the reports of all organisations."""
+    anna = await deployment.add('anna')
+    window = deployment.window
+    anna.send(number=2)
+    key = f'{window:012d}/stranger/x'
+    await write_row(anna, COUNTS_TABLE, key, body, list_parts()[0])
+    await deployment.advance_to(window + 4)
+    assert deployment.platform.counts[window] == {'acme': 2}
+    assert deployment.platform.counts[window + 1] == {}
+
+
+@pytest.mark.parametrize('key', ['5', '\u0663' * 12, 'x', '000000000005'])
+async def test_odd_keys_of_a_stranger_cost_only_themselves(deployment, key):
+    anna = await deployment.add('anna')
+    window = deployment.window
+    await write_row(anna, COUNTS_TABLE, key, '{}', list_parts()[0])
+    anna.send(number=2)
+    await deployment.advance_to(window + 4)
+    assert deployment.platform.counts[window] == {'acme': 2}
+    assert min(deployment.platform.counts) == window
+
+
+@pytest.mark.parametrize('body', ['{', '{"window":"x"}', '{"window":7}'])
+async def test_odd_report_of_a_stranger_stops_no_others(deployment, body):
+    """The duty must go on beside a report that can't be read."""
+    anna = await deployment.add('anna')
+    window = deployment.window
+    key = f'{window - 20:012d}'
+    await write_row(anna, REPORTS_TABLE, key, body)
+    anna.send(number=2)
+    await deployment.advance_to(window + 4)
+    assert deployment.platform.counts[window] == {'acme': 2}
+    assert 7 not in deployment.platform.counts
+
+
+@pytest.mark.parametrize('body', ['{', '{"next_window":"x"}'])
+async def test_odd_progress_repeats_no_window(deployment, body):
+    """Windows that were reported must not be reported with other counts."""
+    anna = await deployment.add('anna')
+    window = deployment.window
+    anna.send(number=2)
+    await deployment.advance_to(window + 3)
+    await write_row(anna, REPORTS_TABLE, PROGRESS_KEY, body)
+    await anna.kill()
+    bert = await deployment.add('bert')
+    await deployment.timers.advance(21)
+    later = deployment.window
+    bert.send(number=3)
+    await deployment.timers.advance(30)
+    sent = [one.window for one in deployment.platform.reports]
+    assert sent.count(window) == 1
+    assert deployment.platform.counts[later] == {'acme': 3}
