Shut no organisation out by reports of peers, and refuse at once what is late

Cause: the handicap of an organisation that other nodes served grew by eight turns with each answer, so a waiting request stood behind more than 200 others; and a request that waited for room was refused only when its deadline had passed.

Change: all answers together move an organisation back by eight turns at most; waiting ends a request's mean duration before the deadline.

--- a/packages/node/ladder_node/room/rooms.py
+++ b/packages/node/ladder_node/room/rooms.py
@@ -194,7 +194,9 @@
         _waiting_gauge.labels(service).set(room.queue.waiting)
         waiting = asyncio.ensure_future(started.wait())
         limit = asyncio.ensure_future(
-            self._timers.sleep(claim.deadline - self._timers.now())
+            self._timers.sleep(
+                claim.deadline - room.queue.mean_seconds - self._timers.now()
+            )
         )
         try:
             await asyncio.wait(
--- a/packages/node/ladder_node/room/tests/test_rooms.py
+++ b/packages/node/ladder_node/room/tests/test_rooms.py
@@ -161,3 +161,13 @@
     order = [party for party in harness.done if party != 'large']
     assert order[:1] == ['local']
     await other.close()
+
+
+async def test_waiting_request_is_refused_once_it_can_not_be_served(harness):
+    """It must not be held until its deadline has passed."""
+    await fill(harness)
+    waiting = harness.send('small', deadline=0.5)
+    await harness.timers.advance(0.47)
+    error = waiting.exception()
+    assert isinstance(error, OverloadedError)
+    assert error.execution is Execution.not_run
--- a/packages/policy/ladder_policy/shares/fair_queue.py
+++ b/packages/policy/ladder_policy/shares/fair_queue.py
@@ -123,6 +123,11 @@
         """Number of requests that have room."""
         return self._in_flight
 
+    @property
+    def mean_seconds(self) -> float:
+        """Mean duration of a request at the service."""
+        return self._mean_seconds
+
     @property
     def waiting(self) -> int:
         """Number of requests that wait for room."""
@@ -223,10 +228,14 @@
             extra = min(served_elsewhere.get(party, 0) - least, _MAX_HANDICAP)
             self._shift(party, extra)
 
-    def _shift(self, party: str, extra: int) -> None:
-        for claim in self._waiting:
-            if claim.party == party:
-                claim.start_tag += extra
+    def _shift(self, party: str, extra: float) -> None:
+        claims = [claim for claim in self._waiting if claim.party == party]
+        # Reports add up to no more than the largest handicap.
+        first_tag = min(claim.start_tag for claim in claims)
+        room = self._virtual_time + _MAX_HANDICAP - first_tag
+        extra = min(extra, max(room, 0))
+        for claim in claims:
+            claim.start_tag += extra
         self._finish_tags[party] = self._finish_tags.get(party, 0) + extra
 
     def _tag(self, claim: Claim) -> None:
--- a/packages/policy/ladder_policy/shares/tests/test_load_patterns.py
+++ b/packages/policy/ladder_policy/shares/tests/test_load_patterns.py
@@ -151,3 +151,18 @@
         service.pass_time(0.1)
     service.pass_time(2)
     assert service.count('spread') >= 15
+
+
+def test_reports_of_peers_do_not_add_up(service):
+    """Repeated reports must not shut a waiting organisation out."""
+    for _ in range(12):
+        service.send('local', patience=60)
+    waiting = service.send('spread', patience=60)
+    for _ in range(50):
+        service.queue.handicap({'spread': 1000})
+    before = service.count('local')
+    while waiting.started_at is None and service.count('local') < 200:
+        for _ in range(6):
+            service.send('local', patience=60)
+        service.pass_time(0.05)
+    assert service.count('local') - before < 40
