--- a/packages/node/ladder_node/usage/ledger.py
+++ b/packages/node/ladder_node/usage/ledger.py
@@ -116,7 +116,8 @@
                 progress = _decode(row, ProgressRow)
                 state.revision = row.revision
                 state.is_progress_lost = progress is None
-                state.next_window = progress and progress.next_window
+                if progress is not None:
+                    state.next_window = progress.next_window
                 continue
             state.odd_revisions[row.key] = row.revision
             report = _decode(row, ReportRow)
--- a/packages/node/ladder_node/usage/rows.py
+++ b/packages/node/ladder_node/usage/rows.py
@@ -20,9 +20,9 @@
 _PARTITIONS = 4
 _WINDOW_DIGITS = 12
 _COUNTS_KEY = re.compile(r'(\d{12})/.+/.+', re.ASCII)
-# Larger numbers are not exact in all decoders of JSON, and sums of them can't be
-# encoded.
-_MAX_NUMBER = 2**53
+# Larger numbers are not exact in all decoders of JSON, and sums of them can
+# not be encoded.
+_MAX_NUMBER = 9_007_199_254_740_992
 
 _Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
 _Milliseconds = Annotated[int, msgspec.Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
--- a/packages/policy/ladder_policy/shares/fair_queue.py
+++ b/packages/policy/ladder_policy/shares/fair_queue.py
@@ -225,18 +225,14 @@
         )
         parties = {claim.party for claim in self._waiting}
         for party in parties:
-            extra = min(served_elsewhere.get(party, 0) - least, _MAX_HANDICAP)
-            self._shift(party, extra)
-
-    def _shift(self, party: str, extra: float) -> None:
-        claims = [claim for claim in self._waiting if claim.party == party]
-        # Reports add up to no more than the largest handicap.
-        first_tag = min(claim.start_tag for claim in claims)
-        room = self._virtual_time + _MAX_HANDICAP - first_tag
-        extra = min(extra, max(room, 0))
-        for claim in claims:
-            claim.start_tag += extra
-        self._finish_tags[party] = self._finish_tags.get(party, 0) + extra
+            claims = [claim for claim in self._waiting if claim.party == party]
+            # Reports add up to no more than the largest handicap.
+            first_tag = min(claim.start_tag for claim in claims)
+            room = self._virtual_time + _MAX_HANDICAP - first_tag
+            extra = min(served_elsewhere.get(party, 0) - least, max(room, 0))
+            for claim in claims:
+                claim.start_tag += extra
+            self._finish_tags[party] = self._finish_tags.get(party, 0) + extra
 
     def _tag(self, claim: Claim) -> None:
         finish = self._finish_tags.get(claim.party, 0)
