Parse what costs much time one slice in each turn of the event loop

Callers saw no answer for more than 50 s while 40 clients sent bodies of 12 MB in chunks of one byte. Cause: all bytes of a read are parsed at once, 64 KiB of such chunks take 0.2 s, and each connection of the crowd had its turn before any other one. Ruled out: memory, which is bounded (51 MB).

A connection parses 64 parts at once. If bytes are left, or a head is over 4 KiB, it waits in a queue of the process, which parses one slice a turn, and is not read from meanwhile. A connection that waits without progress may be closed if connections run short: a client that has left is not noticed while its connection is not read from, and such connections kept new callers out for 9.5 s.

--- a/packages/node/ladder_node/serving/guard.py
+++ b/packages/node/ladder_node/serving/guard.py
@@ -12,6 +12,7 @@
 from ladder_core.values import CallerLimits
 from ladder_node.serving.budget import ByteBudget, HostLimits
 from ladder_node.serving.metrics import CLIENT_CONNECTIONS
+from ladder_node.serving.parse_queue import ParseQueue
 from ladder_node.serving.rejections import Reason, RejectionLog
 
 _SWEEP_SECONDS = 0.5
@@ -37,6 +38,8 @@
         The start of a request.
     head, body
         The rest of a head or of a body.
+    parsing
+        Its turn to have received bytes parsed.
     running
         The application.
     discarding
@@ -49,6 +52,7 @@
     idle = auto()
     head = auto()
     body = auto()
+    parsing = auto()
     running = auto()
     discarding = auto()
     writing = auto()
@@ -151,6 +155,8 @@
         Counts the bytes that are held.
     rejections : RejectionLog
         Counts what is rejected and closed.
+    parse_queue : ParseQueue
+        Parses what costs much time, in turns.
     callers : CallerLimits
         Limits of the configuration in force.
 
@@ -161,6 +167,7 @@
     ) -> None:
         self.budget = ByteBudget(limits.budget_bytes)
         self.rejections = RejectionLog(timeline)
+        self.parse_queue = ParseQueue()
         self.callers = CallerLimits()
         self._max_connections = limits.max_connections
         self._timers = timers
--- a/packages/node/ladder_node/serving/protocol.py
+++ b/packages/node/ladder_node/serving/protocol.py
@@ -8,7 +8,7 @@
 
 import h11
 from uvicorn.config import Config
-from uvicorn.protocols.http.flow_control import FlowControl
+from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT, FlowControl
 from uvicorn.protocols.http.h11_impl import H11Protocol
 from uvicorn.server import ServerState
 
@@ -29,6 +29,10 @@
 _READ_BYTES = 65_536
 # Bytes of pipelined requests that wait for the one in progress.
 _MAX_PIPELINED_BYTES = 65_536
+# Parts of requests (heads, pieces of bodies, ends) that are parsed at once.
+_SLICE_EVENTS = 64
+# A larger head may have many fields, and is parsed in a turn of its own.
+_MAX_PROMPT_HEAD_BYTES = 4096
 
 _logger = logging.getLogger('uvicorn.error.bounded')
 _logger.setLevel(logging.ERROR)
@@ -44,17 +48,41 @@
     whole is parsed at any size. The fields may have as many bytes as the limit,
     and the request line as many again.
 
+    Events are parsed in slices. At the end of a slice the parser asks for data
+    though it may have some left.
+
     """
 
     def __init__(self, max_header_bytes: int) -> None:
         super().__init__(h11.SERVER, 2 * max_header_bytes)
         self.error_status: int | None = None
+        self.is_cut = False
         self._max_header_bytes = max_header_bytes
+        self._events_left = 0
+        self._is_own_turn = False
+
+    def begin_slice(self, *, is_own_turn: bool) -> None:
+        """
+        Allow some events.
+
+        Parameters
+        ----------
+        is_own_turn : bool
+            Whether this connection is the only one that is parsed in this turn
+            of the event loop, so that a large head may be.
+
+        """
+        self.is_cut = False
+        self._events_left = _SLICE_EVENTS
+        self._is_own_turn = is_own_turn
 
     def next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         """Return the next event; raise if a head is over the limit."""
-        if self.their_state is h11.IDLE:
-            self._check_size()
+        is_deferred = self.their_state is h11.IDLE and self._defers_head()
+        if is_deferred or not self._events_left:
+            self.is_cut = True
+            return h11.NEED_DATA
+        self._events_left -= 1
         try:
             event = super().next_event()
         except h11.RemoteProtocolError as error:
@@ -64,13 +92,16 @@
             self._check_fields(event)
         return event
 
-    def _check_size(self) -> None:
+    def _defers_head(self) -> bool:
+        """Return whether a head waits for a turn; raise if it is too large."""
         max_bytes = 2 * self._max_header_bytes
         buffered = self.trailing_data[0]
-        if len(buffered) <= max_bytes:
-            return
-        if _HEAD_END.search(buffered, 0, max_bytes) is None:
-            self._reject()
+        if len(buffered) > max_bytes:
+            if _HEAD_END.search(buffered, 0, max_bytes) is None:
+                self._reject()
+        if self._is_own_turn or len(buffered) <= _MAX_PROMPT_HEAD_BYTES:
+            return False
+        return _HEAD_END.search(buffered, 0, _MAX_PROMPT_HEAD_BYTES) is None
 
     def _check_fields(self, request: h11.Request) -> None:
         size = sum(len(name) + len(text) + 4 for name, text in request.headers)
@@ -86,16 +117,24 @@
 
 
 class _BoundedFlow(FlowControl):
-    """Flow control that reads no further pipelined requests over a limit."""
+    """
+    Flow control that reads no more than is parsed.
+
+    Pipelined requests over a limit and bytes that wait for their slice are
+    parsed before more are read.
+    """
 
     def __init__(
         self, transport: asyncio.Transport, http: h11.Connection
     ) -> None:
         super().__init__(transport)
+        self.is_parsing = False
         self._http = http
 
     def resume_reading(self) -> None:
-        """Resume reading unless enough pipelined requests wait."""
+        """Resume reading unless enough received bytes wait."""
+        if self.is_parsing:
+            return
         if self.read_paused and self._http.their_state is h11.DONE:
             if len(self._http.trailing_data[0]) > _MAX_PIPELINED_BYTES:
                 return
@@ -160,6 +199,7 @@
         self._received_bytes = 0
         self._requests = 0
         self._is_refused = False
+        self._is_own_turn = False
 
     @property
     def address(self) -> str:
@@ -181,6 +221,8 @@
         """What the connection waits for."""
         if self.transport.get_write_buffer_size():
             return Phase.writing
+        if self._flow.is_parsing:
+            return Phase.parsing
         cycle = self.cycle
         if cycle is not None and not cycle.response_complete:
             is_waiting = cycle.more_body and not self.flow.read_paused
@@ -203,7 +245,8 @@
     ) -> None:
         """Register the connection, or close it if there are too many."""
         super().connection_made(transport)
-        self.flow = _BoundedFlow(transport, self.conn)
+        self._flow = _BoundedFlow(transport, self.conn)
+        self.flow = self._flow
         cast('Any', transport).max_size = _READ_BYTES
         self._guard.add(self, is_reserved=self._is_reserved)
 
@@ -219,9 +262,16 @@
             super().data_received(data)
 
     def handle_events(self) -> None:
-        """Handle the requests that were received."""
+        """Handle a slice of what was received, unless it waits for its turn."""
+        if self._flow.is_parsing:
+            return
+        self._http.begin_slice(is_own_turn=self._is_own_turn)
         super().handle_events()
-        if self.flow.read_paused and self.conn.their_state is h11.IDLE:
+        if self._http.is_cut:
+            self.flow.pause_reading()
+            self._flow.is_parsing = True
+            self._guard.parse_queue.add(self._take_turn)
+        elif self.flow.read_paused and self.conn.their_state is h11.IDLE:
             self.flow.resume_reading()
 
     def send_400_response(  # noqa: WPS114 overrides a method of uvicorn
@@ -257,3 +307,16 @@
         if self.holder is not None:
             self.holder.release()
         self.transport.abort()
+
+    def _take_turn(self) -> None:
+        """Handle the next slice, and read on if nothing is left."""
+        self._flow.is_parsing = False
+        if self.transport.is_closing():
+            return
+        self._is_own_turn = True
+        self.handle_events()
+        self._is_own_turn = False
+        body = self.cycle.body if self.cycle else b''
+        has_room = len(body) <= HIGH_WATER_LIMIT
+        if has_room and self.conn.their_state is not h11.DONE:
+            self.flow.resume_reading()
