Share connections to replicas in large data centres

Callers of the large deployment are spread over 195 hosts.

A relaying node reads departures and limits of replicas in what it passes on.

--- a/packages/clients/ladder_clients/replicas/exchanges.py
+++ b/packages/clients/ladder_clients/replicas/exchanges.py
@@ -33,6 +33,9 @@
         which no other request was sent.
     is_direct : bool
         Whether the request must come from this host itself.
+    uses_gateway : bool
+        Whether a request that may be sent twice may go through another host,
+        which has connections to the replica.
     before_send : callable
         Called right before the request is written; an error that it raises
         ends the exchange.
@@ -42,6 +45,7 @@
     request_id: str = ''
     runs_once: bool = False
     is_direct: bool = False
+    uses_gateway: bool = False
     before_send: Callable[[], None] = _ignore
 
 
--- a/packages/clients/ladder_clients/replicas/messages.py
+++ b/packages/clients/ladder_clients/replicas/messages.py
@@ -35,6 +35,9 @@
         the stream; empty if the request names none.
     organisation : str
         Name of the organisation that sent it; empty for none.
+    uses_gateway : bool
+        Whether it may be sent through another host, which has connections to
+        the replica, if it may also be sent twice.
     hold_response : callable or None
         Awaited with the size of a whole response before it is read.
 
@@ -50,6 +53,7 @@
     last_event: int = 0
     first_attempt: str = ''
     organisation: str = ''
+    uses_gateway: bool = False
     hold_response: HoldResponse | None = field(
         default=None, compare=False, repr=False
     )
--- a/packages/node/ladder_node/forwarding/run_sender.py
+++ b/packages/node/ladder_node/forwarding/run_sender.py
@@ -2,6 +2,7 @@
 
 import contextlib
 from collections.abc import AsyncIterator
+from dataclasses import replace
 
 from ladder_clients.exchanges import StreamedResponse
 from ladder_clients.replicas import CallerRequest, ReplicaClient
@@ -53,6 +54,9 @@
         replica = record.replica
         left = attempts.deadline - self._timers.now()
         may_have_run = record.name in attempts.sent_to
+        if attempts.tried:
+            # The gateway may be why the first attempt failed.
+            request = replace(request, uses_gateway=False)
         with track_request(record, len(request.body)):
             attempts.sent_to.add(record.name)
             is_counted = self._count(request, attempts)
--- a/packages/node/ladder_node/members/rows.py
+++ b/packages/node/ladder_node/members/rows.py
@@ -41,6 +41,9 @@
         service; None if the node did not know it.
     lost_services : tuple of str
         Services that other nodes reach and this one doesn't.
+    is_gateway : bool
+        Whether the node sends requests to replicas for other nodes of its data
+        centre, to share its connections.
 
     """
 
@@ -56,6 +59,7 @@
     capacity: float = 1
     service_wrote_at: int | None = None
     lost_services: tuple[str, ...] = ()
+    is_gateway: bool = False
 
 
 def decode_member(row: Row) -> Member:
--- a/packages/node/ladder_node/replica_paths/parts.py
+++ b/packages/node/ladder_node/replica_paths/parts.py
@@ -9,6 +9,7 @@
 from ladder_core.timers import TimerService
 from ladder_node.members import Member
 from ladder_node.replica_paths.comparer import PathComparer
+from ladder_node.replica_paths.gateways import GatewayDirectory
 from ladder_node.replica_paths.messages import PathSender
 from ladder_node.replica_paths.monitor import ReplicaPaths
 from ladder_node.replica_paths.probe import ComparedProbe
@@ -32,6 +33,8 @@
     probe : TargetProbe
         Tells replicas that have crashed from those that this node has lost
         its path to.
+    gateways : GatewayDirectory
+        Lists the nodes whose connections to replicas this one shares.
 
     """
 
@@ -39,6 +42,7 @@
     comparer: PathComparer
     paths: ReplicaPaths
     probe: TargetProbe
+    gateways: GatewayDirectory
 
 
 def make_path_parts(
@@ -55,4 +59,5 @@
     comparer = PathComparer(pool, registry, relays, sender, timers)
     paths = ReplicaPaths(pool, registry, relays, comparer, timers, timeline)
     probe = ComparedProbe(TcpProbe(timers), comparer, registry, paths.is_lost)
-    return PathParts(relays, comparer, paths, probe)
+    gateways = GatewayDirectory(own, list_members, timers)
+    return PathParts(relays, comparer, paths, probe, gateways)
--- a/packages/node/ladder_node/replica_paths/relays.py
+++ b/packages/node/ladder_node/replica_paths/relays.py
@@ -5,6 +5,7 @@
 
 from ladder_core.timers import TimerService
 from ladder_node.members import Member
+from ladder_node.replica_paths.source import RelaySource
 from ladder_policy.routing import (
     RelayCandidate,
     is_verifier,
@@ -19,7 +20,7 @@
 _Key = TypeVar('_Key')
 
 
-class RelayDirectory:
+class RelayDirectory(RelaySource):
     """
     List the nodes through which a service may be reached.
 
@@ -86,6 +87,9 @@
         """Record that a node does not reach a replica either, or is busy."""
         self._failed_at[name] = self._timers.now()
 
+    def record_interruption(self, name: str) -> None:
+        """Ignore an exchange that ended early; the replica may be the cause."""
+
     def _list_others(self) -> list[Member]:
         return [
             member
--- a/packages/node/ladder_node/replica_relay/app.py
+++ b/packages/node/ladder_node/replica_relay/app.py
@@ -36,6 +36,7 @@
     RelayOutcome,
     encode_head,
 )
+from ladder_node.replica_relay.observer import ReplicaObserver
 from ladder_node.replicas import ReplicaRecord, ReplicaRegistry
 from ladder_node.serving import Drain, run_while_connected
 
@@ -73,6 +74,8 @@
         Processing capacity of this host, in cores of standard speed.
     drain : Drain
         Tells how much time exchanges have before the node stops.
+    observer : ReplicaObserver or None, optional
+        Is told of the responses, and knows which replicas leave.
 
     """
 
@@ -84,6 +87,7 @@
         find_request_id: FindRequestId,
         capacity: float,
         drain: Drain,
+        observer: ReplicaObserver | None = None,
     ) -> None:
         self._pool = pool
         self._registry = registry
@@ -91,6 +95,7 @@
         self._find_request_id = find_request_id
         self._max_exchanges = max(int(_EXCHANGES_PER_CORE * capacity), 1)
         self._drain = drain
+        self._observer = observer
         self._exchanges = 0
 
     async def __call__(
@@ -153,9 +158,11 @@
                 ),
                 Timeouts(total_seconds, read_seconds, _CONNECT_SECONDS),
                 needs_new_connection=exchange.runs_once,
-                before_send=lambda: _check_stays(record),
+                before_send=lambda: self._check_stays(record),
             ) as response:
                 self._check_origin(exchange, response)
+                if self._observer is not None:
+                    self._observer.record_response(record.replica, response)
                 yield response
         finally:
             record.in_flight -= 1
@@ -182,8 +189,30 @@
                 f'this node does not reach {record.replica.service} either',
                 remedy='relay the request through another node',
             )
+        if exchange.shares_connections:
+            self._check_sharing(record)
         return record
 
+    def _check_sharing(self, record: ReplicaRecord) -> None:
+        """Raise if the sender has to use its own connections."""
+        if self._observer and self._observer.is_limited(record.replica):
+            raise TargetUnavailableError(
+                f'{record.name} limits the rate of requests',
+                remedy='send the request directly',
+            )
+
+    def _check_stays(self, record: ReplicaRecord) -> None:
+        """Raise if a replica gets no more requests."""
+        is_leaving = record.replica.is_leaving or (
+            self._observer is not None
+            and self._observer.is_leaving(record.replica)
+        )
+        if is_leaving or record.has_ended:
+            raise TargetLeavingError(
+                f'{record.name} leaves or has ended; nothing was sent to it',
+                remedy='send the request to another target',
+            )
+
     def _check_origin(
         self, exchange: RelayedExchange, response: StreamedResponse
     ) -> None:
@@ -221,14 +250,6 @@
         await self._send({'type': 'http.response.body', 'body': b''})
 
 
-def _check_stays(record: ReplicaRecord) -> None:
-    if record.replica.is_leaving or record.has_ended:
-        raise TargetLeavingError(
-            f'{record.name} leaves or has ended; nothing was sent to it',
-            remedy='send the request to another target',
-        )
-
-
 def _describe(error: LadderError) -> RelayedHead:
     """Return the head for an exchange that failed before its response."""
     if isinstance(error, UnreachableError | TargetLeavingError):
--- a/packages/node/ladder_node/replica_relay/client.py
+++ b/packages/node/ladder_node/replica_relay/client.py
@@ -1,7 +1,8 @@
 """Send requests to replicas through other nodes."""
 
-from collections.abc import AsyncIterator, Callable
-from contextlib import AsyncExitStack, asynccontextmanager
+import asyncio
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
 
 import msgspec
 from prometheus_client import Counter
@@ -14,6 +15,7 @@
     StreamedResponse,
     Timeouts,
     TransportBrokenError,
+    TransportError,
     UnreachableError,
 )
 from ladder_clients.replicas import ExchangeTerms
@@ -21,7 +23,7 @@
 from ladder_core.messages import decode_msgpack
 from ladder_core.timeline import Timeline
 from ladder_core.values import Replica
-from ladder_node.replica_paths import RelayDirectory
+from ladder_node.replica_paths import RelaySource
 from ladder_node.replica_relay.messages import (
     HEAD_LENGTH_BYTES,
     REPLICA_RELAY_PATH,
@@ -46,6 +48,10 @@
 )
 
 
+class RelayLostError(TransportBrokenError):
+    """The node that relays a request broke off before a response."""
+
+
 class ReplicaRelay:
     """
     Hand exchanges with replicas to nodes that reach them.
@@ -54,19 +60,26 @@
     ----------
     pool : ConnectionPool
         Connections to other nodes.
-    relays : RelayDirectory
+    relays : RelaySource
         Lists the nodes to try.
     timeline : Timeline
         Records through which node each request went.
+    max_nodes : int, optional
+        Largest number of nodes that are tried for a request.
 
     """
 
     def __init__(
-        self, pool: ConnectionPool, relays: RelayDirectory, timeline: Timeline
+        self,
+        pool: ConnectionPool,
+        relays: RelaySource,
+        timeline: Timeline,
+        max_nodes: int = _MAX_NODES,
     ) -> None:
         self._pool = pool
         self._relays = relays
         self._timeline = timeline
+        self._max_nodes = max_nodes
 
     @asynccontextmanager
     async def exchange(
@@ -85,6 +98,8 @@
             No node reaches the replica; nothing was sent to it.
         OverloadedError
             No node can relay the request at present; nothing was sent.
+        RelayLostError
+            The other node broke off; the request may have been executed.
         TransportError
             The exchange failed; the request may have been executed.
 
@@ -99,8 +114,9 @@
             request.target,
             request.headers,
             request.body,
+            terms.uses_gateway,
         )
-        before_send = _call_once(terms.before_send)
+        before_send = call_once(terms.before_send)
         async with AsyncExitStack() as stack:
             yield await self._open(
                 stack, replica, message, timeouts, before_send
@@ -144,7 +160,7 @@
         """Return the nodes to try; one if all of them failed just now."""
         relays = self._relays.list_relays(service)
         sound = [node for node in relays if not node.has_failed]
-        return sound[:_MAX_NODES] or relays[:1]
+        return sound[: self._max_nodes] or relays[:1]
 
     async def _try_node(
         self,
@@ -161,14 +177,18 @@
                 stack, node, message, timeouts, before_send
             )
             outcome = RelayOutcome.answered
-        except _ReplicaUnreachableError:
-            outcome = RelayOutcome.not_sent
-        except (UnreachableError, OverloadedError):
-            outcome = RelayOutcome.unable
+        except (UnreachableError, OverloadedError) as error:
+            is_not_sent = isinstance(error, _ReplicaUnreachableError)
+            outcome = (
+                RelayOutcome.not_sent if is_not_sent else RelayOutcome.unable
+            )
         except NotRunError:
             # This node itself may not send the request to the replica.
             outcome = RelayOutcome.unable
             raise
+        except (TransportError, asyncio.CancelledError):
+            self._relays.record_interruption(node.name)
+            raise
         finally:
             self._record(message, node, outcome)
         return response if outcome is RelayOutcome.answered else outcome
@@ -182,27 +202,27 @@
         before_send: Callable[[], None],
     ) -> StreamedResponse:
         async with AsyncExitStack() as attempt:
-            outer = await attempt.enter_async_context(
-                self._pool.exchange(
-                    node.address,
-                    OutgoingRequest(
-                        b'POST',
-                        REPLICA_RELAY_PATH.encode(),
-                        ((b'Host', node.address.encode()),),
-                        msgspec.msgpack.encode(message),
-                    ),
-                    Timeouts(
-                        timeouts.total_seconds,
-                        timeouts.read_seconds,
-                        _CONNECT_SECONDS,
-                    ),
-                    needs_new_connection=message.runs_once,
-                    before_send=before_send,
-                )
+            exchange = self._pool.exchange(
+                node.address,
+                OutgoingRequest(
+                    b'POST',
+                    REPLICA_RELAY_PATH.encode(),
+                    ((b'Host', node.address.encode()),),
+                    msgspec.msgpack.encode(message),
+                ),
+                Timeouts(
+                    timeouts.total_seconds,
+                    timeouts.read_seconds,
+                    _CONNECT_SECONDS,
+                ),
+                needs_new_connection=message.runs_once,
+                before_send=before_send,
             )
-            _check_status(node, outer.status)
-            body = _RelayedBody(node.address, outer)
-            head = await body.read_head()
+            with _mark_broken_relay():
+                outer = await attempt.enter_async_context(exchange)
+                _check_status(node, outer.status)
+                body = _RelayedBody(node.address, outer)
+                head = await body.read_head()
             _check_outcome(head)
             stack.push_async_exit(attempt.pop_all())
         return StreamedResponse(body, head.status, head.headers, timeouts)
@@ -270,6 +290,15 @@
         )
 
 
+@contextmanager
+def _mark_broken_relay() -> Iterator[None]:
+    """Raise errors of the exchange with a node as such."""
+    try:
+        yield
+    except TransportBrokenError as error:
+        raise RelayLostError(error.message, remedy=error.remedy) from error
+
+
 def _check_status(node: RelayCandidate, status: int) -> None:
     """Raise if another node has not handled an exchange."""
     if status in _UNKNOWN_CALL_STATUSES:
@@ -305,7 +334,7 @@
         )
 
 
-def _call_once(callback: Callable[[], None]) -> Callable[[], None]:
+def call_once(callback: Callable[[], None]) -> Callable[[], None]:
     """Return a callable of which only the first call has an effect."""
     pending = [callback]
 
--- a/packages/node/ladder_node/replica_relay/exchanges.py
+++ b/packages/node/ladder_node/replica_relay/exchanges.py
@@ -2,6 +2,9 @@
 
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import replace
+
+from loguru import logger
 
 from ladder_clients.exchanges import (
     ConnectionPool,
@@ -15,14 +18,60 @@
     ExchangeTerms,
     ReplicaExchanges,
 )
+from ladder_core.errors import OverloadedError
 from ladder_core.values import Replica
-from ladder_node.replica_paths import ReplicaPaths
-from ladder_node.replica_relay.client import ReplicaRelay
+from ladder_node.replica_paths import RelaySource, ReplicaPaths
+from ladder_node.replica_relay.client import (
+    RelayLostError,
+    ReplicaRelay,
+    call_once,
+)
+
+# A larger body costs more on its way through another host than a connection.
+_MAX_GATEWAY_BODY_BYTES = 65_536
+# The gateway did not answer, and its connection to the replica has ended.
+_GATEWAY_ERRORS = (UnreachableError, OverloadedError, RelayLostError)
+
+
+class Gateways:
+    """
+    Send requests over the connections of the gateways of this data centre.
+
+    Parameters
+    ----------
+    source : RelaySource
+        Lists the gateways of this node.
+    relay : ReplicaRelay
+        Hands requests to them.
+
+    """
+
+    def __init__(self, source: RelaySource, relay: ReplicaRelay) -> None:
+        self._source = source
+        self.exchange = relay.exchange
+
+    def may_take(
+        self, replica: Replica, request: OutgoingRequest, terms: ExchangeTerms
+    ) -> bool:
+        """Return whether a request should go through a gateway."""
+        return (
+            terms.uses_gateway
+            and not (terms.is_direct or terms.runs_once)
+            and len(request.body) <= _MAX_GATEWAY_BODY_BYTES
+            and bool(self._source.list_relays(replica.service))
+        )
 
 
 class RoutedExchanges(ReplicaExchanges):
     """
-    Send requests directly, or through another node while the path is lost.
+    Send requests directly, or through another node.
+
+    Explanation
+    -----------
+    While the path to a service is lost, another node that reaches it takes the
+    requests. A request that may be sent twice also goes through another node
+    if this one has no connection and a gateway does; if the gateway fails, the
+    request is sent directly.
 
     Parameters
     ----------
@@ -32,15 +81,22 @@
         Hands requests to other nodes.
     paths : ReplicaPaths
         Services that this host does not reach.
+    gateways : Gateways or None, optional
+        Nodes whose connections this host shares; None for no sharing.
 
     """
 
     def __init__(
-        self, pool: ConnectionPool, relay: ReplicaRelay, paths: ReplicaPaths
+        self,
+        pool: ConnectionPool,
+        relay: ReplicaRelay,
+        paths: ReplicaPaths,
+        gateways: Gateways | None = None,
     ) -> None:
         self._direct = DirectExchanges(pool)
         self._relay = relay
         self._paths = paths
+        self._gateways = gateways
 
     @asynccontextmanager
     async def exchange(
@@ -53,12 +109,19 @@
         """Send a request and yield the open response."""
         exchange = (replica, request, timeouts, terms)
         async with AsyncExitStack() as stack:
-            if self._is_sent_directly(replica, terms):
-                response = await self._open_directly(stack, *exchange)
-            else:
+            if not self._is_sent_directly(replica, terms):
                 response = await stack.enter_async_context(
-                    self._relay.exchange(*exchange)
+                    self._relay.exchange(
+                        replica,
+                        request,
+                        timeouts,
+                        replace(terms, uses_gateway=False),
+                    )
                 )
+            elif self.count_idle(replica):
+                response = await self._open_directly(stack, *exchange)
+            else:
+                response = await self._open_by_gateway(stack, *exchange)
             yield response
 
     def count_idle(self, replica: Replica) -> int:
@@ -75,6 +138,27 @@
             return True
         return not terms.runs_once and self.count_idle(replica) > 0
 
+    async def _open_by_gateway(
+        self,
+        stack: AsyncExitStack,
+        replica: Replica,
+        request: OutgoingRequest,
+        timeouts: Timeouts,
+        terms: ExchangeTerms,
+    ) -> StreamedResponse:
+        """Open an exchange by a gateway, or directly if none takes it."""
+        terms = replace(terms, before_send=call_once(terms.before_send))
+        exchange = (replica, request, timeouts, terms)
+        gateways = self._gateways
+        if gateways is not None and gateways.may_take(replica, request, terms):
+            try:
+                return await stack.enter_async_context(
+                    gateways.exchange(*exchange)
+                )
+            except _GATEWAY_ERRORS as error:
+                logger.debug('gateway not used: {}', error.message)
+        return await self._open_directly(stack, *exchange)
+
     async def _open_directly(
         self,
         stack: AsyncExitStack,
@@ -93,4 +177,8 @@
             is_lost = await self._paths.settle(replica.service)
             if terms.is_direct or not is_lost:
                 raise
-        return await stack.enter_async_context(self._relay.exchange(*exchange))
+        return await stack.enter_async_context(
+            self._relay.exchange(
+                replica, request, timeouts, replace(terms, uses_gateway=False)
+            )
+        )
--- a/packages/node/ladder_node/replica_relay/messages.py
+++ b/packages/node/ladder_node/replica_relay/messages.py
@@ -57,6 +57,9 @@
         The request, without its header.
     headers : tuple of Header
         Header fields of the request.
+    shares_connections : bool
+        Whether the sender itself reaches the replica, and only shares the
+        connections of the other node.
 
     """
 
@@ -69,6 +72,7 @@
     target: bytes
     headers: tuple[Header, ...]
     body: bytes
+    shares_connections: bool = False
 
 
 class RelayedHead(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/node/ladder_node/replica_relay/tests/test_relay.py
+++ b/packages/node/ladder_node/replica_relay/tests/test_relay.py
@@ -52,7 +52,7 @@
 class Peer:
     """A node that relays requests to the replica that it reaches."""
 
-    def __init__(self, replica, capacity=1):
+    def __init__(self, replica, capacity=1, observer=None):
         timers = SystemTimerService()
         timeline = Timeline('peer', HybridClock(timers))
         self.registry = ReplicaRegistry(timers, timeline)
@@ -71,6 +71,7 @@
             lambda response: response.find_header(b'echo'),
             capacity,
             self.drain,
+            observer,
         )
         self.address = f'127.0.0.1:{find_free_ports(1)[0]}'
         self.server = EntryServer(
@@ -92,6 +93,7 @@
         self.target = ScriptedTarget(answer, keeps_connections=True)
         self.peers = []
         self.failed: list[str] = []
+        self.interrupted: list[str] = []
         self.reached: list[str] = []
         self.dead: list[str] = []
         self.known: set[str] = set()
@@ -102,6 +104,7 @@
                 SimpleNamespace(
                     list_relays=self.list_relays,
                     record_failure=self.failed.append,
+                    record_interruption=self.interrupted.append,
                     record_success=lambda name, service: self.reached.append(
                         name
                     ),
@@ -127,8 +130,8 @@
             for name, address in zip(names, addresses, strict=True)
         ]
 
-    async def add_peer(self, replica, capacity=1):
-        peer = Peer(replica, capacity)
+    async def add_peer(self, replica, capacity=1, observer=None):
+        peer = Peer(replica, capacity, observer)
         await peer.server.start()
         self.peers.append(peer)
         return peer
--- a/packages/policy/ladder_policy/routing/__init__.py
+++ b/packages/policy/ladder_policy/routing/__init__.py
@@ -7,6 +7,7 @@
     ForwardCandidate,
     choose_forward_target,
 )
+from ladder_policy.routing.gateways import choose_gateways
 from ladder_policy.routing.least_loaded import LeastLoadedChooser
 from ladder_policy.routing.prefix import PrefixAffinityChooser
 from ladder_policy.routing.relay_switch import RelaySwitch
@@ -30,6 +31,7 @@
     'TargetChooser',
     'TargetCircuitBreaker',
     'choose_forward_target',
+    'choose_gateways',
     'is_verifier',
     'order_relays',
 )
--- a/packages/policy/ladder_policy/routing/relays.py
+++ b/packages/policy/ladder_policy/routing/relays.py
@@ -42,6 +42,17 @@
     has_proved: bool = False
 
 
+def draw_weighted(key: str, candidate: RelayCandidate) -> float:
+    """
+    Return the draw of a host for a key; the least one of several hosts wins.
+
+    A host wins in proportion to its capacity (weighted rendezvous hashing).
+    """
+    digest = xxhash.xxh3_64_intdigest(f'{key}\n{candidate.name}'.encode())
+    drawn = (digest + 1) / (2**_HASH_BITS + 1)
+    return -math.log(drawn) / candidate.capacity
+
+
 def order_relays(
     host: str, candidates: Iterable[RelayCandidate]
 ) -> list[RelayCandidate]:
@@ -74,13 +85,11 @@
     """
 
     def rank(candidate: RelayCandidate) -> tuple[bool, bool, int, float]:
-        weight = f'{host}\n{candidate.name}'.encode()
-        drawn = (xxhash.xxh3_64_intdigest(weight) + 1) / (2**_HASH_BITS + 1)
         return (
             candidate.has_failed,
             not candidate.has_proved,
             candidate.distance,
-            -math.log(drawn) / candidate.capacity,
+            draw_weighted(host, candidate),
         )
 
     places: dict[str, int] = {}
