Probe a path with one connection, and not again for the same slow answer

Cause: an answer that is overdue for 0.4 s puts the path in doubt, and each doubt made two connections at once, every 2 s for as long as the same replica was slow.

Replicas are probed one after the other until one is reached, and an answer that was waited for when the path was found sound counts again only after 8 s, or once a connection can't be made. A path that is lost while a replica is slow is noticed within the same bound; both are shown by tests, the first with 5 connections before and 2 now.

--- a/packages/node/ladder_node/replica_paths/monitor.py
+++ b/packages/node/ladder_node/replica_paths/monitor.py
@@ -151,6 +151,7 @@
             return
         service = record.replica.service
         _unreachable_counter.labels(service).inc()
+        self._prober.record_unreachable(service)
         path = self.find_path(service)
         if record.name not in path.unreachable:
             self._timeline.record(
--- a/packages/node/ladder_node/replica_paths/prober.py
+++ b/packages/node/ladder_node/replica_paths/prober.py
@@ -1,6 +1,6 @@
 """Probes of the paths to replicas by new connections."""
 
-import asyncio
+import math
 from collections.abc import Sequence
 
 from ladder_clients.exchanges import (
@@ -20,6 +20,9 @@
 _INTERVAL_SECONDS = 0.6
 # Pause after a probe that found the path sound.
 _SOUND_INTERVAL_SECONDS = 2
+# Time after such a probe in which answers that were overdue then are put down
+# to their replicas.
+_SLOW_REPLICA_SECONDS = 8
 # Pause between two checks of a quiet path while other hosts have lost theirs.
 _VERIFICATION_INTERVAL_SECONDS = 8
 
@@ -41,6 +44,7 @@
         self._pool = pool
         self._timers = timers
         self._next_at: dict[str, float] = {}
+        self._sound_at: dict[str, float] = {}
         self._verify_at: dict[str, float] = {}
         self._suspected: set[str] = set()
         self._probes = 0
@@ -53,6 +57,10 @@
         """Let the path be probed unless a replica sends something now."""
         self._suspected.add(service)
 
+    def record_unreachable(self, service: str) -> None:
+        """Record that a replica is out of reach since the last sound probe."""
+        self._sound_at.pop(service, None)
+
     def count_needed(
         self, service: str, addresses: Sequence[str], is_verifier: bool
     ) -> int:
@@ -77,7 +85,7 @@
         self, service: str, addresses: Sequence[str], count: int
     ) -> None:
         """
-        Probe some replicas of a service, other ones each time.
+        Probe replicas of a service until one is reached, other ones each time.
 
         Parameters
         ----------
@@ -86,29 +94,27 @@
         addresses : sequence of str
             ``ip:port`` of its replicas, at least one.
         count : int
-            Number of replicas to probe at once.
+            Largest number of replicas to probe one after the other.
 
         """
+        started_at = self._timers.now()
         first = self._probes
         self._probes += count
         chosen = {
-            addresses[(first + offset) % len(addresses)]
+            addresses[(first + offset) % len(addresses)]: None
             for offset in range(count)
         }
-        self._next_at[service] = self._timers.now() + _INTERVAL_SECONDS
+        self._next_at[service] = started_at + _INTERVAL_SECONDS
         self._suspected.discard(service)
-        reached = await asyncio.gather(
-            *(
-                self._pool.probe(address, PROBE_CONNECT_SECONDS)
-                for address in sorted(chosen)
-            )
-        )
-        if Reachability.reached not in reached:
-            self._suspected.add(service)
-        else:
-            self._next_at[service] = (
-                self._timers.now() + _SOUND_INTERVAL_SECONDS
-            )
+        for address in chosen:
+            reached = await self._pool.probe(address, PROBE_CONNECT_SECONDS)
+            if reached is Reachability.reached:
+                self._sound_at[service] = started_at
+                self._next_at[service] = (
+                    self._timers.now() + _SOUND_INTERVAL_SECONDS
+                )
+                return
+        self._suspected.add(service)
 
     def _is_in_doubt(self, service: str, addresses: Sequence[str]) -> bool:
         """
@@ -125,13 +131,18 @@
         -------
         bool
             True if no replica has sent a byte for a while, and an answer is
-            overdue or a connection broke.
+            overdue or a connection broke. An answer that was waited for when
+            the path was last found sound tells nothing of the path.
 
         """
+        sound_at = self._sound_at.get(service, -math.inf)
+        if self._timers.now() - sound_at > _SLOW_REPLICA_SECONDS:
+            sound_at = -math.inf
         waiting = [
             connection.silent_since
             for connection in self._list_connections(addresses)
             if connection.silent_since is not None
+            and connection.silent_since > sound_at
         ]
         is_many = len(waiting) >= _MANY_ANSWERS
         silence = _MANY_SILENT_SECONDS if is_many else _SILENCE_SECONDS
--- a/packages/node/ladder_node/replica_paths/tests/test_paths.py
+++ b/packages/node/ladder_node/replica_paths/tests/test_paths.py
@@ -17,6 +17,7 @@
 from ladder_node.replica_paths.tests.fleet import (
     SERVICES,
     PathFleet,
+    answer,
 )
 from ladder_standins.tcp_proxy import PathLoss
 
@@ -173,6 +174,35 @@
     )
 
 
+async def answer_late(request, writer):
+    await asyncio.sleep(2.8)
+    await answer(request, writer)
+
+
+async def test_slow_answer_costs_one_new_connection(fleet):
+    """Guards against a path that is probed as often as a replica is slow."""
+    node = fleet.nodes['a0']
+    for target in fleet.targets:
+        target.script = answer_late
+    await send(node, 0)
+    assert sum(target.connections for target in fleet.targets) == 2
+    assert not node.paths.list_lost()
+
+
+async def test_path_that_is_lost_while_a_replica_is_slow_is_known(fleet):
+    """Guards against a cut that is put down to the slow replica."""
+    node = fleet.nodes['a0']
+    for target in fleet.targets:
+        target.script = answer_late
+    slow = asyncio.ensure_future(send(node, 0))
+    await asyncio.sleep(1)
+    await cut(node, PathLoss.hang, SERVICES[:1])
+    requests = asyncio.ensure_future(send(node, 1))
+    seconds = await wait_until(lambda: node.paths.list_lost() == SERVICES[:1])
+    assert seconds < 2 * BOUND_SECONDS
+    await asyncio.gather(slow, requests)
+
+
 async def test_replica_that_refuses_one_host_only_has_not_crashed(fleet):
     """
     Guards against requests in quarantine since their host lost its path.
