Notice at once that a silent store responds again

Older calls were given up once a later one was answered, but no later one was sent. Ruled out: the writer's own pause (0.25 s), the store's rates.

The first answer ends the calls that were in flight, long polls too, and calls that were relayed.

--- a/packages/clients/ladder_clients/exchanges/__init__.py
+++ b/packages/clients/ladder_clients/exchanges/__init__.py
@@ -22,6 +22,10 @@
 )
 from ladder_clients.exchanges.pending import PendingExchanges
 from ladder_clients.exchanges.pool import ConnectionPool, PoolLimits
+from ladder_clients.exchanges.recovery import (
+    RecoveryProbe,
+    find_probe_pause,
+)
 from ladder_clients.exchanges.responses import (
     BodySource,
     HoldResponse,
@@ -36,17 +40,19 @@
     'ConnectionPool',
     'Header',
     'HoldResponse',
-    'StreamedResponse',
     'OutgoingRequest',
     'PendingExchanges',
     'PersistentConnection',
     'PoolLimits',
     'Reachability',
+    'RecoveryProbe',
     'ResponseTooLargeError',
     'SilentConnectionError',
+    'StreamedResponse',
     'Timeouts',
     'TransportBrokenError',
     'TransportError',
     'UnreachableError',
     'find_header',
+    'find_probe_pause',
 )
--- a/packages/clients/ladder_clients/exchanges/pending.py
+++ b/packages/clients/ladder_clients/exchanges/pending.py
@@ -53,7 +53,9 @@
         self._timed_out_at = self._timers.now()
 
     @contextlib.asynccontextmanager
-    async def track(self, wait_seconds: float) -> AsyncIterator[None]:
+    async def track(
+        self, wait_seconds: float, *, ends_outage: bool = False
+    ) -> AsyncIterator[None]:
         """
         Track the body of the context as one exchange.
 
@@ -62,6 +64,9 @@
         wait_seconds : float
             Time for which the service may hold back its response, as in a
             long poll; it is not counted as delay.
+        ends_outage : bool, optional
+            Whether a response shows that an outage is over, so that long polls
+            that began before are given up as well.
 
         Raises
         ------
@@ -74,7 +79,7 @@
                 exchange = _Exchange(self._timers.now(), wait_seconds, scope)
                 with self._hold(exchange):
                     yield
-                self._record_response(exchange)
+                self._record_response(exchange, ends_outage=ends_outage)
         except TimeoutError as error:
             raise AbandonedError(
                 'later calls were answered, but not this one',
@@ -89,13 +94,17 @@
         finally:
             self._exchanges.discard(exchange)
 
-    def _record_response(self, answered: _Exchange) -> None:
+    def _record_response(
+        self, answered: _Exchange, *, ends_outage: bool
+    ) -> None:
         now = self._timers.now()
         is_slow = now - answered.started_at > _FAST_RESPONSE_SECONDS
         if is_slow or not self._had_recent_timeout(now):
             return
         for exchange in self._exchanges:
-            age = now - exchange.started_at - exchange.wait_seconds
+            age = now - exchange.started_at
+            if not ends_outage:
+                age -= exchange.wait_seconds
             if (
                 exchange.started_at < answered.started_at
                 and age > _FAST_RESPONSE_SECONDS
--- a/packages/clients/ladder_clients/exchanges/tests/test_pending.py
+++ b/packages/clients/ladder_clients/exchanges/tests/test_pending.py
@@ -122,3 +122,14 @@
     await harness.advance(0.2)
     with pytest.raises(AbandonedError):
         await lost
+
+
+async def test_end_of_an_outage_gives_up_long_polls_too(harness):
+    """Guards against changes that are seen only when a lost poll times out."""
+    poll = harness.begin(9, wait_seconds=3)
+    await harness.advance(0.9)
+    harness.pending.record_timeout()
+    async with harness.pending.track(0, ends_outage=True):
+        await asyncio.sleep(0)
+    with pytest.raises(AbandonedError):
+        await asyncio.wait_for(poll, 0.1)
