--- a/packages/clients/ladder_clients/transport/__init__.py
+++ b/packages/clients/ladder_clients/transport/__init__.py
@@ -1,4 +1,4 @@
-"""HTTP client, connection probe and error translation of all clients."""
+"""HTTP client and error translation of all clients."""
 
 from ladder_clients.exchanges.errors import (
     SilentConnectionError,
@@ -12,7 +12,6 @@
     HttpClient,
     HttpResponse,
 )
-from ladder_clients.transport.probe import TargetProbe, TcpProbe
 from ladder_clients.transport.translation import translate_target_errors
 
 __all__ = (
@@ -20,8 +19,6 @@
     'HttpResponse',
     'HttpClient',
     'SilentConnectionError',
-    'TargetProbe',
-    'TcpProbe',
     'Timeouts',
     'TransportBrokenError',
     'TransportError',
--- a/packages/node/ladder_node/app/dispatchers.py
+++ b/packages/node/ladder_node/app/dispatchers.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ladder_clients.transport import TcpProbe
+from ladder_clients.probes import TcpProbe
 from ladder_core.settings import NodeSettings, RoutingPolicy
 from ladder_core.supervision import Component, Supervisor
 from ladder_core.timeline import Timeline
--- a/packages/node/ladder_node/batches/tests/replica_processes.py
+++ b/packages/node/ladder_node/batches/tests/replica_processes.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 from enum import Enum, auto
 
-from ladder_clients.transport import TargetProbe
+from ladder_clients.probes import TargetProbe
 from ladder_core.errors import (
     TargetChangedError,
     TargetLostError,
--- a/packages/node/ladder_node/dispatch/crashes.py
+++ b/packages/node/ladder_node/dispatch/crashes.py
@@ -6,7 +6,7 @@
 
 from prometheus_client import Counter
 
-from ladder_clients.transport import TargetProbe
+from ladder_clients.probes import TargetProbe
 from ladder_core.errors import (
     OverloadedError,
     PoisonousRequestError,
--- a/packages/node/ladder_node/dispatch/tests/test_crashes.py
+++ b/packages/node/ladder_node/dispatch/tests/test_crashes.py
@@ -3,7 +3,7 @@
 import pytest
 
 from ladder_clients.engines import Chunk, EngineClient
-from ladder_clients.transport import TargetProbe
+from ladder_clients.probes import TargetProbe
 from ladder_core.errors import (
     Execution,
     LadderError,
--- a/packages/node/ladder_node/forwarding/tests/test_forwarder.py
+++ b/packages/node/ladder_node/forwarding/tests/test_forwarder.py
@@ -4,12 +4,12 @@
 
 import pytest
 
+from ladder_clients.probes import TargetProbe
 from ladder_clients.replicas import (
     CallerRequest,
     PermitDenial,
     ReplicaClient,
 )
-from ladder_clients.transport import TargetProbe
 from ladder_core.errors import (
     AnswerCorruptError,
     AnswerEndlessError,
--- a/packages/node/ladder_node/quarantine/component.py
+++ b/packages/node/ladder_node/quarantine/component.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Sequence
 
+from ladder_clients.probes import TargetProbe, TcpProbe
 from ladder_clients.table import PartitionedTableClient
-from ladder_clients.transport import TargetProbe, TcpProbe
 from ladder_core.supervision import Component, Supervisor
 from ladder_core.timeline import Timeline
 from ladder_core.timers import TimerService
--- a/packages/node/ladder_node/quarantine/detector.py
+++ b/packages/node/ladder_node/quarantine/detector.py
@@ -13,7 +13,7 @@
 
 from prometheus_client import Counter
 
-from ladder_clients.transport import TargetProbe
+from ladder_clients.probes import TargetProbe
 from ladder_core.errors import (
     MayHaveRunError,
     PathLostError,
--- a/packages/node/ladder_node/quarantine/tests/test_detector.py
+++ b/packages/node/ladder_node/quarantine/tests/test_detector.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ladder_clients.transport import TargetProbe
+from ladder_clients.probes import TargetProbe
 from ladder_core.errors import (
     AnswerCorruptError,
     LadderError,
--- a/packages/node/ladder_node/replica_paths/parts.py
+++ b/packages/node/ladder_node/replica_paths/parts.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from ladder_clients.exchanges import ConnectionPool
-from ladder_clients.transport import TargetProbe, TcpProbe
+from ladder_clients.probes import TargetProbe, TcpProbe
 from ladder_core.timeline import Timeline
 from ladder_core.timers import TimerService
 from ladder_node.members import Member
--- a/packages/node/ladder_node/replica_paths/probe.py
+++ b/packages/node/ladder_node/replica_paths/probe.py
@@ -4,7 +4,7 @@
 
 from loguru import logger
 
-from ladder_clients.transport import TargetProbe
+from ladder_clients.probes import TargetProbe
 from ladder_node.replica_paths.comparer import PathComparer
 from ladder_node.replicas import ReplicaRegistry
 
--- a/packages/node/ladder_node/replica_paths/tests/test_paths.py
+++ b/packages/node/ladder_node/replica_paths/tests/test_paths.py
@@ -13,7 +13,7 @@
 import pytest
 
 from ladder_clients.exchanges import OutgoingRequest, Timeouts, TransportError
-from ladder_clients.transport import TcpProbe
+from ladder_clients.probes import TcpProbe
 from ladder_node.replica_paths.tests.fleet import (
     SERVICES,
     PathFleet,
