--- a/conftest.py
+++ b/conftest.py
@@ -14,6 +14,10 @@
 
 import pytest
 
+# hypothesis imports it in the middle of a test, and pytest parses it then. On
+# Python 3.11.6 this raises SystemError if a finalizer runs within the parse.
+from hypothesis.internal.conjecture import optimiser  # noqa: F401 see above
+
 _ASYNCIO = 'asyncio'
 # A test may replace it for other callers than itself.
 _open_connection = asyncio.open_connection
