Let the test of late imports report a target to its end

As committed before, its property failed early, so that hypothesis never got to the module and the test could not fail. It fails now without the import in conftest.py.

--- a/tests/test_late_imports.py
+++ b/tests/test_late_imports.py
@@ -23,12 +23,8 @@
 @given(strategies.lists(strategies.integers()))
 def run(numbers):
     target(float(len(numbers)))
-    assert sum(numbers) < 100
 
-try:
-    run()
-except AssertionError:
-    pass
+run()
 print([name for name in set(sys.modules) - before if 'hypothesis' in name])
 """
 
