Send a request again as it is only right after its gateway broke off

A request names the time that its caller still waits. Found in the read-through; the test fails before.

--- a/packages/node/ladder_node/replica_relay/exchanges.py
+++ b/packages/node/ladder_node/replica_relay/exchanges.py
@@ -19,6 +19,7 @@
     ReplicaExchanges,
 )
 from ladder_core.errors import OverloadedError
+from ladder_core.timers import TimerService
 from ladder_core.values import Replica
 from ladder_node.replica_paths import RelaySource, ReplicaPaths
 from ladder_node.replica_relay.client import (
@@ -29,8 +30,9 @@
 
 # A larger body costs more on its way through another host than a connection.
 _MAX_GATEWAY_BODY_BYTES = 65_536
-# The gateway did not answer, and its connection to the replica has ended.
-_GATEWAY_ERRORS = (UnreachableError, OverloadedError, RelayLostError)
+# The request names the time that its caller still waits. Later than this, that
+# time has to be named anew, so the request is not sent again as it is.
+_MAX_RESEND_SECONDS = 0.3
 
 
 class Gateways:
@@ -43,17 +45,56 @@
         Lists the gateways of this node.
     relay : ReplicaRelay
         Hands requests to them.
+    timers : TimerService
+        Clock by which a gateway has failed early or late.
 
     """
 
-    def __init__(self, source: RelaySource, relay: ReplicaRelay) -> None:
+    def __init__(
+        self, source: RelaySource, relay: ReplicaRelay, timers: TimerService
+    ) -> None:
         self._source = source
-        self.exchange = relay.exchange
+        self._relay = relay
+        self._timers = timers
+
+    async def open(
+        self,
+        stack: AsyncExitStack,
+        replica: Replica,
+        request: OutgoingRequest,
+        timeouts: Timeouts,
+        terms: ExchangeTerms,
+    ) -> StreamedResponse | None:
+        """
+        Return the open response; None if the request is to be sent directly.
+
+        Raises
+        ------
+        RelayLostError
+            The gateway broke off late; the request may have been executed.
+        TransportError
+            The exchange of the gateway failed; likewise.
+
+        """
+        if not self._may_take(replica, request, terms):
+            return None
+        started_at = self._timers.now()
+        try:
+            return await stack.enter_async_context(
+                self._relay.exchange(replica, request, timeouts, terms)
+            )
+        except (UnreachableError, OverloadedError) as error:
+            logger.debug('gateway not used: {}', error.message)
+        except RelayLostError as error:
+            # Its connection to the replica has ended, too.
+            if self._timers.now() - started_at > _MAX_RESEND_SECONDS:
+                raise
+            logger.debug('gateway lost: {}', error.message)
+        return None
 
-    def may_take(
+    def _may_take(
         self, replica: Replica, request: OutgoingRequest, terms: ExchangeTerms
     ) -> bool:
-        """Return whether a request should go through a gateway."""
         return (
             terms.uses_gateway
             and not (terms.is_direct or terms.runs_once)
@@ -148,16 +189,11 @@
     ) -> StreamedResponse:
         """Open an exchange by a gateway, or directly if none takes it."""
         terms = replace(terms, before_send=call_once(terms.before_send))
-        exchange = (replica, request, timeouts, terms)
-        gateways = self._gateways
-        if gateways is not None and gateways.may_take(replica, request, terms):
-            try:
-                return await stack.enter_async_context(
-                    gateways.exchange(*exchange)
-                )
-            except _GATEWAY_ERRORS as error:
-                logger.debug('gateway not used: {}', error.message)
-        return await self._open_directly(stack, *exchange)
+        exchange = (stack, replica, request, timeouts, terms)
+        response = None
+        if self._gateways is not None:
+            response = await self._gateways.open(*exchange)
+        return response or await self._open_directly(*exchange)
 
     async def _open_directly(
         self,
--- a/packages/node/ladder_node/replica_relay/tests/test_gateways.py
+++ b/packages/node/ladder_node/replica_relay/tests/test_gateways.py
@@ -28,6 +28,7 @@
     ReplicaRelay,
     RoutedExchanges,
 )
+from ladder_node.replica_relay.client import RelayLostError
 from ladder_node.replica_relay.tests.test_relay import Harness
 from ladder_standins.fleet.ports import find_free_ports
 from ladder_standins.scripted import ScriptedTarget, format_response
@@ -71,7 +72,7 @@
             self.pool,
             fleet.harness.relay,
             cast(ReplicaPaths, SimpleNamespace(is_lost=lambda service: False)),
-            Gateways(self.directory, relay),
+            Gateways(self.directory, relay, timers),
         )
 
     async def fetch(self, replica, request=GET, terms=TERMS):
@@ -199,6 +200,22 @@
     await dying.close()
 
 
+async def test_request_is_not_sent_again_as_it_is_after_a_long_wait(fleet):
+    """Guards against replicas that are handed more time than is left."""
+
+    async def drop_late(request, writer):
+        await asyncio.sleep(0.4)
+        writer.transport.abort()
+
+    dying = ScriptedTarget(drop_late)
+    await dying.start()
+    fleet.add_members(dying.address)
+    with pytest.raises(RelayLostError):
+        await fleet.add_host(5).fetch(fleet.replica)
+    assert not fleet.target.received
+    await dying.close()
+
+
 async def test_gateway_that_stops_takes_no_request(fleet):
     fleet.gateway.drain.require_time = _refuse
     host = fleet.add_host(5)
