--- a/packages/clients/ladder_clients/exchanges/connection.py
+++ b/packages/clients/ladder_clients/exchanges/connection.py
@@ -25,9 +25,9 @@
 _REMEDY = 'read back whether the request took effect'
 # Reading pauses while more received bytes than this wait for the parser, so
 # that TCP flow control slows the peer down.
-_MAX_BUFFERED_BYTES = 65_536
+_MAX_BUFFERED_BYTES = 32_768
 # Bytes that are read at once; asyncio reads 256 KiB.
-_READ_BYTES = 65_536
+_READ_BYTES = 32_768
 # Interim responses (1xx) before the response; more are no protocol.
 _MAX_INTERIM_RESPONSES = 16
 
