Take no node from a row without a capacity

A row of members with a capacity of zero made the draw of relays and gateways divide by zero: with gateways, each look-up of a host without connections would have failed. Found in the read-through. Such a row is malformed now, and costs only itself; the test fails before.

--- a/packages/node/ladder_node/members/rows.py
+++ b/packages/node/ladder_node/members/rows.py
@@ -1,5 +1,7 @@
 """Rows in which nodes publish themselves."""
 
+import math
+
 import msgspec
 
 from ladder_clients.addresses import split_address
@@ -76,6 +78,8 @@
     for address in (member.address, member.peer_address):
         if address:
             split_address(address)
+    if not 0 < member.capacity < math.inf:
+        raise ValueError(f'a capacity of {member.capacity} cores')
     return member
 
 
--- a/packages/node/ladder_node/members/tests/test_membership.py
+++ b/packages/node/ladder_node/members/tests/test_membership.py
@@ -99,6 +99,19 @@
     assert fleet.seen_by('a') == ['a', 'b', 'c', 'd']
 
 
+@pytest.mark.parametrize('capacity', [0, -1])
+async def test_row_without_a_capacity_is_no_node(fleet, capacity):
+    """Guards against requests that fail as nodes are drawn by capacity."""
+    body = (
+        '{"name":"x","address":"x:9","data_centre":"leith",'
+        f'"region":"lowlands","incarnation":"","capacity":{capacity}}}'
+    )
+    write = Write(MEMBERS_TABLE, 'x', body, MEMBERS_PART)
+    await fleet.table.commit(Transaction('t', (), (write,)))
+    await fleet.timers.advance(1)
+    assert fleet.seen_by('a') == ['a', 'b', 'c']
+
+
 async def test_killed_node_is_left_out_within_four_seconds(fleet):
     await fleet.nodes['b'].close()
     await fleet.timers.advance(4)
--- a/packages/node/ladder_node/serving/protocol.py
+++ b/packages/node/ladder_node/serving/protocol.py
@@ -314,8 +314,10 @@
         if self.transport.is_closing():
             return
         self._is_own_turn = True
-        self.handle_events()
-        self._is_own_turn = False
+        try:
+            self.handle_events()
+        finally:
+            self._is_own_turn = False
         body = self.cycle.body if self.cycle else b''
         has_room = len(body) <= HIGH_WATER_LIMIT
         if has_room and self.conn.their_state is not h11.DONE:
