--- a/review/standins-2/store.py
+++ b/review/standins-2/store.py
@@ -10,6 +10,7 @@
 _JSON = {'Content-Type': 'application/json'}
 _MAX_TX_ENTRIES = 100
 _MAX_TX_BYTES = 1 << 20
+_ROW_BYTES = 65536
 _PAGE_ROWS = 500
 _PAGE_BYTES = 1 << 20
 
@@ -98,6 +99,7 @@
             len(request.body) > _MAX_TX_BYTES
             or len(entries) > _MAX_TX_ENTRIES
             or len(parts) > 1
+            or any(len(row['value']) * 3 // 4 > _ROW_BYTES + 2 for row in puts)
         ):
             self.refused.append((time.time(), len(request.body), len(entries)))
             return Response(400)
