--- a/review/standins-2/store.py
+++ b/review/standins-2/store.py
@@ -11,6 +11,12 @@
 _MAX_TX_ENTRIES = 100
 _MAX_TX_BYTES = 1 << 20
 _ROW_BYTES = 65536
+_BLOB_TOTAL_BYTES = 400_000_000
+_BLOB_SECONDS = 0.025
+_BLOB_BYTES_PER_SECOND = 80e6
+_WRITES_PER_SECOND = 800
+_READS_PER_SECOND = 2000
+_MAX_PART_WAIT_SECONDS = 1
 _PAGE_ROWS = 500
 _PAGE_BYTES = 1 << 20
 
@@ -30,6 +36,9 @@
         self._tx_seconds = tx_seconds
         self._server = Server(self.handle)
         self.address = ''
+        self._calls = {}
+        self._part_free_at = {}
+        self._blob_free_at = 0
 
     async def start(self, host='127.0.0.1'):
         """Listen at a free port."""
@@ -73,6 +82,8 @@
         if self.is_down:
             return Response(503)
         path = request.path
+        if self._is_over_rate(path):
+            return Response(429)
         if path == '/kumquatladder/rows-tx':
             return await self._commit(request)
         if path == '/kumquatladder/rows-get':
@@ -88,7 +99,6 @@
         return Response(404)
 
     async def _commit(self, request):
-        await asyncio.sleep(self._tx_seconds)
         message = json.loads(request.body)
         puts = message.get('put') or []
         removes = message.get('remove') or []
@@ -103,6 +113,13 @@
         ):
             self.refused.append((time.time(), len(request.body), len(entries)))
             return Response(400)
+        part = next(iter(parts), '')
+        now = time.monotonic()
+        free_at = max(self._part_free_at.get(part, 0), now)
+        if free_at - now > _MAX_PART_WAIT_SECONDS:
+            return Response(429)
+        self._part_free_at[part] = free_at + self._tx_seconds
+        await asyncio.sleep(free_at + self._tx_seconds - now)
         failed = False
         present = []
         for row in conditions:
@@ -125,6 +142,23 @@
         )
         return self._answer(200, [])
 
+    def _is_over_rate(self, path):
+        """Return whether a call is beyond the rates of all nodes together."""
+        is_write = path == '/kumquatladder/rows-tx' or 'blob-put' in path
+        limit = _WRITES_PER_SECOND if is_write else _READS_PER_SECOND
+        second = int(time.monotonic())
+        known, count = self._calls.get(is_write, (second, 0))
+        count = count + 1 if known == second else 1
+        self._calls[is_write] = (second, count)
+        return count > limit
+
+    async def _take_blob_time(self, size):
+        """Wait for the time of a call, whose bytes share one rate."""
+        now = time.monotonic()
+        free_at = max(self._blob_free_at, now) + size / _BLOB_BYTES_PER_SECOND
+        self._blob_free_at = free_at
+        await asyncio.sleep(free_at - now + _BLOB_SECONDS)
+
     def _get(self, query):
         first, last = query.get('from', ''), query.get('to')
         limit = min(int(query.get('limit', _PAGE_ROWS)), _PAGE_ROWS)
@@ -170,20 +204,25 @@
             '/kumquatladder/blob-'
         ).partition('/')
         name = unquote(name)
-        await asyncio.sleep(0.025 + len(request.body) / 80e6)
+        await self._take_blob_time(len(request.body))
         if verb == 'put':
             if len(request.body) > self._blob_bytes:
                 return Response(413)
             if request.headers.get('if-none-match') == '*':
                 if name in self.blobs:
                     return Response(412)
+            total = sum(map(len, self.blobs.values()))
+            if total + len(request.body) > _BLOB_TOTAL_BYTES + len(
+                self.blobs.get(name, b'')
+            ):
+                return Response(507)
             self.blobs[name] = request.body
             return Response(200)
         if verb == 'get':
             if name not in self.blobs:
                 return Response(404)
             body = self.blobs[name]
-            await asyncio.sleep(len(body) / 80e6)
+            await self._take_blob_time(len(body))
             return Response(200, {}, body)
         if verb == 'drop':
             self.blobs.pop(name, None)
--- a/review/standins-2/trainer.py
+++ b/review/standins-2/trainer.py
@@ -17,11 +17,11 @@
         'path': f'/notes/{number}/x',
         'headers': {
             'Model': 'm0',
-            'Token-Counts': '16,4000',
+            'Token-Counts': '316,4000',
             'Prompt-Prefix': '9c2e41:300,5d07b8:16',
         },
         'body': base64.b64encode(b'prompt').decode(),
-        'tokens': 4016,
+        'tokens': 4316,
         'group': f'{batch}g{number // 4}',
         'scorer': {
             'id': f'{name}s',
